Operators' listener with status, time line, metrics and orders

Operators had no way to ask a daemon what it holds. A listener of its own answers status, time line and expvar under a bearer token that is compared by digest in constant time, and takes orders past the platform.

An order is not a head of its own: it stays in force over the platform's head until a later head has absorbed it. Numbers grow by one for each pending order and absorbing keeps the number, so nothing is reverted and orders commute.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -39,14 +39,19 @@
 	log      *slog.Logger
 	client   *platform.Client
 	loop     *loop.Loop
+	inbox    *inbox
 	peers    *peer.Manager
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
 	callers  *http.Server
 	links    *http.Server
+	// operators serves the operators' interface.
+	operators   *http.Server
+	incarnation uint64
 
-	callersListener net.Listener
-	peersListener   net.Listener
+	callersListener   net.Listener
+	peersListener     net.Listener
+	operatorsListener net.Listener
 }
 
 // New binds the listeners and wires the daemon.
@@ -56,12 +61,14 @@
 		return nil, err
 	}
 	incarnation := uint64(time.Now().UnixNano())
+	a.incarnation = incarnation
 	a.client = platform.New(platform.Options{URL: s.Platform.URL, Token: s.Platform.Token})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
+	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
 	a.peers = peer.New(peer.Options{
 		Secret:  s.Peers.Secret,
 		Scheme:  "ws",
-		Handler: &inbox{loop: a.loop},
+		Handler: a.inbox,
 		Hello:   a.hello(incarnation),
 		Log:     log,
 	})
@@ -69,6 +76,7 @@
 	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
+	a.operators = newServer(a.newOperator())
 	return a, nil
 }
 
@@ -78,11 +86,15 @@
 // PeersAddress returns the bound address of the peer listener.
 func (a *App) PeersAddress() string { return a.peersListener.Addr().String() }
 
+// OperatorsAddress returns the bound address of the operators' listener.
+func (a *App) OperatorsAddress() string { return a.operatorsListener.Addr().String() }
+
 // Run serves until ctx ends.
 func (a *App) Run(ctx context.Context) error {
 	var group run.Group
 	addServer(&group, a.callers, a.callersListener)
 	addServer(&group, a.links, a.peersListener)
+	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
 	addLoop(&group, ctx, a.watcher.Run)
 	addLoop(&group, ctx, a.followDirectory)
@@ -101,6 +113,9 @@
 	if a.peersListener, err = net.Listen("tcp", a.settings.Peers.Listen); err != nil {
 		return errors.Wrap(err, "peer listener")
 	}
+	if a.operatorsListener, err = net.Listen("tcp", a.settings.Operators.Listen); err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
 	return nil
 }
 
--- a/daemon/version/watch/watch.go
+++ b/daemon/version/watch/watch.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 // ErrCorrupt is returned for a part that does not match its digest.
 var ErrCorrupt = errors.New("configuration part corrupt")
 
+// ErrNoHead is returned for an order before a head is known.
+var ErrNoHead = errors.New("no configuration head known")
+
 // Options set up a Watcher.
 type Options struct {
 	Store platform.Store
@@ -43,6 +47,12 @@
 type Watcher struct {
 	options Options
 	known   platform.ObjectVersion
+
+	mu       sync.Mutex
+	head     version.Head
+	document *version.Document
+	orders   []version.Order
+	config   *version.Config
 }
 
 // New returns a watcher that has seen nothing.
@@ -69,28 +79,71 @@
 	if err != nil {
 		return err
 	}
-	config, err := Load(ctx, w.options.Store, object.Value)
+	head, document, err := Load(ctx, w.options.Store, object.Value)
 	if err != nil {
 		return err
 	}
 	w.known = object.Version
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.head, w.document = head, document
+	return w.apply()
+}
+
+// apply puts the head in force under the orders.
+func (w *Watcher) apply() error {
+	head := w.head.Under(w.orders)
+	if w.config != nil && head.Number <= w.config.Number {
+		return nil
+	}
+	config, err := version.Compile(w.document, head)
+	if err != nil {
+		return err
+	}
+	w.config = config
 	w.options.Apply(config)
 	return nil
 }
 
-// Load reads the parts that an encoded head names and compiles them.
-func Load(ctx context.Context, store platform.Store, encodedHead []byte) (*version.Config, error) {
+// Order puts an order in force over the platform's head and returns the
+// configuration number that includes it. It returns ErrNoHead while no head is
+// known.
+func (w *Watcher) Order(order version.Order) (version.Number, error) {
+	if err := order.Check(); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.document == nil {
+		return 0, ErrNoHead
+	}
+	w.orders = append(w.orders, order)
+	if err := w.apply(); err != nil {
+		return 0, err
+	}
+	return w.config.Number, nil
+}
+
+// Orders returns the head's number and the orders in force over it.
+func (w *Watcher) Orders() (version.Number, []version.Order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.head.Number, w.head.Pending(w.orders)
+}
+
+// Load reads the parts that an encoded head names.
+func Load(ctx context.Context, store platform.Store, encodedHead []byte) (version.Head, *version.Document, error) {
 	var head version.Head
 	if err := json.Unmarshal(encodedHead, &head); err != nil {
-		return nil, errors.Wrap(err, "decode head")
+		return head, nil, errors.Wrap(err, "decode head")
 	}
 	var document version.Document
 	for _, part := range head.Parts {
 		if err := loadPart(ctx, store, part, &document); err != nil {
-			return nil, errors.Wrapf(err, "part %q", part.Name)
+			return head, nil, errors.Wrapf(err, "part %q", part.Name)
 		}
 	}
-	return version.Compile(&document, head)
+	return head, &document, nil
 }
 
 func loadPart(ctx context.Context, store platform.Store, part version.PartRef, into *version.Document) error {
--- a/fleet/version/compile.go
+++ b/fleet/version/compile.go
@@ -55,6 +55,7 @@
 	}
 	config.apply(preset)
 	config.Out = compileOut(head.Out)
+	config.outNames = head.Out
 	config.Index()
 	return config, nil
 }
--- a/fleet/version/config.go
+++ b/fleet/version/config.go
@@ -110,6 +110,7 @@
 	DataCentres map[DataCentreID]*DataCentre
 	Out         OutOfService
 
+	outNames         OutNames
 	accountsByDigest map[string]*Account
 	poolsByModel     map[string]*Pool
 }
@@ -149,6 +150,9 @@
 	return pool, ok
 }
 
+// OutNames returns what operators have taken out, by name.
+func (c *Config) OutNames() OutNames { return c.outNames }
+
 // DataCentreOut reports whether operators have taken the data centre out.
 func (c *Config) DataCentreOut(id DataCentreID) bool {
 	for _, out := range c.Out.DataCentres {
--- a/fleet/version/document.go
+++ b/fleet/version/document.go
@@ -86,6 +86,9 @@
 	// Parts are the immutable objects that together hold the Document.
 	Parts []PartRef `json:"parts"`
 	Out   OutNames  `json:"out"`
+	// Absorbed are the operations of the latest orders that daemons took past
+	// the platform and that this head includes; at most MaxAbsorbed.
+	Absorbed []string `json:"absorbed,omitempty"`
 }
 
 // PartRef names an immutable part by its content.
