--- a/fleet/process/timeline/timeline.go
+++ b/fleet/process/timeline/timeline.go
@@ -6,6 +6,7 @@
 package timeline
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -78,6 +79,19 @@
 	Detail   string             `json:"detail,omitempty"`
 }
 
+// Compare orders events by stamp, then by VM, so that merged time lines have
+// one order.
+func Compare(a, b Event) int {
+	switch {
+	case a.Stamp.Before(b.Stamp):
+		return -1
+	case b.Stamp.Before(a.Stamp):
+		return 1
+	default:
+		return strings.Compare(string(a.VM), string(b.VM))
+	}
+}
+
 // DefaultRingEvents is the number of events that a process keeps.
 const DefaultRingEvents = 8192
 
