--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -11,12 +11,9 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 
@@ -26,6 +23,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/version/watch"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
+	"github.com/trefoilwell/trefoilwell/lab/load"
 	"github.com/trefoilwell/trefoilwell/lab/platform"
 )
 
@@ -40,10 +38,11 @@
 const (
 	model           = "polish-7b"
 	operation       = "demo"
-	requestsPerUser = 60
-	tokensPerAnswer = 12
-	readyTimeout    = 10 * time.Second
-	readyPause      = 20 * time.Millisecond
+	tokensPerAnswer = 24
+	// loadDuration is how long the load lasts.
+	loadDuration = 4 * time.Second
+	readyTimeout = 10 * time.Second
+	readyPause   = 20 * time.Millisecond
 )
 
 // user is a client account of the demo.
@@ -55,8 +54,8 @@
 }
 
 var users = []user{
-	{name: "counters", key: "demo-counters", weight: 2, callers: 12},
-	{name: "crews", key: "demo-crews", weight: 1, callers: 12},
+	{name: "counters", key: "demo-counters", weight: 2, callers: 16},
+	{name: "crews", key: "demo-crews", weight: 1, callers: 16},
 	{name: "apprentices", key: "demo-apprentices", weight: 1, callers: 2},
 }
 
@@ -66,7 +65,7 @@
 	return err
 }
 
-func run(ctx context.Context, options Options) ([]*result, error) {
+func run(ctx context.Context, options Options) ([]*load.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	fleet, err := start(ctx, options.Log)
@@ -76,8 +75,11 @@
 	if err := fleet.ready(ctx); err != nil {
 		return nil, err
 	}
+	fmt.Fprintf(options.Out, "%s of load from three client accounts over three daemons:\n\n", loadDuration)
 	results := fleet.load(ctx)
-	printResults(options.Out, results)
+	if err := load.WriteTable(options.Out, results); err != nil {
+		return nil, errors.Wrap(err, "print results")
+	}
 	if options.Keep {
 		printCurl(options.Out, fleet.addresses[0])
 		<-ctx.Done()
@@ -242,92 +244,25 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// result is what one account saw.
-type result struct {
-	user    user
-	mu      sync.Mutex
-	answers int
-	refused int
-	broken  int
-	tokens  int
-	first   *hdrhistogram.Histogram
-}
-
-// maxLatency bounds the recorded latencies, in microseconds.
-const maxLatency = 60_000_000
-
 // load sends every user's requests and returns what they saw.
-func (f *fleet) load(ctx context.Context) []*result {
-	var results []*result
-	var callers sync.WaitGroup
-	for i, u := range users {
-		r := &result{user: u, first: hdrhistogram.New(1, maxLatency, 3)}
-		results = append(results, r)
-		for j := range u.callers {
-			address := f.addresses[(i+j)%len(f.addresses)]
-			callers.Go(func() {
-				for range requestsPerUser / u.callers {
-					r.call(ctx, address)
-				}
-			})
-		}
-	}
-	callers.Wait()
-	return results
-}
-
-func (r *result) call(ctx context.Context, address string) {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, model, tokensPerAnswer)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return
-	}
-	request.Header.Set("Authorization", "Bearer "+r.user.key)
-	request.Header.Set("Content-Type", "application/json")
-	started := time.Now()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		r.count(0, false, true, 0)
-		return
-	}
-	defer response.Body.Close()
-	first := time.Since(started)
-	answer, err := io.ReadAll(response.Body)
-	text := string(answer)
-	complete := err == nil && strings.HasSuffix(text, "data: [DONE]\n\n")
-	refused := response.StatusCode != http.StatusOK
-	r.count(strings.Count(text, `"delta"`), refused, !refused && !complete, first)
-}
-
-func (r *result) count(tokens int, refused, broken bool, first time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case refused:
-		r.refused++
-	case broken:
-		r.broken++
-	default:
-		r.answers++
-		r.tokens += tokens
-		// A latency over the bound is left out of the histogram.
-		_ = r.first.RecordValue(first.Microseconds())
-	}
-}
-
-func printResults(out io.Writer, results []*result) {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "account\tweight\tanswers\ttokens\trefused\tbroken\tfirst byte p50\tp95\t")
-	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%g\t%d\t%d\t%d\t%d\t%s\t%s\t\n", r.user.name, r.user.weight,
-			r.answers, r.tokens, r.refused, r.broken, quantile(r.first, 50), quantile(r.first, 95))
+func (f *fleet) load(ctx context.Context) []*load.Result {
+	var accounts []load.Account
+	for _, u := range users {
+		accounts = append(accounts, load.Account{
+			Name:      u.name,
+			Key:       u.key,
+			Callers:   u.callers,
+			Weight:    u.weight,
+			Model:     model,
+			MaxTokens: tokensPerAnswer,
+			Prompt:    "hello",
+		})
 	}
-	table.Flush()
-}
-
-func quantile(histogram *hdrhistogram.Histogram, percent float64) time.Duration {
-	value := time.Duration(histogram.ValueAtQuantile(percent)) * time.Microsecond
-	return value.Round(time.Millisecond)
+	return load.Run(ctx, load.Options{
+		Addresses: f.addresses,
+		Accounts:  accounts,
+		Duration:  loadDuration,
+	})
 }
 
 func printCurl(out io.Writer, address string) {
--- a/lab/demo/demo_test.go
+++ b/lab/demo/demo_test.go
@@ -14,14 +14,14 @@
 		t.Fatal(err)
 	}
 	for _, r := range results {
-		if r.broken != 0 || r.refused != 0 {
-			t.Errorf("%s: %d broken, %d refused, want none", r.user.name, r.broken, r.refused)
+		if r.Broken != 0 || r.Refusals() != 0 {
+			t.Errorf("%s: %d broken, %d refused, want none", r.Account.Name, r.Broken, r.Refusals())
 		}
-		if want := r.answers * tokensPerAnswer; r.answers == 0 || r.tokens != want {
-			t.Errorf("%s: %d tokens in %d answers, want %d", r.user.name, r.tokens, r.answers, want)
+		if want := r.Answers * tokensPerAnswer; r.Answers == 0 || r.Tokens != want {
+			t.Errorf("%s: %d tokens in %d answers, want %d", r.Account.Name, r.Tokens, r.Answers, want)
 		}
-		if !strings.Contains(out.String(), r.user.name) {
-			t.Errorf("the table does not name %s", r.user.name)
+		if !strings.Contains(out.String(), r.Account.Name) {
+			t.Errorf("the table does not name %s", r.Account.Name)
 		}
 	}
 }
