--- a/fleet/version/compile.go
+++ b/fleet/version/compile.go
@@ -15,7 +15,7 @@
 	defaultExpectedFirstToken = 320 * time.Millisecond
 )
 
-// ErrInvalid is returned for a document that cannot be compiled.
+// ErrInvalid is returned for a document, a head or an order that cannot be used.
 var ErrInvalid = errors.New("invalid configuration")
 
 // Compile returns the configuration that a document and a head describe, with
--- a/fleet/version/document.go
+++ b/fleet/version/document.go
@@ -3,11 +3,11 @@
 // Document is a configuration as operators write it, in TOML, before it is
 // validated and compiled.
 type Document struct {
-	DataCentres []DataCentreSpec `toml:"datacentre"`
-	Accounts    []AccountSpec    `toml:"account"`
-	Pools       []PoolSpec       `toml:"pool"`
-	Upstreams   []UpstreamSpec   `toml:"upstream"`
-	Presets     []PresetSpec     `toml:"preset"`
+	DataCentres []DataCentreSpec `toml:"datacentre,omitempty"`
+	Accounts    []AccountSpec    `toml:"account,omitempty"`
+	Pools       []PoolSpec       `toml:"pool,omitempty"`
+	Upstreams   []UpstreamSpec   `toml:"upstream,omitempty"`
+	Presets     []PresetSpec     `toml:"preset,omitempty"`
 }
 
 // DataCentreSpec describes a data centre.
