Publish a picture of the node's state

Metrics and the status command need queue lengths, slots, members and counters without reaching into the goroutine that owns the node. Node.Stats builds a copy; the loop publishes it through an atomic pointer twice a second. Fields that later changes fill are declared already, so that readers can be built on them.

--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -18,6 +18,9 @@
 // ringEvents bounds the events that wait for the node.
 const ringEvents = 16384
 
+// statsTicks is the number of ticks between two pictures of the node.
+const statsTicks = 10
+
 // Sender carries messages to other daemons.
 type Sender interface {
 	// Send reports false if the message cannot be sent.
@@ -36,7 +39,10 @@
 	options Options
 	events  chan node.Event
 	config  atomic.Pointer[version.Config]
+	stats   atomic.Pointer[node.Stats]
 	nextID  atomic.Uint64
+	// ticks belongs to the goroutine of Run.
+	ticks uint64
 
 	mu      sync.Mutex
 	waiters map[request.ID]chan decision
@@ -71,12 +77,26 @@
 		case event := <-l.events:
 			l.options.Node.Step(time.Now(), event)
 		case <-ticker.C:
-			l.options.Node.Tick(time.Now())
+			l.tick(time.Now())
 		}
 		l.carryOut()
 	}
 }
 
+// tick advances the node and publishes its picture every statsTicks.
+func (l *Loop) tick(now time.Time) {
+	l.options.Node.Tick(now)
+	l.ticks++
+	if l.ticks%statsTicks == 1 {
+		stats := l.options.Node.Stats(now)
+		l.stats.Store(&stats)
+	}
+}
+
+// Stats returns the latest picture of the node, or nil before the first tick.
+// Nobody may change it.
+func (l *Loop) Stats() *node.Stats { return l.stats.Load() }
+
 // Config returns the configuration in force, or nil.
 func (l *Loop) Config() *version.Config { return l.config.Load() }
 
--- a/fleet/process/entry/entry.go
+++ b/fleet/process/entry/entry.go
@@ -62,6 +62,16 @@
 // Len returns the number of requests held.
 func (e *Entry) Len() int { return len(e.requests) }
 
+// Count returns the numbers of waiting and running requests.
+func (e *Entry) Count() (waitingCount, runningCount int) {
+	for _, s := range e.requests {
+		if s.phase == waiting {
+			waitingCount++
+		}
+	}
+	return waitingCount, len(e.requests) - waitingCount
+}
+
 // Submit adds a request, or another attempt of one that ended with End, and
 // sends its ticket.
 func (e *Entry) Submit(now time.Time, ticket request.Ticket) {
--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -62,6 +62,7 @@
 func (e PeerDown) apply(n *Node, now time.Time)  { n.peerDown(now, e.Hello) }
 
 func (e Receive) apply(n *Node, now time.Time) {
+	n.received++
 	from := dispatcher.Entry{VM: e.From, Incarnation: e.Incarnation}
 	n.receive(now, from, e.Message)
 }
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -48,6 +48,10 @@
 	// with.
 	registered map[version.PoolID]version.VMID
 	actions    []Action
+
+	crossRegionBytes uint64
+	sent             uint64
+	received         uint64
 }
 
 // New returns a node that knows no configuration and no peers.
@@ -204,6 +208,7 @@
 // deliver sends a message, or handles it at once if it is for this daemon.
 func (n *Node) deliver(now time.Time, to version.VMID, message wire.Message) {
 	if to != n.options.VM {
+		n.sent++
 		n.act(Send{To: to, Message: message})
 		return
 	}
