Define the ledger that the callers' interface uses

The ledger is an interface of the serving package, so that serving and the ledger's I/O can be built and tested apart.

--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -42,7 +42,10 @@
 type Options struct {
 	Fleet Fleet
 	Relay *relay.Relay
-	Log   *slog.Logger
+	// Ledger claims requests with an idempotency key; without one they are
+	// refused.
+	Ledger Ledger
+	Log    *slog.Logger
 }
 
 // Handler serves callers.
