Add a virtual-time pump of many nodes

Cause: decisions of many daemons could only be tried over loopback and wall clocks, which gives no repeatable verdict. Change: fleet/process/pump carries the messages of many nodes over delayed links from one seeded event heap. Encoded bytes are counted per daemon, standing and per request apart. Conclusion: the same seed gives the same run, asserted by its test.

--- /dev/null
+++ b/fleet/process/pump/pump_test.go
@@ -0,0 +1,86 @@
+package pump_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/process/pump"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// recorder counts how requests ended.
+type recorder struct {
+	granted, ended, refused int
+	charged                 request.Cost
+	last                    time.Time
+}
+
+func (r *recorder) Granted(time.Time, pump.Job, version.UpstreamID) { r.granted++ }
+
+func (r *recorder) Charged(_ time.Time, _ pump.Job, cost request.Cost) { r.charged += cost }
+
+func (r *recorder) Ended(now time.Time, _ pump.Job) { r.ended, r.last = r.ended+1, now }
+
+func (r *recorder) Refused(time.Time, pump.Job, request.Refusal) { r.refused++ }
+
+func compile(t *testing.T) *version.Config {
+	t.Helper()
+	config, err := version.Compile(&version.Document{
+		DataCentres: []version.DataCentreSpec{{Name: "a", Region: "east"}, {Name: "b", Region: "west"}},
+		Accounts:    []version.AccountSpec{{Name: "x"}},
+		Pools:       []version.PoolSpec{{Name: "p", Kind: version.PoolModel, Models: []string{"m"}}},
+		Upstreams: []version.UpstreamSpec{
+			{Name: "u1", Pool: "p", DataCentre: "a", Address: "x:1"},
+			{Name: "u2", Pool: "p", DataCentre: "b", Address: "x:2"},
+		},
+		Presets: []version.PresetSpec{{Name: "day"}},
+	}, version.Head{Number: 1, Preset: "day"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+func run(t *testing.T, seed uint64) (recorder, pump.Traffic) {
+	t.Helper()
+	var seen recorder
+	p := pump.New(pump.Options{Seed: seed, Config: compile(t), Observer: &seen})
+	for _, vm := range []version.VMID{"a1", "a2"} {
+		p.Add(vm, "a")
+	}
+	p.Add("b1", "b")
+	var traffic pump.Traffic
+	for i := range 30 {
+		p.Submit(p.VMs()[i%3], request.Ticket{
+			Account: version.NewAccountID("x"),
+			Pool:    version.NewPoolID("p"),
+			Wait:    time.Minute,
+		}, request.Cost(10+i))
+	}
+	p.Run(time.Minute)
+	for _, vm := range p.VMs() {
+		sent := p.Daemon(vm).Traffic
+		traffic.RequestSent += sent.RequestSent
+		traffic.RequestReceived += sent.RequestReceived
+		traffic.Messages += sent.Messages
+	}
+	return seen, traffic
+}
+
+func TestEveryRequestEndsOnceAndRunsRepeat(t *testing.T) {
+	first, firstTraffic := run(t, 7)
+	if first.granted != 30 || first.ended != 30 || first.refused != 0 {
+		t.Fatalf("granted %d, ended %d, refused %d of 30", first.granted, first.ended, first.refused)
+	}
+	if first.charged != 30*10+29*30/2 {
+		t.Fatalf("charged %v", first.charged)
+	}
+	if firstTraffic.RequestSent == 0 || firstTraffic.RequestSent != firstTraffic.RequestReceived {
+		t.Fatalf("traffic %+v", firstTraffic)
+	}
+	second, secondTraffic := run(t, 7)
+	if first != second || firstTraffic != secondTraffic {
+		t.Fatalf("same seed, other run: %+v %+v, %+v %+v", first, second, firstTraffic, secondTraffic)
+	}
+}
