--- /dev/null
+++ b/daemon/version/change/change.go
@@ -0,0 +1,190 @@
+// Package change puts changed configurations in force: one conditional update
+// of the head for each change.
+//
+// Operators who race get a conflict and never a merge: the change that was
+// second is not made, and its operator has to look at the first one. A write
+// whose answer was lost is resolved by reading the operation's identifier back.
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/part"
+)
+
+// changeTimeout bounds one change. It stays far below garbageAge, so that no
+// part is removed between its writing and the head's.
+const changeTimeout = 5 * time.Minute
+
+var (
+	// ErrConflict is returned if another change was made first. Nothing was
+	// changed.
+	ErrConflict = errors.New("another change was made first")
+	// ErrUnconfirmed is returned if the platform did not say whether the
+	// change was made.
+	ErrUnconfirmed = errors.New("the platform did not confirm the change")
+	// ErrUnavailable is returned if the platform could not be asked. Nothing
+	// was changed.
+	ErrUnavailable = errors.New("the platform cannot be reached")
+	// ErrInvalid is returned for a change that gives no valid configuration.
+	// Nothing was changed.
+	ErrInvalid = errors.New("the change is not valid")
+	// ErrNone is returned by Read if there is no configuration yet.
+	ErrNone = errors.New("there is no configuration yet")
+)
+
+// State is a configuration that an edit changes.
+type State struct {
+	Head     version.Head
+	Document *version.Document
+}
+
+// Options set up a Changer.
+type Options struct {
+	Store platform.Store
+	// Retry paces the resolving of lost answers; default
+	// platform.DefaultRetry.
+	Retry platform.Retry
+	// Now reads the clock; default time.Now.
+	Now func() time.Time
+}
+
+// Changer changes the configuration in the platform.
+type Changer struct {
+	options Options
+}
+
+// New returns a changer.
+func New(options Options) *Changer {
+	if options.Retry == (platform.Retry{}) {
+		options.Retry = platform.DefaultRetry
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Changer{options: options}
+}
+
+// Read returns the configuration in the platform.
+func (c *Changer) Read(ctx context.Context) (State, error) {
+	state, _, err := c.read(ctx)
+	return state, err
+}
+
+func (c *Changer) read(ctx context.Context) (State, platform.ObjectVersion, error) {
+	object, err := c.options.Store.Get(ctx, objects.HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return State{Document: &version.Document{}}, 0, ErrNone
+	}
+	if err != nil {
+		return State{}, 0, unavailable(err)
+	}
+	head, err := objects.DecodeHead(object.Value)
+	if err != nil {
+		return State{}, 0, err
+	}
+	document, err := objects.Document(ctx, c.options.Store, head)
+	if err != nil {
+		return State{}, 0, unavailable(err)
+	}
+	return State{Head: head, Document: document}, object.Version, nil
+}
+
+// Change reads the configuration, lets edit change it and puts the result in
+// force. It returns the head that the platform confirmed. Edit is given an
+// empty state, with the number 0, if there is no configuration yet; its error
+// ends the change.
+func (c *Changer) Change(ctx context.Context, edit func(*State) error) (version.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	state, expected, err := c.read(ctx)
+	if err != nil && !errors.Is(err, ErrNone) {
+		return version.Head{}, err
+	}
+	before := state.Head
+	if err := edit(&state); err != nil {
+		return version.Head{}, err
+	}
+	parts, err := check(&state)
+	if err != nil {
+		return version.Head{}, err
+	}
+	if err := c.writeParts(ctx, before, parts); err != nil {
+		return version.Head{}, err
+	}
+	state.Head.Number = before.Number
+	next := state.Head.Next(uuid.NewString())
+	return next, c.writeHead(ctx, next, expected)
+}
+
+// check validates a state and cuts its document into parts.
+func check(state *State) ([]part.Part, error) {
+	if problems := state.Document.Validate(); len(problems) > 0 {
+		return nil, errors.Wrapf(ErrInvalid, "%s", problems[0].Text)
+	}
+	parts, err := part.Split(state.Document)
+	if err != nil {
+		return nil, errors.Mark(err, ErrInvalid)
+	}
+	if len(parts) > part.MaxParts {
+		return nil, errors.Wrapf(ErrInvalid, "%d parts are too many", len(parts))
+	}
+	state.Head.Parts = part.Refs(parts)
+	if _, err := version.Compile(state.Document, state.Head); err != nil {
+		return nil, errors.Mark(err, ErrInvalid)
+	}
+	return parts, nil
+}
+
+// writeHead makes the change: the one conditional update.
+func (c *Changer) writeHead(ctx context.Context, head version.Head, expected platform.ObjectVersion) error {
+	encoded, err := json.Marshal(head)
+	if err != nil {
+		return errors.Wrap(err, "encode head")
+	}
+	_, err = platform.Settle(ctx, c.options.Store, platform.Write{
+		Key:      objects.HeadKey,
+		Value:    encoded,
+		Expected: expected,
+		Mine: func(object platform.Object) bool {
+			found, err := objects.DecodeHead(object.Value)
+			return err == nil && found.Includes(head.Operation)
+		},
+	}, c.options.Retry)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		return errors.Mark(errors.Newf("version %d is no longer the newest", head.Number-1), ErrConflict)
+	case errors.Is(err, platform.ErrUnconfirmed):
+		return errors.Mark(errors.Wrapf(err, "operation %s", head.Operation), ErrUnconfirmed)
+	default:
+		return unavailable(err)
+	}
+}
+
+// unavailable turns the errors of the platform's client.
+func unavailable(err error) error {
+	if errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded) {
+		return errors.Mark(err, ErrUnavailable)
+	}
+	return err
+}
+
+// Expect returns an error unless the state has the number that the operator
+// has seen.
+func (s *State) Expect(number version.Number) error {
+	if s.Head.Number == number {
+		return nil
+	}
+	return errors.Mark(fmt.Errorf("the configuration has version %d, not %d", s.Head.Number, number), ErrConflict)
+}
--- /dev/null
+++ b/daemon/version/change/parts.go
@@ -0,0 +1,53 @@
+package change
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/part"
+)
+
+// writeParts writes the parts that the head before does not name.
+func (c *Changer) writeParts(ctx context.Context, before version.Head, parts []part.Part) error {
+	known := make(map[string]bool, len(before.Parts))
+	for _, ref := range before.Parts {
+		known[ref.SHA256] = true
+	}
+	for _, p := range parts {
+		if known[p.Ref.SHA256] {
+			continue
+		}
+		known[p.Ref.SHA256] = true
+		if err := c.writePart(ctx, p); err != nil {
+			return errors.Wrapf(unavailable(err), "part %q", p.Ref.Name)
+		}
+	}
+	return nil
+}
+
+// writePart makes sure that a part is stored and will not be removed as unused
+// before the head names it: a part that is there already is written anew, so
+// that its removal, which is conditional on the object's version, fails.
+func (c *Changer) writePart(ctx context.Context, p part.Part) error {
+	write := platform.Write{Key: objects.PartKey(p.Ref.SHA256), Value: p.Data}
+	write.Mine = func(object platform.Object) bool {
+		return object.Version != write.Expected && bytes.Equal(object.Value, p.Data)
+	}
+	for range c.options.Retry.Attempts {
+		_, err := platform.Settle(ctx, c.options.Store, write, c.options.Retry)
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		object, err := c.options.Store.Get(ctx, write.Key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		write.Expected = object.Version
+	}
+	return errors.Wrap(platform.ErrUnavailable, "the part keeps changing")
+}
--- /dev/null
+++ b/daemon/version/objects/objects.go
@@ -0,0 +1,69 @@
+// Package objects reads the configuration's objects in the platform: the head
+// and the immutable parts that it names.
+package objects
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/part"
+)
+
+const (
+	// HeadKey is the key of the head.
+	HeadKey = "config/head"
+	// PartPrefix begins the key of a part; its SHA-256 follows.
+	PartPrefix = "config/part/"
+	// GarbageKey is the key of the record of parts that are to be removed.
+	GarbageKey = "config/garbage"
+)
+
+// ErrCorrupt is returned for an object that does not hold what it should.
+var ErrCorrupt = errors.New("configuration object corrupt")
+
+// PartKey returns the key of the part with a digest.
+func PartKey(digest string) string { return PartPrefix + digest }
+
+// DecodeHead decodes a head and checks its bounds.
+func DecodeHead(encoded []byte) (version.Head, error) {
+	var head version.Head
+	if err := json.Unmarshal(encoded, &head); err != nil {
+		return version.Head{}, errors.Mark(errors.Wrap(err, "decode head"), ErrCorrupt)
+	}
+	if head.Number == 0 || len(head.Parts) > part.MaxParts {
+		return version.Head{}, errors.Wrapf(ErrCorrupt, "head has number %d and %d parts", head.Number, len(head.Parts))
+	}
+	return head, nil
+}
+
+// Part reads a part and checks it against its digest.
+func Part(ctx context.Context, store platform.Store, digest string) ([]byte, error) {
+	object, err := store.Get(ctx, PartKey(digest))
+	if err != nil {
+		return nil, errors.Wrapf(err, "part %s", digest)
+	}
+	if part.Digest(object.Value) != digest {
+		return nil, errors.Wrapf(ErrCorrupt, "part %s", digest)
+	}
+	return object.Value, nil
+}
+
+// Document reads the parts of a head.
+func Document(ctx context.Context, store platform.Store, head version.Head) (*version.Document, error) {
+	held := make(map[string][]byte, len(head.Parts))
+	for _, ref := range head.Parts {
+		data, err := Part(ctx, store, ref.SHA256)
+		if err != nil {
+			return nil, err
+		}
+		held[ref.SHA256] = data
+	}
+	return part.Join(head, func(digest string) ([]byte, bool) {
+		data, present := held[digest]
+		return data, present
+	})
+}
--- a/fleet/version/document.go
+++ b/fleet/version/document.go
@@ -1,5 +1,7 @@
 package version
 
+import "slices"
+
 // Document is a configuration as operators write it, in TOML, before it is
 // validated and compiled.
 type Document struct {
@@ -75,6 +77,9 @@
 	LentShares map[string]float64 `toml:"lent_shares,omitempty"`
 }
 
+// MaxRecent bounds Head.Recent.
+const MaxRecent = 32
+
 // Head is the one object that puts a configuration in force. Every change is
 // one conditional update of it.
 type Head struct {
@@ -86,11 +91,32 @@
 	// Parts are the immutable objects that together hold the Document.
 	Parts []PartRef `json:"parts"`
 	Out   OutNames  `json:"out"`
+	// Recent are the operations of the latest changes, this one last; at most
+	// MaxRecent. A change whose answer was lost is found here even after
+	// others have followed.
+	Recent []string `json:"recent,omitempty"`
 	// Absorbed are the operations of the latest orders that daemons took past
 	// the platform and that this head includes; at most MaxAbsorbed.
 	Absorbed []string `json:"absorbed,omitempty"`
 }
 
+// Next returns the head that follows as the change of an operation.
+func (h Head) Next(operation string) Head {
+	h.Number++
+	return h.By(operation)
+}
+
+// By returns the head as written by an operation.
+func (h Head) By(operation string) Head {
+	h.Operation = operation
+	recent := append(slices.Clone(h.Recent), operation)
+	h.Recent = recent[max(0, len(recent)-MaxRecent):]
+	return h
+}
+
+// Includes reports whether the head was written by an operation or follows it.
+func (h Head) Includes(operation string) bool { return slices.Contains(h.Recent, operation) }
+
 // PartRef names an immutable part by its content.
 type PartRef struct {
 	Name   string `json:"name"`
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -16,80 +17,63 @@
 	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 )
 
-// Faults are what goes wrong at present.
-type Faults struct {
-	// Down answers every call with 503 without effect.
-	Down bool
-	// LoseAnswers drops the connection after a write took effect.
-	LoseAnswers bool
-	// Delay is added to every call.
-	Delay time.Duration
-}
-
 // object is a stored value.
 type object struct {
 	version uint64
 	value   []byte
 }
 
+// seed feeds the random faults, so that a run can be repeated.
+const seed = 1
+
 // Platform is the stand-in. It is safe for concurrent use.
 type Platform struct {
 	mux *http.ServeMux
 
 	mu      sync.Mutex
 	objects map[string]object
-	vms     []client.VM
+	lists   []listing
 	faults  Faults
+	limits  limits
+	random  *rand.Rand
 	version uint64
-	calls   int
+	counts  Counts
 	changed chan struct{}
 }
 
+// listing is the list of VMs from a moment on.
+type listing struct {
+	since time.Time
+	vms   []client.VM
+}
+
 // New returns an empty platform.
 func New() *Platform {
 	p := &Platform{
 		mux:     http.NewServeMux(),
 		objects: make(map[string]object),
 		changed: make(chan struct{}),
+		random:  rand.New(rand.NewPCG(seed, seed)),
 	}
 	p.mux.HandleFunc("GET /v1/objects/{key}", p.get)
 	p.mux.HandleFunc("PUT /v1/objects/{key}", p.put)
 	p.mux.HandleFunc("DELETE /v1/objects/{key}", p.remove)
 	p.mux.HandleFunc("GET /v1/objects", p.list)
 	p.mux.HandleFunc("GET /v1/vms", p.listVMs)
+	p.controls()
 	return p
 }
 
-// SetFaults replaces the faults.
-func (p *Platform) SetFaults(faults Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults = faults
-}
-
 // SetVMs replaces the list of VMs.
 func (p *Platform) SetVMs(vms []client.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = slices.Clone(vms)
-}
-
-// Calls returns the number of calls so far.
-func (p *Platform) Calls() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
+	p.lists = append(p.lists, listing{since: time.Now(), vms: slices.Clone(vms)})
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	p.calls++
-	faults := p.faults
-	p.mu.Unlock()
-	time.Sleep(faults.Delay)
-	if faults.Down {
-		http.Error(w, "down", http.StatusServiceUnavailable)
+	if !strings.HasPrefix(r.URL.Path, controlPath) && p.disturb(w, r) {
 		return
 	}
 	p.mux.ServeHTTP(w, r)
@@ -169,10 +153,13 @@
 
 func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
-	vms := slices.Clone(p.vms)
-	p.mu.Unlock()
-	if vms == nil {
-		vms = []client.VM{}
+	defer p.mu.Unlock()
+	visible := time.Now().Add(-p.faults.ListLag)
+	vms := []client.VM{}
+	for _, list := range p.lists {
+		if !list.since.After(visible) {
+			vms = list.vms
+		}
 	}
 	writeJSON(w, vms)
 }
@@ -193,7 +180,7 @@
 
 // confirm answers a write that took effect, unless answers are lost.
 func (p *Platform) confirm(w http.ResponseWriter) {
-	if p.faults.LoseAnswers {
+	if p.faults.LoseAnswers || p.random.Float64() < p.faults.LoseShare {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("ETag", tag(p.version))
