--- a/daemon/version/change/change.go
+++ b/daemon/version/change/change.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return State{}, 0, unavailable(err)
 	}
-	head, err := objects.DecodeHead(object.Value)
+	head, err := part.DecodeHead(object.Value)
 	if err != nil {
 		return State{}, 0, err
 	}
@@ -156,7 +156,7 @@
 		Value:    encoded,
 		Expected: expected,
 		Mine: func(object platform.Object) bool {
-			found, err := objects.DecodeHead(object.Value)
+			found, err := part.DecodeHead(object.Value)
 			return err == nil && found.Includes(head.Operation)
 		},
 	}, c.options.Retry)
--- a/daemon/version/change/garbage.go
+++ b/daemon/version/change/garbage.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
+	"github.com/trefoilwell/trefoilwell/fleet/version/part"
 )
 
 const (
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	head, err := objects.DecodeHead(object.Value)
+	head, err := part.DecodeHead(object.Value)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/version/objects/objects.go
+++ b/daemon/version/objects/objects.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,24 +21,9 @@
 	GarbageKey = "config/garbage"
 )
 
-// ErrCorrupt is returned for an object that does not hold what it should.
-var ErrCorrupt = errors.New("configuration object corrupt")
-
 // PartKey returns the key of the part with a digest.
 func PartKey(digest string) string { return PartPrefix + digest }
 
-// DecodeHead decodes a head and checks its bounds.
-func DecodeHead(encoded []byte) (version.Head, error) {
-	var head version.Head
-	if err := json.Unmarshal(encoded, &head); err != nil {
-		return version.Head{}, errors.Mark(errors.Wrap(err, "decode head"), ErrCorrupt)
-	}
-	if head.Number == 0 || len(head.Parts) > part.MaxParts {
-		return version.Head{}, errors.Wrapf(ErrCorrupt, "head has number %d and %d parts", head.Number, len(head.Parts))
-	}
-	return head, nil
-}
-
 // Part reads a part and checks it against its digest.
 func Part(ctx context.Context, store platform.Store, digest string) ([]byte, error) {
 	object, err := store.Get(ctx, PartKey(digest))
@@ -47,7 +31,7 @@
 		return nil, errors.Wrapf(err, "part %s", digest)
 	}
 	if part.Digest(object.Value) != digest {
-		return nil, errors.Wrapf(ErrCorrupt, "part %s", digest)
+		return nil, errors.Wrapf(part.ErrCorrupt, "part %s", digest)
 	}
 	return object.Value, nil
 }
--- a/fleet/version/part/part.go
+++ b/fleet/version/part/part.go
@@ -9,6 +9,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"math/bits"
 
@@ -32,9 +33,9 @@
 var (
 	// ErrTooLarge is returned for a document whose part would be over MaxBytes.
 	ErrTooLarge = errors.New("configuration part too large")
-	// ErrCorrupt is returned for a part that does not match its digest or
-	// cannot be decoded.
-	ErrCorrupt = errors.New("configuration part corrupt")
+	// ErrCorrupt is returned for a head or part that is missing, does not match
+	// its digest or cannot be decoded.
+	ErrCorrupt = errors.New("configuration object corrupt")
 )
 
 // Part is one immutable object.
@@ -49,7 +50,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Split returns the parts of a document. The same items give the same parts,
+// Split returns the parts of a document, none of them empty. The same items give the same parts,
 // and their order within a section is kept within each bucket only.
 func Split(document *version.Document) ([]Part, error) {
 	pieces := []piece{
@@ -64,7 +65,9 @@
 		if err != nil {
 			return nil, err
 		}
-		parts = append(parts, encoded)
+		if len(encoded.Data) > 0 {
+			parts = append(parts, encoded)
+		}
 	}
 	return parts, nil
 }
@@ -78,23 +81,47 @@
 	return refs
 }
 
+// Decode decodes the part that ref names and checks its digest.
+func Decode(ref version.PartRef, data []byte) (*version.Document, error) {
+	if Digest(data) != ref.SHA256 {
+		return nil, errors.Wrapf(ErrCorrupt, "part %q does not match its digest", ref.Name)
+	}
+	var document version.Document
+	if err := toml.Unmarshal(data, &document); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "decode part %q", ref.Name), ErrCorrupt)
+	}
+	return &document, nil
+}
+
 // Join returns the document of a head whose parts lookup returns by digest.
 func Join(head version.Head, lookup func(digest string) ([]byte, bool)) (*version.Document, error) {
 	var document version.Document
 	for _, ref := range head.Parts {
 		data, present := lookup(ref.SHA256)
-		if !present || Digest(data) != ref.SHA256 {
-			return nil, errors.Wrapf(ErrCorrupt, "part %q", ref.Name)
+		if !present {
+			return nil, errors.Wrapf(ErrCorrupt, "part %q is missing", ref.Name)
 		}
-		var decoded version.Document
-		if err := toml.Unmarshal(data, &decoded); err != nil {
-			return nil, errors.Mark(errors.Wrapf(err, "decode part %q", ref.Name), ErrCorrupt)
+		decoded, err := Decode(ref, data)
+		if err != nil {
+			return nil, err
 		}
-		document.Append(decoded)
+		document.Append(*decoded)
 	}
 	return &document, nil
 }
 
+// DecodeHead decodes a head and checks its bounds.
+func DecodeHead(encoded []byte) (version.Head, error) {
+	var head version.Head
+	if err := json.Unmarshal(encoded, &head); err != nil {
+		return version.Head{}, errors.Mark(errors.Wrap(err, "decode head"), ErrCorrupt)
+	}
+	if head.Number == 0 || len(head.Parts) > MaxParts {
+		return version.Head{}, errors.Wrapf(ErrCorrupt, "head has number %d and %d parts", head.Number, len(head.Parts))
+	}
+	return head, nil
+}
+
 // piece is a part before it is encoded.
 type piece struct {
 	name     string
