Order the queue by fleet-wide service and count it at the dispatchers

Cause: the queue scanned every account for each grant, knew only what its own entry had been charged, let an idle account save service up, served reports and short queries in one line and had no say on when to come back. Change: a heap of accounts by level with lanes, a bounded wait for starved accounts, displacement of the account that holds the most of a full queue, and Retry-After from the measured drain rate. Service is counted where it is granted: an estimate from the account's recent requests, corrected as the answer streams, trued up at its end. Homes sum the counts of a data centre, exchange sums with the other data centres and tell dispatchers what was counted elsewhere, within a fixed budget of bytes a second. Lifts merge by maximum. Sums merge commutatively and idempotently, and only grow.

--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -33,8 +33,8 @@
 	Pool       version.PoolID
 	DataCentre version.DataCentreID
 	Queue      queue.Options
-	// Levels gives the fleet-wide service levels.
-	Levels service.Levels
+	// Meter counts what is granted and gives the fleet-wide service levels.
+	Meter *service.Meter
 }
 
 // Dispatcher owns one queue and one slot table. It is not safe for concurrent
@@ -51,7 +51,7 @@
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
 		options: options,
-		queue:   queue.New(options.Queue),
+		queue:   queue.New(options.Queue, options.Meter),
 		slots:   slots.New(),
 	}
 }
@@ -89,21 +89,22 @@
 }
 
 // Withdraw takes a waiting request back.
-func (d *Dispatcher) Withdraw(from Entry, id request.ID) {
-	d.queue.Remove(keyOf(from, id))
+func (d *Dispatcher) Withdraw(now time.Time, from Entry, id request.ID) {
+	d.queue.Remove(now, keyOf(from, id))
 }
 
 // Finish frees a slot and passes it on.
 func (d *Dispatcher) Finish(now time.Time, from Entry, finish request.Finish) {
 	hold := slots.Hold{Key: keyOf(from, finish.ID), Attempt: finish.Attempt}
 	d.slots.Release(now, hold, finish)
+	d.options.Meter.Finish(service.Hold(hold), finish.Cost, finish.Outcome)
 	d.grant(now)
 }
 
 // Tick refuses the tickets whose wait has ended.
 func (d *Dispatcher) Tick(now time.Time) {
 	for _, item := range d.queue.Expired(now) {
-		d.refuse(item.Key, request.ReasonDeadline)
+		d.refuse(now, item, request.ReasonDeadline)
 	}
 	d.grant(now)
 }
@@ -125,8 +126,8 @@
 		Arrived: now.Add(-ticket.Age),
 		Expires: now.Add(ticket.Wait),
 	}
-	if reason := d.queue.Push(item, d.accountLimit(ticket.Account)); reason != "" {
-		d.refuse(item.Key, reason)
+	for _, refused := range d.queue.Push(now, item, d.accountLimit(ticket.Account)) {
+		d.refuse(now, refused.Item, refused.Reason)
 	}
 }
 
@@ -144,7 +145,7 @@
 // grant hands out free slots until none is left or nobody waits.
 func (d *Dispatcher) grant(now time.Time) {
 	for {
-		item, waiting := d.queue.Next(d.options.Levels)
+		item, waiting := d.queue.Next(now)
 		if !waiting {
 			return
 		}
@@ -154,7 +155,8 @@
 		if !free {
 			return
 		}
-		d.queue.Remove(item.Key)
+		d.queue.Take(now, item.Key)
+		d.options.Meter.Grant(now, service.Hold(hold), item.Ticket)
 		d.send(item.Key, wire.Grant{
 			ID:       item.Key.ID,
 			Attempt:  attempt,
@@ -164,8 +166,14 @@
 	}
 }
 
-func (d *Dispatcher) refuse(key request.Key, reason request.Reason) {
-	d.send(key, wire.Refuse{ID: key.ID, Pool: d.options.Pool, Reason: reason})
+func (d *Dispatcher) refuse(now time.Time, item queue.Item, reason request.Reason) {
+	after := d.queue.RetryAfter(now, item.Ticket.Account)
+	d.send(item.Key, wire.Refuse{
+		ID:               item.Key.ID,
+		Pool:             d.options.Pool,
+		Reason:           reason,
+		RetryAfterMillis: uint32(after.Milliseconds()),
+	})
 }
 
 func (d *Dispatcher) send(key request.Key, message wire.Message) {
--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -26,6 +26,8 @@
 
 // Charge is service that an account received from a running attempt.
 type Charge struct {
+	// ID is the attempt's request; without it the charge waits for the end.
+	ID      request.ID
 	Account version.AccountID
 	Cost    request.Cost
 }
@@ -54,13 +56,17 @@
 
 func (e Submit) apply(n *Node, now time.Time)    { n.submit(now, e.Ticket) }
 func (e Withdraw) apply(n *Node, _ time.Time)    { n.entry.Withdraw(e.ID) }
-func (e Charge) apply(n *Node, _ time.Time)      { n.counters.Add(e.Account, e.Cost) }
-func (e End) apply(n *Node, _ time.Time)         { n.entry.End(e.Finish) }
+func (e Charge) apply(n *Node, now time.Time)    { n.charge(now, e) }
 func (e Configure) apply(n *Node, now time.Time) { n.configure(now, e.Config) }
 func (e Members) apply(n *Node, now time.Time)   { n.setView(now, e.View) }
 func (e PeerUp) apply(n *Node, now time.Time)    { n.peerUp(now, e.Hello) }
 func (e PeerDown) apply(n *Node, now time.Time)  { n.peerDown(now, e.Hello) }
 
+func (e End) apply(n *Node, _ time.Time) {
+	n.streamEnded(e.Finish.ID)
+	n.entry.End(e.Finish)
+}
+
 func (e Receive) apply(n *Node, now time.Time) {
 	from := dispatcher.Entry{VM: e.From, Incarnation: e.Incarnation}
 	n.receive(now, from, e.Message)
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
-	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -42,7 +41,7 @@
 	config      *version.Config
 	view        membership.View
 	entry       *entry.Entry
-	counters    *service.Counters
+	sums        *sums
 	dispatchers map[version.PoolID]*dispatcher.Dispatcher
 	// registered is the dispatcher that each pool's requests are registered
 	// with.
@@ -61,7 +60,7 @@
 		options:     options,
 		view:        membership.NewView([]membership.Member{self}),
 		entry:       entry.New(),
-		counters:    service.NewCounters(),
+		sums:        newSums(),
 		dispatchers: make(map[version.PoolID]*dispatcher.Dispatcher),
 		registered:  make(map[version.PoolID]version.VMID),
 	}
@@ -85,6 +84,7 @@
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].Tick(now)
 	}
+	n.tickService(now)
 	n.settle(now)
 }
 
@@ -95,23 +95,13 @@
 	return actions
 }
 
-// Level implements service.Levels.
-func (n *Node) Level(account version.AccountID) float64 {
-	weight := 1.0
-	if n.config != nil {
-		if a, present := n.config.Accounts[account]; present {
-			weight = a.Weight
-		}
-	}
-	return float64(n.counters.Served(account)) / weight
-}
-
 // configure applies a higher version and ignores any other.
 func (n *Node) configure(now time.Time, config *version.Config) {
 	if n.config != nil && config.Number <= n.config.Number {
 		return
 	}
 	n.config = config
+	n.sums.meter.Configure(config)
 	n.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindConfigured, Version: config.Number})
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].Configure(now, config)
@@ -122,6 +112,7 @@
 // setView applies a new picture of the members.
 func (n *Node) setView(now time.Time, view membership.View) {
 	n.view = view
+	n.serviceViewChanged(now)
 	n.register(now)
 }
 
@@ -136,12 +127,14 @@
 		member.State = membership.Leaving
 	}
 	n.forgetRegistrations(hello.VM)
+	n.servicePeerChanged(hello.VM)
 	n.setView(now, n.view.With(member))
 }
 
 // peerDown takes a daemon out of the view.
 func (n *Node) peerDown(now time.Time, hello wire.Hello) {
 	n.forgetRegistrations(hello.VM)
+	n.servicePeerChanged(hello.VM)
 	n.setView(now, n.view.Without(hello.VM))
 }
 
@@ -175,6 +168,7 @@
 		continue
 	}
 	for _, grant := range n.entry.Granted() {
+		n.streamStarted(grant)
 		n.act(Granted{Grant: grant})
 	}
 	for _, refused := range n.entry.Refused() {
@@ -213,11 +207,14 @@
 
 // receive handles one message.
 func (n *Node) receive(now time.Time, from dispatcher.Entry, message wire.Message) {
+	if n.receiveService(now, from, message) {
+		return
+	}
 	switch m := message.(type) {
 	case wire.Ticket:
 		n.dispatcher(now, m.Pool).Ticket(now, from, m.Request())
 	case wire.Withdraw:
-		n.dispatcher(now, m.Pool).Withdraw(from, m.ID)
+		n.dispatcher(now, m.Pool).Withdraw(now, from, m.ID)
 	case wire.Finish:
 		n.dispatcher(now, m.Pool).Finish(now, from, m.Request())
 	case wire.Register:
@@ -239,7 +236,7 @@
 		Pool:       pool,
 		DataCentre: n.options.DataCentre,
 		Queue:      n.options.Queue,
-		Levels:     n,
+		Meter:      n.sums.meter,
 	})
 	if n.config != nil {
 		d.Configure(now, n.config)
--- /dev/null
+++ b/fleet/process/node/service.go
@@ -0,0 +1,324 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/dispatcher"
+	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
+	"github.com/trefoilwell/trefoilwell/fleet/process/service"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// serviceInterval is how often service sums are sent.
+	serviceInterval = 250 * time.Millisecond
+	// handoverDelay is how long a former home keeps an account after it handed
+	// it over.
+	handoverDelay = 10 * time.Second
+	// firstProgress is the least cost at which an entry reports progress.
+	firstProgress = 64
+)
+
+// sums is a node's part in counting what the accounts were served.
+type sums struct {
+	meter *service.Meter
+	home  *service.Home
+	pacer *service.Pacer
+	// owners caches the accounts' homes in each data centre for one view.
+	owners map[homeKey]version.VMID
+	// handed is when an account's state went to its new home.
+	handed map[version.AccountID]time.Time
+	sent   time.Time
+	// streams follows the running attempts of this entry.
+	streams map[request.ID]stream
+}
+
+type homeKey struct {
+	dataCentre version.DataCentreID
+	account    version.AccountID
+}
+
+// stream is what a running attempt has cost so far and when to say so next.
+type stream struct {
+	pool    version.PoolID
+	attempt request.Attempt
+	cost    request.Cost
+	next    request.Cost
+}
+
+func newSums() *sums {
+	return &sums{
+		meter:   service.NewMeter(),
+		home:    service.NewHome(),
+		pacer:   service.NewPacer(),
+		owners:  make(map[homeKey]version.VMID),
+		handed:  make(map[version.AccountID]time.Time),
+		streams: make(map[request.ID]stream),
+	}
+}
+
+// Level returns an account's service in weighted cost units, as far as it is
+// known here.
+func (n *Node) Level(account version.AccountID) float64 { return n.sums.meter.Level(account) }
+
+// charge follows a running attempt and tells its dispatcher when it costs more
+// than expected.
+func (n *Node) charge(now time.Time, event Charge) {
+	s, running := n.sums.streams[event.ID]
+	if !running {
+		return
+	}
+	s.cost += event.Cost
+	if s.cost >= s.next {
+		s.next = 2 * s.cost
+		n.deliver(now, n.registered[s.pool], wire.Progress{
+			Pool:    s.pool,
+			ID:      event.ID,
+			Attempt: s.attempt,
+			Cost:    uint32(s.cost),
+		})
+	}
+	n.sums.streams[event.ID] = s
+}
+
+// streamStarted begins to follow a granted attempt.
+func (n *Node) streamStarted(grant request.Grant) {
+	n.sums.streams[grant.ID] = stream{pool: grant.Pool, attempt: grant.Attempt, next: firstProgress}
+}
+
+// streamEnded ends what streamStarted began.
+func (n *Node) streamEnded(id request.ID) { delete(n.sums.streams, id) }
+
+// serviceViewChanged follows a new picture of the members.
+func (n *Node) serviceViewChanged(now time.Time) {
+	clear(n.sums.owners)
+	n.sums.home.Lapse(n.vmAlive, n.dataCentreAlive)
+	n.handOver(now)
+}
+
+// servicePeerChanged forgets what was sent to a daemon that came or went.
+func (n *Node) servicePeerChanged(vm version.VMID) { n.sums.pacer.Reset(vm) }
+
+// tickService sends what changed, every serviceInterval.
+func (n *Node) tickService(now time.Time) {
+	if now.Sub(n.sums.sent) < serviceInterval {
+		return
+	}
+	n.sums.sent = now
+	n.sums.meter.Tick(now)
+	n.sums.home.Tick(now)
+	n.dropHanded(now)
+	n.sendRecords(now, n.sums.pacer.Choose(now, n.serviceCandidates(now)))
+}
+
+// serviceCandidates returns every record that another daemon should know. Those
+// for this daemon itself are applied at once.
+func (n *Node) serviceCandidates(now time.Time) []service.Candidate {
+	var candidates []service.Candidate
+	for _, record := range n.sums.meter.Reports(now) {
+		home, found := n.home(n.options.DataCentre, record.Account)
+		if found && home == n.options.VM {
+			n.sums.home.Report(now, n.source(), record)
+		} else if found {
+			candidates = append(candidates, service.Candidate{Channel: service.ChannelReport, To: home, Record: record})
+		}
+	}
+	for _, word := range n.sums.home.Words(now) {
+		if word.VM == n.options.VM {
+			n.hear(n.source(), n.sums.home.NextSequence(), word.Record)
+			continue
+		}
+		candidates = append(candidates, service.Candidate{Channel: service.ChannelWord, To: word.VM, Record: word.Record})
+	}
+	return append(candidates, n.exchangeCandidates()...)
+}
+
+// exchangeCandidates returns the sums of this data centre for the others.
+func (n *Node) exchangeCandidates() []service.Candidate {
+	var candidates []service.Candidate
+	others := n.otherDataCentres()
+	for _, record := range n.sums.home.Exchanges() {
+		if home, _ := n.home(n.options.DataCentre, record.Account); home != n.options.VM {
+			continue
+		}
+		for _, other := range others {
+			to, found := n.home(other, record.Account)
+			if found {
+				candidates = append(candidates, service.Candidate{Channel: service.ChannelExchange, To: to, Record: record})
+			}
+		}
+	}
+	return candidates
+}
+
+// sendRecords sends chosen records, one message for each channel and receiver.
+func (n *Node) sendRecords(now time.Time, chosen []service.Candidate) {
+	for len(chosen) > 0 {
+		first := chosen[0]
+		var records []wire.ServiceRecord
+		for len(chosen) > 0 && chosen[0].Channel == first.Channel && chosen[0].To == first.To {
+			records = append(records, chosen[0].Record.Wire())
+			chosen = chosen[1:]
+		}
+		n.deliver(now, first.To, n.recordMessage(first.Channel, records))
+	}
+}
+
+func (n *Node) recordMessage(channel service.Channel, records []wire.ServiceRecord) wire.Message {
+	switch channel {
+	case service.ChannelReport:
+		return wire.ServiceReport{Records: records}
+	case service.ChannelWord:
+		return wire.ServiceLevels{Sequence: n.sums.home.NextSequence(), Records: records}
+	default:
+		return wire.ServiceExchange{DataCentre: n.options.DataCentre, Records: records}
+	}
+}
+
+// receiveService handles a message about service sums and reports whether it
+// was one.
+func (n *Node) receiveService(now time.Time, from dispatcher.Entry, message wire.Message) bool {
+	switch m := message.(type) {
+	case wire.ServiceReport:
+		for _, record := range m.Records {
+			n.sums.home.Report(now, service.Source(from), service.FromWire(record))
+		}
+	case wire.ServiceLevels:
+		for _, record := range m.Records {
+			n.hear(service.Source(from), m.Sequence, service.FromWire(record))
+		}
+	case wire.ServiceExchange:
+		n.receiveExchange(now, from, m)
+	case wire.ServiceRestore:
+		n.receiveRestore(now, m)
+	case wire.ServiceHandover:
+		tally := service.TallyFromWire(m.VMs)
+		n.sums.home.TakeOver(now, m.Account, tally, float64(m.Lift))
+	case wire.Progress:
+		key := request.Key{Entry: from.VM, Incarnation: from.Incarnation, ID: m.ID}
+		n.sums.meter.Progress(service.Hold{Key: key, Attempt: m.Attempt}, request.Cost(m.Cost))
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) hear(home service.Source, sequence uint64, record service.Record) {
+	word := service.Word{Home: home, Sequence: sequence}
+	n.sums.meter.Hear(record.Account, word, record.Count, record.Lift, record.Backlogged)
+}
+
+// receiveExchange merges the sums of another data centre, or passes those on
+// whose home is another daemon here.
+func (n *Node) receiveExchange(now time.Time, from dispatcher.Entry, m wire.ServiceExchange) {
+	var restore []wire.ServiceRecord
+	for _, r := range m.Records {
+		if to, elsewhere := n.homeElsewhere(r.Account); elsewhere && !m.Forwarded {
+			n.deliver(now, to, wire.ServiceExchange{
+				DataCentre: m.DataCentre,
+				Forwarded:  true,
+				Records:    []wire.ServiceRecord{r},
+			})
+			continue
+		}
+		if record, behind := n.sums.home.Exchange(now, m.DataCentre, service.FromWire(r)); behind {
+			restore = append(restore, record.Wire())
+		}
+	}
+	if len(restore) > 0 && !m.Forwarded {
+		n.deliver(now, from.VM, wire.ServiceRestore{Records: restore})
+	}
+}
+
+// receiveRestore merges what another data centre knew of this one.
+func (n *Node) receiveRestore(now time.Time, m wire.ServiceRestore) {
+	for _, r := range m.Records {
+		if to, elsewhere := n.homeElsewhere(r.Account); elsewhere && !m.Forwarded {
+			n.deliver(now, to, wire.ServiceRestore{Forwarded: true, Records: []wire.ServiceRecord{r}})
+			continue
+		}
+		n.sums.home.Restore(now, service.FromWire(r))
+	}
+}
+
+// handOver gives accounts whose home moved to their new home.
+func (n *Node) handOver(now time.Time) {
+	for _, account := range n.sums.home.Accounts() {
+		to, elsewhere := n.homeElsewhere(account)
+		if !elsewhere {
+			delete(n.sums.handed, account)
+			continue
+		}
+		if _, handed := n.sums.handed[account]; handed {
+			continue
+		}
+		n.sums.handed[account] = now
+		tally, lift := n.sums.home.Handover(account)
+		n.deliver(now, to, wire.ServiceHandover{Account: account, Lift: uint64(lift), VMs: tally.Wire()})
+	}
+}
+
+// dropHanded forgets accounts that were handed over a while ago.
+func (n *Node) dropHanded(now time.Time) {
+	for account, at := range n.sums.handed {
+		if now.Sub(at) >= handoverDelay {
+			n.sums.home.Forget(account)
+			delete(n.sums.handed, account)
+		}
+	}
+}
+
+// home returns the VM that sums an account in a data centre.
+func (n *Node) home(dataCentre version.DataCentreID, account version.AccountID) (version.VMID, bool) {
+	key := homeKey{dataCentre: dataCentre, account: account}
+	if vm, cached := n.sums.owners[key]; cached {
+		return vm, vm != ""
+	}
+	vm, _ := n.view.Owner(dataCentre, "home/"+strconv.FormatUint(uint64(account), 10))
+	n.sums.owners[key] = vm
+	return vm, vm != ""
+}
+
+// homeElsewhere returns the account's home in this data centre if that is
+// another daemon.
+func (n *Node) homeElsewhere(account version.AccountID) (version.VMID, bool) {
+	vm, found := n.home(n.options.DataCentre, account)
+	return vm, found && vm != n.options.VM
+}
+
+func (n *Node) source() service.Source {
+	return service.Source{VM: n.options.VM, Incarnation: n.options.Incarnation}
+}
+
+func (n *Node) vmAlive(vm version.VMID) bool {
+	member, known := n.view.Member(vm)
+	return known && member.State != membership.Lapsed
+}
+
+func (n *Node) dataCentreAlive(id version.DataCentreID) bool {
+	for _, member := range n.view.Members {
+		if member.DataCentre == id && member.State != membership.Lapsed {
+			return true
+		}
+	}
+	return false
+}
+
+// otherDataCentres returns the other data centres with a living member, in
+// order.
+func (n *Node) otherDataCentres() []version.DataCentreID {
+	seen := make(map[version.DataCentreID]bool)
+	var others []version.DataCentreID
+	for _, member := range n.view.Members {
+		id := member.DataCentre
+		if id == n.options.DataCentre || seen[id] || member.State != membership.Alive {
+			continue
+		}
+		seen[id] = true
+		others = append(others, id)
+	}
+	return others
+}
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -132,7 +132,7 @@
 	if p.options.Observer != nil {
 		p.options.Observer.Charged(p.now, j.Job, cost)
 	}
-	p.Step(d.VM, node.Charge{Account: j.Ticket.Account, Cost: cost})
+	p.Step(d.VM, node.Charge{ID: j.Ticket.ID, Account: j.Ticket.Account, Cost: cost})
 }
 
 func (p *Pump) end(d *Daemon, j *job, grant request.Grant, first time.Duration) {
--- a/fleet/process/queue/queue.go
+++ b/fleet/process/queue/queue.go
@@ -1,10 +1,14 @@
 // Package queue orders the tickets that wait in one dispatcher.
 //
 // The account with the lowest service level goes first. Within an account,
-// tickets of a lane go in order of arrival.
+// short requests go before long ones, but a long one that waits gets its turn
+// after ShortsPerLong short ones. An account that has got nothing for
+// StarvationAge gets one grant whatever its level.
 package queue
 
 import (
+	"container/heap"
+	"math"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/process/service"
@@ -22,6 +26,12 @@
 	Expires time.Time
 }
 
+// Refused is a ticket that the queue gave up and why.
+type Refused struct {
+	Item   Item
+	Reason request.Reason
+}
+
 // Options bound a Queue.
 type Options struct {
 	// MaxTotal bounds all waiting tickets; default DefaultMaxTotal.
@@ -37,19 +47,39 @@
 	// DefaultMaxPerAccount is the default of Options.MaxPerAccount, in
 	// tickets.
 	DefaultMaxPerAccount = 1_000
+	// ShortsPerLong is how many short tickets of an account may go in a row
+	// while a long one of it waits.
+	ShortsPerLong = 4
+	// StarvationAge is how long an account may wait in a queue without any
+	// grant before it gets one whatever its level.
+	StarvationAge = 20 * time.Second
+	// starvationShare is the least number of grants by level between two that
+	// end a starvation.
+	starvationShare = 8
 )
 
 // Queue holds waiting tickets. It is not safe for concurrent use.
 //
-// Invariant: a key is in the queue at most once.
+// Invariants: a key is in the queue at most once; an account is in byLevel
+// and in byGrant if and only if it has a waiting ticket.
 type Queue struct {
 	options  Options
-	items    map[request.Key]*Item
-	accounts map[version.AccountID][]*Item
+	levels   service.Levels
+	items    map[request.Key]*waiting
+	accounts map[version.AccountID]*account
+	byLevel  levelHeap
+	// byGrant lists the backlogged accounts, longest without a grant first.
+	byGrant   grantList
+	byExpiry  expiryHeap
+	cursor    uint64
+	elsewhere float64
+	// ordinary counts the grants by level since one ended a starvation.
+	ordinary int
+	drain    drainRate
 }
 
-// New returns an empty queue.
-func New(options Options) *Queue {
+// New returns an empty queue ordered by levels.
+func New(options Options, levels service.Levels) *Queue {
 	if options.MaxTotal == 0 {
 		options.MaxTotal = DefaultMaxTotal
 	}
@@ -57,86 +87,216 @@
 		options.MaxPerAccount = DefaultMaxPerAccount
 	}
 	return &Queue{
-		options:  options,
-		items:    make(map[request.Key]*Item),
-		accounts: make(map[version.AccountID][]*Item),
+		options:   options,
+		levels:    levels,
+		items:     make(map[request.Key]*waiting),
+		accounts:  make(map[version.AccountID]*account),
+		elsewhere: math.Inf(1),
 	}
 }
 
 // Len returns the number of waiting tickets.
 func (q *Queue) Len() int { return len(q.items) }
 
-// Push adds a ticket. It returns a refusal reason, or "" if the ticket was
-// added or was there already. limit bounds the account's tickets; 0 takes the
-// default.
-func (q *Queue) Push(item Item, limit int) request.Reason {
+// Push adds a ticket. It returns the tickets that have to be refused for it:
+// none, the ticket itself, or one of an account that holds more than its fair
+// part of a full queue. limit bounds the account's tickets; 0 takes the
+// default. A ticket that is there already is left as it is.
+func (q *Queue) Push(now time.Time, item Item, limit int) []Refused {
 	if _, present := q.items[item.Key]; present {
-		return ""
+		return nil
 	}
 	if limit == 0 {
 		limit = q.options.MaxPerAccount
 	}
-	account := item.Ticket.Account
-	if len(q.accounts[account]) >= limit {
-		return request.ReasonAccountQueueFull
+	a := q.accounts[item.Ticket.Account]
+	if a != nil && a.len() >= limit {
+		return []Refused{{Item: item, Reason: request.ReasonAccountQueueFull}}
+	}
+	if len(q.items) < q.options.MaxTotal {
+		q.insert(now, item)
+		return nil
+	}
+	return q.pushFull(now, item, a)
+}
+
+// pushFull adds a ticket to a full queue if its account has less than its fair
+// part and another one has more.
+func (q *Queue) pushFull(now time.Time, item Item, a *account) []Refused {
+	backlogged, held := len(q.accounts), 0
+	if a != nil {
+		held = a.len()
+	} else {
+		backlogged++
 	}
-	if len(q.items) >= q.options.MaxTotal {
-		return request.ReasonQueueFull
+	largest := q.largest()
+	if largest == nil || held+1 > q.options.MaxTotal/backlogged || largest.len() <= held+1 {
+		return []Refused{{Item: item, Reason: request.ReasonQueueFull}}
 	}
-	q.items[item.Key] = &item
-	q.accounts[account] = append(q.accounts[account], &item)
-	return ""
+	youngest := largest.youngest()
+	q.remove(now, youngest)
+	q.insert(now, item)
+	return []Refused{{Item: youngest.Item, Reason: request.ReasonAccountQueueFull}}
 }
 
 // Remove takes a ticket out and reports whether it was there.
-func (q *Queue) Remove(key request.Key) (Item, bool) {
-	item, present := q.items[key]
+func (q *Queue) Remove(now time.Time, key request.Key) (Item, bool) {
+	w, present := q.items[key]
 	if !present {
 		return Item{}, false
 	}
-	delete(q.items, key)
-	account := item.Ticket.Account
-	waiting := q.accounts[account]
-	for i, other := range waiting {
-		if other == item {
-			waiting = append(waiting[:i], waiting[i+1:]...)
-			break
-		}
+	q.remove(now, w)
+	return w.Item, true
+}
+
+// Take takes a ticket out that is granted.
+func (q *Queue) Take(now time.Time, key request.Key) (Item, bool) {
+	w, present := q.items[key]
+	if !present {
+		return Item{}, false
 	}
-	if len(waiting) == 0 {
-		delete(q.accounts, account)
+	a := w.account
+	a.took(w.Ticket.Lane)
+	if q.starved(now) == a {
+		q.ordinary = 0
 	} else {
-		q.accounts[account] = waiting
+		q.ordinary++
 	}
-	return *item, true
+	a.granted = now
+	q.byGrant.moveToBack(a)
+	q.drain.count(now, a.id)
+	q.remove(now, w)
+	return w.Item, true
 }
 
-// Next returns the ticket to grant next, without removing it: the first
-// ticket of the account with the lowest level.
-func (q *Queue) Next(levels service.Levels) (Item, bool) {
-	var best *Item
-	var bestLevel float64
-	for account, waiting := range q.accounts {
-		level := levels.Level(account)
-		first := waiting[0]
-		if best == nil || level < bestLevel || (level == bestLevel && account < best.Ticket.Account) {
-			best, bestLevel = first, level
-		}
+// Next returns the ticket to grant next, without removing it.
+func (q *Queue) Next(now time.Time) (Item, bool) {
+	for item := range q.Candidates(now) {
+		return item, true
 	}
-	if best == nil {
-		return Item{}, false
+	return Item{}, false
+}
+
+// Candidates yields the first ticket of each account in the order in which
+// they should be granted. The queue must not change before it ends.
+func (q *Queue) Candidates(now time.Time) func(yield func(Item) bool) {
+	return func(yield func(Item) bool) {
+		q.refresh()
+		starved := q.starved(now)
+		if starved != nil && !yield(starved.first().Item) {
+			return
+		}
+		for a := range q.byLevel.ascending() {
+			if a != starved && !yield(a.first().Item) {
+				return
+			}
+		}
 	}
-	return *best, true
 }
 
 // Expired removes and returns the tickets whose wait has ended.
 func (q *Queue) Expired(now time.Time) []Item {
 	var expired []Item
-	for key, item := range q.items {
-		if !now.Before(item.Expires) {
-			expired = append(expired, *item)
-			q.Remove(key)
-		}
+	for len(q.byExpiry) > 0 && !now.Before(q.byExpiry[0].Expires) {
+		w := q.byExpiry[0]
+		q.remove(now, w)
+		expired = append(expired, w.Item)
 	}
 	return expired
 }
+
+// Lowest returns the lowest level of a backlogged account, and false if nobody
+// waits.
+func (q *Queue) Lowest() (float64, bool) {
+	q.refresh()
+	if len(q.byLevel) == 0 {
+		return 0, false
+	}
+	return q.byLevel[0].level, true
+}
+
+// SetElsewhere sets the lowest level that waits for the same pool in other
+// data centres, or +Inf. An account that returns from idle is lifted no higher
+// than that.
+func (q *Queue) SetElsewhere(level float64) { q.elsewhere = level }
+
+// starved returns the account that has gone without a grant for too long, or
+// nil if there is none or starved accounts have had their share of the grants.
+func (q *Queue) starved(now time.Time) *account {
+	if q.ordinary < starvationShare || q.byGrant.front == nil {
+		return nil
+	}
+	if longest := q.byGrant.front; now.Sub(longest.granted) >= StarvationAge {
+		return longest
+	}
+	return nil
+}
+
+// refresh brings the order up to date with changed levels.
+func (q *Queue) refresh() {
+	changed, next, all := q.levels.Changes(q.cursor)
+	q.cursor = next
+	if all {
+		for _, a := range q.byLevel {
+			a.level = q.levels.Level(a.id)
+		}
+		heap.Init(&q.byLevel)
+		return
+	}
+	for _, id := range changed {
+		if a, present := q.accounts[id]; present {
+			a.level = q.levels.Level(id)
+			heap.Fix(&q.byLevel, a.index)
+		}
+	}
+}
+
+func (q *Queue) insert(now time.Time, item Item) {
+	a, present := q.accounts[item.Ticket.Account]
+	if !present {
+		a = q.join(now, item.Ticket.Account)
+	}
+	w := &waiting{Item: item, account: a}
+	a.lane(item.Ticket.Lane).insert(w)
+	q.items[item.Key] = w
+	heap.Push(&q.byExpiry, w)
+}
+
+// join makes an account backlogged.
+func (q *Queue) join(now time.Time, id version.AccountID) *account {
+	floor := math.Inf(-1)
+	if lowest, waits := q.Lowest(); waits {
+		floor = min(lowest, q.elsewhere)
+	}
+	q.levels.Join(now, id, floor)
+	a := &account{id: id, granted: now, level: q.levels.Level(id)}
+	q.accounts[id] = a
+	heap.Push(&q.byLevel, a)
+	q.byGrant.pushBack(a)
+	return a
+}
+
+func (q *Queue) remove(now time.Time, w *waiting) {
+	a := w.account
+	delete(q.items, w.Key)
+	heap.Remove(&q.byExpiry, w.expiryIndex)
+	a.lane(w.Ticket.Lane).remove(w)
+	if a.len() > 0 {
+		return
+	}
+	delete(q.accounts, a.id)
+	heap.Remove(&q.byLevel, a.index)
+	q.byGrant.remove(a)
+	q.levels.Leave(now, a.id)
+}
+
+// largest returns the account with the most waiting tickets.
+func (q *Queue) largest() *account {
+	var largest *account
+	for _, a := range q.byLevel {
+		if largest == nil || a.len() > largest.len() {
+			largest = a
+		}
+	}
+	return largest
+}
--- /dev/null
+++ b/fleet/process/service/record.go
@@ -0,0 +1,126 @@
+package service
+
+import (
+	"math"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// Record is what one daemon tells another of an account.
+type Record struct {
+	Account version.AccountID
+	Count   Count
+	Lift    float64
+	// Backlogged is set while the account waits where the record comes from,
+	// or, in a home's word to a dispatcher, elsewhere.
+	Backlogged bool
+}
+
+// Wire encodes a record in whole units.
+func (r Record) Wire() wire.ServiceRecord {
+	return wire.ServiceRecord{
+		Account:    r.Account,
+		Charged:    units(r.Count.Charged),
+		Returned:   units(r.Count.Returned),
+		Lift:       units(r.Lift),
+		Backlogged: r.Backlogged,
+	}
+}
+
+// FromWire decodes a record.
+func FromWire(r wire.ServiceRecord) Record {
+	return Record{
+		Account:    r.Account,
+		Count:      Count{Charged: float64(r.Charged), Returned: float64(r.Returned)},
+		Lift:       float64(r.Lift),
+		Backlogged: r.Backlogged,
+	}
+}
+
+// rounded returns the record as it arrives after encoding.
+func (r Record) rounded() Record { return FromWire(r.Wire()) }
+
+// change returns how much the level differs between two records; a difference
+// in Backlogged counts as infinite, since it changes who is told.
+func (r Record) change(other Record) float64 {
+	if r.Backlogged != other.Backlogged {
+		return math.Inf(1)
+	}
+	return math.Abs(r.Count.Charged-other.Count.Charged) +
+		math.Abs(r.Count.Returned-other.Count.Returned) +
+		math.Abs(r.Lift-other.Lift)
+}
+
+// Reports returns what an account's home should know of the own counts.
+func (m *Meter) Reports(now time.Time) []Record {
+	ids := m.ids()
+	records := make([]Record, 0, len(ids))
+	for _, id := range ids {
+		a := m.accounts[id]
+		records = append(records, Record{
+			Account:    id,
+			Count:      a.own,
+			Lift:       a.lift,
+			Backlogged: a.backlogged(now),
+		}.rounded())
+	}
+	return records
+}
+
+// Exchanges returns what the homes in other data centres should know.
+func (h *Home) Exchanges() []Record {
+	ids := h.Accounts()
+	records := make([]Record, 0, len(ids))
+	for _, id := range ids {
+		a := h.accounts[id]
+		records = append(records, Record{
+			Account:    id,
+			Count:      a.publish(),
+			Lift:       a.lift,
+			Backlogged: a.backloggedHere(),
+		}.rounded())
+	}
+	return records
+}
+
+// WordTo is a home's word to one daemon on one account.
+type WordTo struct {
+	VM     version.VMID
+	Record Record
+}
+
+// Words returns what the daemons where accounts are backlogged should know.
+func (h *Home) Words(now time.Time) []WordTo {
+	var words []WordTo
+	for _, id := range h.Accounts() {
+		a := h.accounts[id]
+		if now.Sub(a.since) < wordDelay {
+			continue
+		}
+		total := h.Total(id)
+		for _, vm := range sortedSources(a.sources) {
+			source := a.sources[vm]
+			if !source.backlogged {
+				continue
+			}
+			own := a.tally.Of(Source{VM: vm, Incarnation: source.incarnation})
+			words = append(words, WordTo{VM: vm, Record: Record{
+				Account:    id,
+				Count:      total.Minus(own),
+				Lift:       a.lift,
+				Backlogged: a.backloggedBeyond(vm),
+			}.rounded()})
+		}
+	}
+	return words
+}
+
+// NextSequence numbers the next message of words.
+func (h *Home) NextSequence() uint64 {
+	h.sequence++
+	return h.sequence
+}
+
+func units(value float64) uint64 { return uint64(math.Round(math.Max(value, 0))) }
--- /dev/null
+++ b/fleet/process/service/service_test.go
@@ -0,0 +1,236 @@
+package service_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/trefoilwell/trefoilwell/fleet/process/service"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+var start = time.UnixMilli(0)
+
+// history is what the sources of one account counted over time: each count of
+// a source grows, so any two tallies made of it can meet in a fleet.
+type history map[service.Source][]service.Count
+
+func drawHistory(t *rapid.T) history {
+	h := history{}
+	for _, vm := range []version.VMID{"a", "b"} {
+		for incarnation := range uint64(3) {
+			count := service.Count{}
+			for range rapid.IntRange(0, 3).Draw(t, "reports") {
+				count.Charged += float64(rapid.IntRange(0, 50).Draw(t, "charged"))
+				count.Returned += float64(rapid.IntRange(0, 9).Draw(t, "returned"))
+				source := service.Source{VM: vm, Incarnation: incarnation + 1}
+				h[source] = append(h[source], count)
+			}
+		}
+	}
+	return h
+}
+
+// drawTally returns a tally that saw part of a history and folded part of it.
+func drawTally(t *rapid.T, h history) *service.Tally {
+	tally := service.NewTally()
+	for source, counts := range h {
+		seen := rapid.IntRange(0, len(counts)).Draw(t, "seen")
+		if seen > 0 {
+			tally.Add(source, counts[seen-1])
+		}
+	}
+	for _, vm := range []version.VMID{"a", "b"} {
+		tally.Fold(vm, uint64(rapid.IntRange(0, 3).Draw(t, "fold")))
+	}
+	return tally
+}
+
+func merged(tallies ...*service.Tally) *service.Tally {
+	all := service.NewTally()
+	for _, tally := range tallies {
+		all.Merge(tally)
+	}
+	return all
+}
+
+func same(t *rapid.T, law string, a, b *service.Tally) {
+	t.Helper()
+	if a.Sum() != b.Sum() || len(a.Wire()) != len(b.Wire()) || a.Len() != b.Len() {
+		t.Fatalf("%s: %+v and %+v", law, a.Wire(), b.Wire())
+	}
+}
+
+func TestTalliesMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		a, b, c := drawTally(t, h), drawTally(t, h), drawTally(t, h)
+		same(t, "commutative", merged(a, b), merged(b, a))
+		same(t, "associative", merged(merged(a, b), c), merged(a, merged(b, c)))
+		same(t, "idempotent", merged(a, a), a)
+		same(t, "decoded", service.TallyFromWire(a.Wire()), a)
+	})
+}
+
+// TestHomeSumNeverFalls feeds a home reports, restarts, restores and losses in
+// any order.
+func TestHomeSumNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		home := service.NewHome()
+		now := start
+		counts := map[service.Source]service.Count{}
+		incarnation := map[version.VMID]uint64{"a": 1, "b": 1}
+		last := service.Count{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			vm := rapid.SampledFrom([]version.VMID{"a", "b"}).Draw(t, "vm")
+			source := service.Source{VM: vm, Incarnation: incarnation[vm]}
+			switch rapid.IntRange(0, 3).Draw(t, "operation") {
+			case 0, 1:
+				count := counts[source]
+				count.Charged += float64(rapid.IntRange(0, 50).Draw(t, "charged"))
+				counts[source] = count
+				home.Report(now, source, service.Record{Account: 1, Count: count})
+			case 2:
+				incarnation[vm]++
+			case 3:
+				known := last
+				known.Charged += float64(rapid.IntRange(0, 20).Draw(t, "more"))
+				home.Restore(now, service.Record{Account: 1, Count: known})
+			}
+			home.Tick(now)
+			sum := home.Sum(1)
+			if sum.Charged < last.Charged || sum.Returned < last.Returned {
+				t.Fatalf("sum fell from %+v to %+v", last, sum)
+			}
+			last = sum
+		}
+	})
+}
+
+// TestRestartsKeepWhatWasReported restarts sources often; the sum is exactly
+// what was reported, in bounded state.
+func TestRestartsKeepWhatWasReported(t *testing.T) {
+	home := service.NewHome()
+	now := start
+	want := 0.0
+	for incarnation := range uint64(500) {
+		source := service.Source{VM: "a", Incarnation: incarnation + 1}
+		home.Report(now, source, service.Record{Account: 1, Count: service.Count{Charged: 7}})
+		want += 7
+		now = now.Add(2 * time.Minute)
+		home.Tick(now)
+	}
+	tally, _ := home.Handover(1)
+	if sum := home.Sum(1); sum.Charged != want || tally.Len() > 2 {
+		t.Fatalf("sum %+v of %v, %d counts kept", sum, want, tally.Len())
+	}
+}
+
+// TestLostHomeIsRestoredByAnotherDataCentre loses a home that knew a source
+// that is gone.
+func TestLostHomeIsRestoredByAnotherDataCentre(t *testing.T) {
+	far := service.NewHome()
+	before := service.Record{Account: 1, Count: service.Count{Charged: 1000, Returned: 10}}
+	far.Exchange(start, "here", before)
+
+	home := service.NewHome()
+	live := service.Source{VM: "b", Incarnation: 1}
+	home.Report(start, live, service.Record{Account: 1, Count: service.Count{Charged: 400, Returned: 4}})
+	record, behind := far.Exchange(start, "here", home.Exchanges()[0])
+	if !behind {
+		t.Fatal("other data centre did not notice the loss")
+	}
+	home.Restore(start, record)
+	home.Tick(start.Add(11 * time.Second))
+	home.Report(start, live, service.Record{Account: 1, Count: service.Count{Charged: 450, Returned: 4}})
+	if sum := home.Sum(1); sum != (service.Count{Charged: 1050, Returned: 10}) {
+		t.Fatalf("sum %+v", sum)
+	}
+}
+
+func hold(id request.ID) service.Hold {
+	return service.Hold{Key: request.Key{Entry: "e", ID: id}, Attempt: 1}
+}
+
+func TestChargeFollowsTheCost(t *testing.T) {
+	m := service.NewMeter()
+	m.Grant(start, hold(1), request.Ticket{Account: 1, Estimate: 100})
+	if net := m.Own(1).Net(); net != 100 {
+		t.Fatalf("charged %v at the grant", net)
+	}
+	m.Progress(hold(1), 150)
+	if net := m.Own(1).Net(); net < 150 || net > 300 {
+		t.Fatalf("charged %v after 150", net)
+	}
+	m.Finish(hold(1), 180, request.OutcomeDone)
+	m.Finish(hold(1), 180, request.OutcomeDone)
+	if net := m.Own(1).Net(); net != 180 {
+		t.Fatalf("charged %v at the end", net)
+	}
+	m.Grant(start, hold(2), request.Ticket{Account: 1, Estimate: 100})
+	if net := m.Own(1).Net(); net != 360 {
+		t.Fatalf("second grant charged %v instead of the mean 180", net-180)
+	}
+	m.Finish(hold(2), 50, request.OutcomeUnused)
+	if net := m.Own(1).Net(); net != 180 {
+		t.Fatalf("unused grant left %v", net)
+	}
+}
+
+// TestAccountBackloggedElsewhereIsNotLifted joins a queue with a floor far
+// above the account's level.
+func TestAccountBackloggedElsewhereIsNotLifted(t *testing.T) {
+	for _, contested := range []bool{false, true} {
+		m := service.NewMeter()
+		m.Join(start, 1, 1000)
+		if level := m.Level(1); level != 1000 {
+			t.Fatalf("level %v before the home spoke", level)
+		}
+		word := service.Word{Home: service.Source{VM: "h"}, Sequence: 1}
+		m.Hear(1, word, service.Count{Charged: 300}, 0, contested)
+		want := 1000.0
+		if contested {
+			want = 300
+		}
+		if level := m.Level(1); level != want {
+			t.Fatalf("contested %v: level %v", contested, level)
+		}
+	}
+}
+
+func TestOldWordOfAHomeIsIgnored(t *testing.T) {
+	m := service.NewMeter()
+	home := service.Source{VM: "h"}
+	m.Hear(1, service.Word{Home: home, Sequence: 2}, service.Count{Charged: 500}, 0, false)
+	m.Hear(1, service.Word{Home: home, Sequence: 1}, service.Count{Charged: 400}, 0, false)
+	if level := m.Level(1); level != 500 {
+		t.Fatalf("level %v", level)
+	}
+}
+
+// TestPacerStaysWithinItsBudget offers more than may be sent.
+func TestPacerStaysWithinItsBudget(t *testing.T) {
+	p := service.NewPacer()
+	now := start
+	sent := 0
+	const seconds, perRecord = 100, 20
+	for i := range seconds * 4 {
+		now = now.Add(250 * time.Millisecond)
+		var candidates []service.Candidate
+		for account := range version.AccountID(200) {
+			candidates = append(candidates, service.Candidate{To: "h", Record: service.Record{
+				Account: account, Count: service.Count{Charged: float64(i + 1)}, Backlogged: true,
+			}})
+		}
+		sent += len(p.Choose(now, candidates))
+	}
+	if bytes := sent * perRecord; bytes > (seconds+10)*service.BytesPerSecond {
+		t.Fatalf("%d bytes in %d seconds", bytes, seconds)
+	}
+	if sent < 200 {
+		t.Fatalf("only %d records sent", sent)
+	}
+}
--- /dev/null
+++ b/fleet/process/service/tally.go
@@ -0,0 +1,149 @@
+package service
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// Tally holds an account's counts by source. Two tallies merge commutatively,
+// associatively and idempotently.
+type Tally struct {
+	vms map[version.VMID]vmTally
+}
+
+// vmTally holds the counts of one VM's incarnations.
+//
+// Invariant: counts has no incarnation up to folded.
+type vmTally struct {
+	// folded is the last incarnation whose count is in base; 0 is none.
+	folded uint64
+	base   Count
+	counts map[uint64]Count
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally { return &Tally{vms: make(map[version.VMID]vmTally)} }
+
+// Add merges a count of one source.
+func (t *Tally) Add(source Source, count Count) {
+	t.merge(source.VM, vmTally{counts: map[uint64]Count{source.Incarnation: count}})
+}
+
+// Merge adds all that other knows.
+func (t *Tally) Merge(other *Tally) {
+	for vm, theirs := range other.vms {
+		t.merge(vm, theirs)
+	}
+}
+
+// Sum returns the count over all sources.
+func (t *Tally) Sum() Count {
+	var sum Count
+	for _, v := range t.vms {
+		sum = sum.Plus(v.base)
+		for _, count := range v.counts {
+			sum = sum.Plus(count)
+		}
+	}
+	return sum
+}
+
+// Of returns the count of one source.
+func (t *Tally) Of(source Source) Count {
+	return t.vms[source.VM].counts[source.Incarnation]
+}
+
+// Fold adds the counts of a VM's incarnations before current to its base, which
+// bounds the state to two counts a VM. Counts of folded incarnations that
+// arrive later are ignored, so it must be called only when they have arrived.
+func (t *Tally) Fold(vm version.VMID, current uint64) {
+	v, present := t.vms[vm]
+	if !present || current <= v.folded+1 {
+		return
+	}
+	kept := vmTally{folded: current - 1, base: v.base, counts: make(map[uint64]Count)}
+	for incarnation, count := range v.counts {
+		if incarnation < current {
+			kept.base = kept.base.Plus(count)
+		} else {
+			kept.counts[incarnation] = count
+		}
+	}
+	t.vms[vm] = kept
+}
+
+// Len returns the number of counts held.
+func (t *Tally) Len() int {
+	total := 0
+	for _, v := range t.vms {
+		total += len(v.counts)
+		if v.folded > 0 {
+			total++
+		}
+	}
+	return total
+}
+
+// merge takes the base that covers more incarnations, or the larger of two that
+// cover the same, and the maximum of each other incarnation.
+func (t *Tally) merge(vm version.VMID, theirs vmTally) {
+	ours := t.vms[vm]
+	merged := vmTally{counts: make(map[uint64]Count, len(ours.counts)+1)}
+	switch {
+	case ours.folded > theirs.folded:
+		merged.folded, merged.base = ours.folded, ours.base
+	case ours.folded < theirs.folded:
+		merged.folded, merged.base = theirs.folded, theirs.base
+	default:
+		merged.folded, merged.base = ours.folded, ours.base.Merge(theirs.base)
+	}
+	maps.Copy(merged.counts, ours.counts)
+	for incarnation, count := range theirs.counts {
+		merged.counts[incarnation] = merged.counts[incarnation].Merge(count)
+	}
+	maps.DeleteFunc(merged.counts, func(incarnation uint64, _ Count) bool {
+		return incarnation <= merged.folded
+	})
+	t.vms[vm] = merged
+}
+
+// Wire encodes a tally in whole units.
+func (t *Tally) Wire() []wire.ServiceSource {
+	sources := make([]wire.ServiceSource, 0, len(t.vms))
+	for _, vm := range slices.Sorted(maps.Keys(t.vms)) {
+		v := t.vms[vm]
+		source := wire.ServiceSource{VM: vm, Folded: v.folded, Base: v.base.wire()}
+		for _, incarnation := range slices.Sorted(maps.Keys(v.counts)) {
+			source.Incarnations = append(source.Incarnations, wire.ServiceIncarnation{
+				Incarnation: incarnation,
+				Count:       v.counts[incarnation].wire(),
+			})
+		}
+		sources = append(sources, source)
+	}
+	return sources
+}
+
+// TallyFromWire decodes a tally.
+func TallyFromWire(sources []wire.ServiceSource) *Tally {
+	t := NewTally()
+	for _, source := range sources {
+		v := vmTally{folded: source.Folded, base: countFromWire(source.Base), counts: make(map[uint64]Count)}
+		for _, incarnation := range source.Incarnations {
+			v.counts[incarnation.Incarnation] = countFromWire(incarnation.Count)
+		}
+		t.merge(source.VM, v)
+	}
+	return t
+}
+
+func (c Count) wire() wire.ServiceCount {
+	return wire.ServiceCount{Charged: units(c.Charged), Returned: units(c.Returned)}
+}
+
+func countFromWire(c wire.ServiceCount) Count {
+	return Count{Charged: float64(c.Charged), Returned: float64(c.Returned)}
+}
