--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -68,6 +68,7 @@
 }
 
 func (e Receive) apply(n *Node, now time.Time) {
+	n.received++
 	from := dispatcher.Entry{VM: e.From, Incarnation: e.Incarnation}
 	n.receive(now, from, e.Message)
 }
