--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -55,15 +55,19 @@
 type PeerDown struct{ Hello wire.Hello }
 
 func (e Submit) apply(n *Node, now time.Time)    { n.submit(now, e.Ticket) }
-func (e Withdraw) apply(n *Node, _ time.Time)    { n.entry.Withdraw(e.ID) }
 func (e Charge) apply(n *Node, now time.Time)    { n.charge(now, e) }
 func (e Configure) apply(n *Node, now time.Time) { n.configure(now, e.Config) }
 func (e Members) apply(n *Node, now time.Time)   { n.setView(now, e.View) }
 func (e PeerUp) apply(n *Node, now time.Time)    { n.peerUp(now, e.Hello) }
 func (e PeerDown) apply(n *Node, now time.Time)  { n.peerDown(now, e.Hello) }
 
+func (e Withdraw) apply(n *Node, _ time.Time) {
+	n.streamDropped(e.ID)
+	n.entry.Withdraw(e.ID)
+}
+
 func (e End) apply(n *Node, _ time.Time) {
-	n.streamEnded(e.Finish.ID)
+	n.streamEnded(e.Finish)
 	n.entry.End(e.Finish)
 }
 
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -172,10 +172,10 @@
 		continue
 	}
 	for _, grant := range n.entry.Granted() {
-		n.streamStarted(grant)
 		n.act(Granted{Grant: grant})
 	}
 	for _, refused := range n.entry.Refused() {
+		n.streamDropped(refused.ID)
 		n.act(Refused{ID: refused.ID, Refusal: refused.Refusal})
 	}
 }
@@ -285,5 +285,6 @@
 		}})
 		return
 	}
+	n.streamSubmitted(ticket)
 	n.entry.Submit(now, ticket)
 }
--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -13,13 +13,11 @@
 )
 
 const (
-	// serviceInterval is how often service sums are sent.
-	serviceInterval = 250 * time.Millisecond
 	// handoverDelay is how long a former home keeps an account after it handed
 	// it over.
 	handoverDelay = 10 * time.Second
-	// firstProgress is the least cost at which an entry reports progress.
-	firstProgress = 64
+	// leastProgress is the least cost at which an entry reports progress.
+	leastProgress = 64
 )
 
 // sums is a node's part in counting what the accounts were served.
@@ -34,6 +32,8 @@
 	sent   time.Time
 	// streams follows the running attempts of this entry.
 	streams map[request.ID]stream
+	// estimates are of the requests of this entry.
+	estimates *service.Estimates
 }
 
 type homeKey struct {
@@ -41,22 +41,22 @@
 	account    version.AccountID
 }
 
-// stream is what a running attempt has cost so far and when to say so next.
+// stream is what a request has cost so far and when to say so next.
 type stream struct {
-	pool    version.PoolID
-	attempt request.Attempt
-	cost    request.Cost
-	next    request.Cost
+	ticket request.Ticket
+	cost   request.Cost
+	next   request.Cost
 }
 
 func newSums() *sums {
 	return &sums{
-		meter:   service.NewMeter(),
-		home:    service.NewHome(),
-		pacer:   service.NewPacer(),
-		owners:  make(map[homeKey]version.VMID),
-		handed:  make(map[version.AccountID]time.Time),
-		streams: make(map[request.ID]stream),
+		meter:     service.NewMeter(),
+		home:      service.NewHome(),
+		pacer:     service.NewPacer(),
+		owners:    make(map[homeKey]version.VMID),
+		handed:    make(map[version.AccountID]time.Time),
+		streams:   make(map[request.ID]stream),
+		estimates: service.NewEstimates(),
 	}
 }
 
@@ -67,30 +67,40 @@
 // charge follows a running attempt and tells its dispatcher when it costs more
 // than expected.
 func (n *Node) charge(now time.Time, event Charge) {
-	s, running := n.sums.streams[event.ID]
-	if !running {
+	s, known := n.sums.streams[event.ID]
+	if !known {
 		return
 	}
 	s.cost += event.Cost
 	if s.cost >= s.next {
-		s.next = 2 * s.cost
-		n.deliver(now, n.registered[s.pool], wire.Progress{
-			Pool:    s.pool,
+		s.next = s.cost * service.ProgressStep
+		n.deliver(now, n.registered[s.ticket.Pool], wire.Progress{
+			Pool:    s.ticket.Pool,
 			ID:      event.ID,
-			Attempt: s.attempt,
+			Attempt: s.ticket.Attempt,
 			Cost:    uint32(s.cost),
 		})
 	}
 	n.sums.streams[event.ID] = s
 }
 
-// streamStarted begins to follow a granted attempt.
-func (n *Node) streamStarted(grant request.Grant) {
-	n.sums.streams[grant.ID] = stream{pool: grant.Pool, attempt: grant.Attempt, next: firstProgress}
+// streamSubmitted begins to follow an attempt of a request.
+func (n *Node) streamSubmitted(ticket request.Ticket) {
+	next := max(n.sums.estimates.Of(ticket), leastProgress)
+	n.sums.streams[ticket.ID] = stream{ticket: ticket, next: next}
 }
 
-// streamEnded ends what streamStarted began.
-func (n *Node) streamEnded(id request.ID) { delete(n.sums.streams, id) }
+// streamEnded ends what streamSubmitted began.
+func (n *Node) streamEnded(finish request.Finish) {
+	s, known := n.sums.streams[finish.ID]
+	if known && finish.Outcome == request.OutcomeDone {
+		n.sums.estimates.Learn(s.ticket.Account, s.ticket.Lane, finish.Cost)
+	}
+	delete(n.sums.streams, finish.ID)
+}
+
+// streamDropped forgets a request that ended without running.
+func (n *Node) streamDropped(id request.ID) { delete(n.sums.streams, id) }
 
 // serviceViewChanged follows a new picture of the members.
 func (n *Node) serviceViewChanged(now time.Time) {
@@ -102,9 +112,9 @@
 // servicePeerChanged forgets what was sent to a daemon that came or went.
 func (n *Node) servicePeerChanged(vm version.VMID) { n.sums.pacer.Reset(vm) }
 
-// tickService sends what changed, every serviceInterval.
+// tickService sends what changed, every service.Interval.
 func (n *Node) tickService(now time.Time) {
-	if now.Sub(n.sums.sent) < serviceInterval {
+	if now.Sub(n.sums.sent) < service.Interval {
 		return
 	}
 	n.sums.sent = now
--- a/fleet/process/pump/pump_test.go
+++ b/fleet/process/pump/pump_test.go
@@ -24,6 +24,8 @@
 
 func (r *recorder) Refused(time.Time, pump.Job, request.Refusal) { r.refused++ }
 
+func (r *recorder) Lost(time.Time, pump.Job, bool) { r.refused++ }
+
 func compile(t *testing.T) *version.Config {
 	t.Helper()
 	config, err := version.Compile(&version.Document{
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -1,6 +1,8 @@
 package pump
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
@@ -9,14 +11,14 @@
 )
 
 const (
-	// firstToken is the first-token time of a warm upstream.
-	firstToken = 100 * time.Millisecond
+	// FirstToken is the first-token time of a warm upstream.
+	FirstToken = 100 * time.Millisecond
 	// coldFirstToken is the first-token time of a cold upstream.
 	coldFirstToken = 2 * time.Second
-	// pace is the time per cost unit.
-	pace = 20 * time.Millisecond
-	// chargeInterval is the time between two charges of a running request.
-	chargeInterval = 250 * time.Millisecond
+	// Pace is the time per cost unit.
+	Pace = 20 * time.Millisecond
+	// ChargeInterval is the time between two charges of a running request.
+	ChargeInterval = 250 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
 	warmUp = 2 * time.Second
 )
@@ -27,6 +29,8 @@
 	Charged(now time.Time, job Job, cost request.Cost)
 	Ended(now time.Time, job Job)
 	Refused(now time.Time, job Job, refusal request.Refusal)
+	// Lost is called for a request whose daemon restarted.
+	Lost(now time.Time, job Job, running bool)
 }
 
 // Job is a caller's request and its true cost, which only the upstream knows.
@@ -53,7 +57,8 @@
 
 type job struct {
 	Job
-	key jobKey
+	key     jobKey
+	running bool
 }
 
 // Submit gives a daemon a caller's request of a true cost.
@@ -78,6 +83,15 @@
 	return s
 }
 
+// WarmFor returns how long the upstream has been warm; a cold one has been for
+// less than 0.
+func (s *Stand) WarmFor(now time.Time) time.Duration {
+	if s.warmAfter.IsZero() {
+		return -1
+	}
+	return now.Sub(s.warmAfter)
+}
+
 // Cool makes an upstream cold without telling anyone.
 func (p *Pump) Cool(id version.UpstreamID) { p.Stand(id).warmAfter = time.Time{} }
 
@@ -88,6 +102,7 @@
 	}
 	s := p.Stand(grant.Upstream)
 	s.Running++
+	j.running = true
 	s.MaxRunning = max(s.MaxRunning, s.Running)
 	first := p.firstToken(s, grant.Upstream)
 	if p.options.Observer != nil {
@@ -102,7 +117,7 @@
 		s.warmAfter = p.now.Add(warmUp)
 	}
 	if !p.now.Before(s.warmAfter) {
-		return firstToken
+		return FirstToken
 	}
 	if upstream := p.options.Config.Upstreams[id]; upstream != nil && s.Running > upstream.ColdLimit {
 		s.OverCold++
@@ -114,8 +129,8 @@
 // when all is.
 func (p *Pump) stream(d *Daemon, j *job, grant request.Grant, first time.Duration, done request.Cost) {
 	rest := j.Cost - done
-	chunk := min(rest, request.Cost(chargeInterval/pace))
-	p.after(time.Duration(float64(chunk)*float64(pace)), func() {
+	chunk := min(rest, request.Cost(ChargeInterval/Pace))
+	p.after(time.Duration(float64(chunk)*float64(Pace)), func() {
 		p.charge(d, j, chunk)
 		if chunk < rest {
 			p.stream(d, j, grant, first, done+chunk)
@@ -169,9 +184,17 @@
 
 // dropJobs forgets the requests of a daemon that is gone.
 func (p *Pump) dropJobs(vm version.VMID, incarnation uint64) {
-	for key := range p.jobs {
+	var lost []*job
+	for key, j := range p.jobs {
 		if key.vm == vm && key.incarnation == incarnation {
-			delete(p.jobs, key)
+			lost = append(lost, j)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *job) int { return cmp.Compare(a.key.id, b.key.id) })
+	for _, j := range lost {
+		delete(p.jobs, j.key)
+		if p.options.Observer != nil {
+			p.options.Observer.Lost(p.now, j.Job, j.running)
 		}
 	}
 }
--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -13,6 +13,9 @@
 	// JoinHold is how long an account still counts as backlogged after its
 	// last ticket left the queue.
 	JoinHold = 2 * time.Second
+	// ProgressStep is the factor by which a running attempt's cost has to grow
+	// before the entry reports it again.
+	ProgressStep = 1.25
 	// runningTimeout drops what is kept of an attempt that never ended.
 	runningTimeout = time.Hour
 	// changeLog is the number of changed accounts that a Levels remembers.
@@ -33,6 +36,7 @@
 	config   *version.Config
 	accounts map[version.AccountID]*metered
 	running  map[Hold]charge
+	means    *Estimates
 	changed  []version.AccountID
 	// forgotten is the number of changes dropped from the front of changed.
 	forgotten uint64
@@ -60,8 +64,7 @@
 	// when the account became backlogged.
 	floor, start float64
 	// held is added to the level until the home has spoken.
-	held  float64
-	means [request.Lanes]mean
+	held float64
 }
 
 // charge is what was charged for a running attempt.
@@ -85,6 +88,7 @@
 	return &Meter{
 		accounts: make(map[version.AccountID]*metered),
 		running:  make(map[Hold]charge),
+		means:    NewEstimates(),
 	}
 }
 
@@ -98,12 +102,11 @@
 		return
 	}
 	a := m.account(ticket.Account)
-	lane := min(ticket.Lane, request.LaneLong)
 	c := charge{
 		account: ticket.Account,
-		lane:    lane,
+		lane:    ticket.Lane,
 		weight:  m.weight(ticket.Account),
-		cost:    a.means[lane].or(ticket.Estimate),
+		cost:    m.means.Of(ticket),
 		granted: now,
 	}
 	m.running[hold] = c
@@ -112,15 +115,16 @@
 }
 
 // Progress corrects the charge of a running attempt that has cost more than
-// expected. The charge goes to twice the cost so far, so that one correction is
-// enough until the cost has doubled.
+// expected. The charge goes ahead of the cost so far by ProgressStep, when the
+// entry reports again.
 func (m *Meter) Progress(hold Hold, cost request.Cost) {
 	c, present := m.running[hold]
 	if !present || cost <= c.cost {
 		return
 	}
-	m.account(c.account).own.Charged += float64(2*cost-c.cost) / c.weight
-	c.cost = 2 * cost
+	charged := cost * ProgressStep
+	m.account(c.account).own.Charged += float64(charged-c.cost) / c.weight
+	c.cost = charged
 	m.running[hold] = c
 	m.note(c.account)
 }
@@ -143,7 +147,7 @@
 		a.own.Returned += float64(c.cost-cost) / c.weight
 	}
 	if outcome == request.OutcomeDone {
-		a.means[c.lane].learn(cost)
+		m.means.Learn(c.account, c.lane, cost)
 	}
 	m.note(c.account)
 }
--- a/fleet/process/service/pacer.go
+++ b/fleet/process/service/pacer.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// Interval is how often a daemon sends service sums.
+	Interval = 250 * time.Millisecond
 	// BytesPerSecond bounds what a daemon sends of service sums.
 	BytesPerSecond = 300
 	// burst is how many seconds of BytesPerSecond may be saved up.
@@ -19,7 +21,7 @@
 	messageBytes = 8
 	// backloggedInterval and idleInterval bound how often the same record is
 	// sent, for accounts that wait and for others.
-	backloggedInterval = 250 * time.Millisecond
+	backloggedInterval = Interval
 	idleInterval       = 5 * time.Second
 	// refreshInterval is when a record is sent again although nothing changed,
 	// in case it was lost.
