Own slots by rendezvous, earn them by prompt answers

Two dispatchers with the same members could both fill an upstream, one answer raised a limit by one without regard to its speed, and reports were not used. Now slot k belongs to a member by rendezvous hashing and is usable only while that member is registered; limits double on enough prompt answers of the present limit, fall on signs of coldness, refusals and reports; lost entries keep their slots until there is evidence that they ended; owning teams keep their share; near-equal upstreams are chosen by prompt prefix.

--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -1,10 +1,18 @@
 // Package slots decides how much work each upstream may hold.
 //
 // A slot is the right to run one request at an upstream. A Table belongs to
-// one dispatcher and one pool.
+// one dispatcher and one pool. Four things bound what it hands out at an
+// upstream:
+//
+//   - the limit that the upstream has earned by answering promptly (warmth.go);
+//   - the members that own the limit's slots and are registered here
+//     (owner.go), so that two dispatchers never use the same slot;
+//   - what its owning team keeps back (lending in this file);
+//   - load that the upstream reports but no entry has registered (report.go).
 package slots
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,93 +26,314 @@
 	Attempt request.Attempt
 }
 
+// Demand asks for a slot.
+type Demand struct {
+	Hold Hold
+	// Team is the account's team; empty is none.
+	Team string
+	// Avoid is an upstream to be taken only if no other is free; 0 is none.
+	Avoid version.UpstreamID
+	// Prefix is a hash of the prompt's head; 0 is none.
+	Prefix uint64
+}
+
 // Table holds the slots of a pool's upstreams in one data centre. It is not
 // safe for concurrent use.
 //
-// Invariant: an upstream never holds more than its limit, except for attempts
-// that registered with Occupy.
+// Invariant: Acquire never takes an upstream above its usable slots. Only
+// Occupy, which records work that runs already, can.
 type Table struct {
+	// expected is the first-token time of a healthy warm upstream.
+	expected  time.Duration
+	started   time.Time
 	upstreams map[version.UpstreamID]*state
-	order     []version.UpstreamID
+	// order holds the upstreams in service by ID.
+	order    []*state
+	members  members
+	prefixes prefixes
 }
 
 // state is what is kept per upstream.
 type state struct {
 	upstream *version.Upstream
-	limit    int
-	holds    map[Hold]struct{}
+	// out is set while the upstream takes no new work by configuration; the
+	// state stays until its last hold ends.
+	out    bool
+	warmth warmth
+	report reported
+	// evidence counts the prompt answers that entries brought along.
+	evidence map[version.VMID]int
+	owners   owners
+	holds  map[Hold]held
+	// foreign counts the holds of accounts outside the upstream's team.
+	foreign int
+	// usable caches the number of earned slots whose owner is registered.
+	usable    int
+	lastGrant time.Time
+}
+
+// held is what is kept per hold.
+type held struct {
+	// epoch and ejections are those of the warmth at the grant.
+	epoch     uint32
+	ejections uint32
+	foreign   bool
+	// orphaned is when the holding entry was lost; zero while it is
+	// registered.
+	orphaned time.Time
+	// settled is set once the holding process is known to have ended.
+	settled bool
 }
 
-// New returns a table without upstreams.
-func New() *Table {
-	return &Table{upstreams: make(map[version.UpstreamID]*state)}
+// New returns a table without upstreams and members.
+func New(now time.Time) *Table {
+	return &Table{
+		started:   now,
+		upstreams: make(map[version.UpstreamID]*state),
+	}
 }
 
-// Configure replaces the set of upstreams and keeps what is held at those that
-// stay.
-func (t *Table) Configure(upstreams []*version.Upstream) {
-	kept := make(map[version.UpstreamID]*state, len(upstreams))
+// Configure replaces the set of upstreams in service. One that is new, that
+// returns or that stands at another address is cold; one that goes keeps its
+// holds until they end.
+func (t *Table) Configure(now time.Time, expectedFirstToken time.Duration, upstreams []*version.Upstream) {
+	t.expected = expectedFirstToken
+	for _, s := range t.upstreams {
+		s.out = true
+	}
 	t.order = t.order[:0]
 	for _, upstream := range upstreams {
-		s, present := t.upstreams[upstream.ID]
-		if !present {
-			s = &state{limit: upstream.ColdLimit, holds: make(map[Hold]struct{})}
+		t.order = append(t.order, t.configure(now, upstream))
+	}
+	slices.SortFunc(t.order, func(a, b *state) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	for id, s := range t.upstreams {
+		if s.out {
+			s.returnCold()
+			t.dropIfEmpty(id, s)
 		}
-		s.upstream = upstream
-		s.limit = min(s.limit, upstream.WarmLimit)
-		kept[upstream.ID] = s
-		t.order = append(t.order, upstream.ID)
-	}
-	slices.Sort(t.order)
-	t.upstreams = kept
-}
-
-// Acquire takes a slot at the least loaded upstream other than avoid. It falls
-// back to avoid if no other upstream has a free slot.
-func (t *Table) Acquire(_ time.Time, hold Hold, avoid version.UpstreamID) (version.UpstreamID, bool) {
-	var best *state
-	var bestLoad float64
-	for _, id := range t.order {
-		s := t.upstreams[id]
-		if len(s.holds) >= s.limit {
+	}
+}
+
+func (t *Table) configure(now time.Time, upstream *version.Upstream) *state {
+	s, present := t.upstreams[upstream.ID]
+	if !present {
+		s = &state{upstream: upstream, holds: make(map[Hold]held)}
+		s.warmth.reset(now, upstream.ColdLimit)
+		t.upstreams[upstream.ID] = s
+	}
+	old := s.upstream
+	s.upstream = upstream
+	s.out = false
+	if old.Address != upstream.Address || old.ColdLimit != upstream.ColdLimit {
+		s.warmth.reset(now, upstream.ColdLimit)
+		s.evidence = nil
+	}
+	s.warmth.limit = min(s.warmth.limit, upstream.WarmLimit)
+	t.members.assign(s)
+	t.refresh(now, s)
+	return s
+}
+
+// Acquire takes a slot at a free upstream and reports false if there is none.
+// It prefers the least loaded one and, among those about as loaded, the one
+// that last served the prefix.
+func (t *Table) Acquire(now time.Time, demand Demand) (version.UpstreamID, bool) {
+	best := t.choose(now, demand)
+	if best == nil {
+		return 0, false
+	}
+	t.hold(best, demand.Hold, demand.Team)
+	best.lastGrant = now
+	best.warmth.began(now)
+	t.prefixes.remember(demand.Prefix, best.upstream.ID)
+	return best.upstream.ID, true
+}
+
+// nearEqualLoad is how much more loaded an upstream may be, as a fraction of
+// its usable slots, for its prompt cache to be preferred.
+const nearEqualLoad = 0.25
+
+func (t *Table) choose(now time.Time, demand Demand) *state {
+	var best, cached *state
+	var bestLoad, cachedLoad float64
+	preferred := t.prefixes.lookup(demand.Prefix)
+	for _, s := range t.order {
+		if !s.free(now, demand.Team) {
 			continue
 		}
-		load := float64(len(s.holds)) / float64(s.limit)
-		if id == avoid {
+		load := s.load()
+		if s.upstream.ID == demand.Avoid {
 			load++
+		} else if s.upstream.ID == preferred {
+			cached, cachedLoad = s, load
 		}
-		if best == nil || load < bestLoad {
+		if best == nil || load < bestLoad || (load == bestLoad && s.lastGrant.Before(best.lastGrant)) {
 			best, bestLoad = s, load
 		}
 	}
-	if best == nil {
-		return 0, false
+	if cached != nil && cachedLoad <= bestLoad+nearEqualLoad {
+		return cached
 	}
-	best.holds[hold] = struct{}{}
-	return best.upstream.ID, true
+	return best
 }
 
 // Occupy records an attempt that already runs.
-func (t *Table) Occupy(hold Hold, upstream version.UpstreamID) {
-	if s, present := t.upstreams[upstream]; present {
-		s.holds[hold] = struct{}{}
+func (t *Table) Occupy(now time.Time, hold Hold, team string, upstream version.UpstreamID) {
+	s, present := t.upstreams[upstream]
+	if !present {
+		return
+	}
+	if known, present := s.holds[hold]; present {
+		known.orphaned, known.settled = time.Time{}, false
+		s.holds[hold] = known
+		return
 	}
+	t.hold(s, hold, team)
+	s.report.unknown = max(0, s.report.unknown-1)
+	t.refresh(now, s)
 }
 
-// Release frees the slot of a finished attempt and learns from its outcome.
-func (t *Table) Release(_ time.Time, hold Hold, finish request.Finish) {
+// Release frees the slot of a finished attempt and learns from its outcome. It
+// reports false if the attempt held no slot.
+func (t *Table) Release(now time.Time, hold Hold, finish request.Finish) bool {
 	s, present := t.upstreams[finish.Upstream]
+	if !present {
+		return false
+	}
+	info, present := s.holds[hold]
+	if !present {
+		return false
+	}
+	s.drop(hold)
+	t.learn(now, s, info, finish)
+	t.dropIfEmpty(finish.Upstream, s)
+	return true
+}
+
+// Drop frees a slot without learning anything.
+func (t *Table) Drop(hold Hold, upstream version.UpstreamID) {
+	s, present := t.upstreams[upstream]
 	if !present {
 		return
 	}
-	if _, held := s.holds[hold]; !held {
+	s.drop(hold)
+	t.dropIfEmpty(upstream, s)
+}
+
+// Empty reports whether no upstream is in service.
+func (t *Table) Empty() bool { return len(t.order) == 0 }
+
+// Tick ends ejections and forgets what is out of date.
+func (t *Table) Tick(now time.Time) {
+	for id, s := range t.upstreams {
+		t.expireOrphans(now, s)
+		if !s.out && s.warmth.idle(now, len(s.holds)) {
+			s.returnCold()
+		}
+		t.refresh(now, s)
+		t.dropIfEmpty(id, s)
+	}
+}
+
+// Free returns the number of slots that an account of no team could take now.
+func (t *Table) Free(now time.Time) int {
+	total := 0
+	for _, s := range t.order {
+		if s.free(now, "") {
+			total += min(s.capacity()-s.used(), s.capacity()-s.kept()-s.foreign)
+		}
+	}
+	return total
+}
+
+// Spare reports whether any account at all could take a slot now.
+func (t *Table) Spare(now time.Time) bool {
+	for _, s := range t.order {
+		if s.free(now, s.upstream.Team) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) hold(s *state, hold Hold, team string) {
+	info := held{
+		epoch:     s.warmth.epoch,
+		ejections: s.warmth.ejections,
+		foreign:   s.foreignTo(team),
+	}
+	s.holds[hold] = info
+	if info.foreign {
+		s.foreign++
+	}
+	s.report.peak = max(s.report.peak, len(s.holds))
+}
+
+func (t *Table) dropIfEmpty(id version.UpstreamID, s *state) {
+	if s.out && len(s.holds) == 0 {
+		delete(t.upstreams, id)
+	}
+}
+
+// refresh recounts the usable slots.
+func (t *Table) refresh(now time.Time, s *state) {
+	s.usable = t.members.usable(now, s, t.started)
+}
+
+func (s *state) drop(hold Hold) {
+	info, present := s.holds[hold]
+	if !present {
 		return
 	}
 	delete(s.holds, hold)
-	if finish.Outcome == request.OutcomeDone {
-		s.limit = min(s.limit+1, s.upstream.WarmLimit)
+	if info.foreign {
+		s.foreign--
+	}
+}
+
+// free reports whether an account of a team may take one more slot.
+func (s *state) free(now time.Time, team string) bool {
+	if s.out || s.warmth.ejected(now) {
+		return false
 	}
+	if s.used() >= s.capacity() {
+		return false
+	}
+	return !s.foreignTo(team) || s.foreign < s.capacity()-s.kept()
+}
+
+func (s *state) foreignTo(team string) bool {
+	return s.upstream.Team != "" && team != s.upstream.Team
 }
 
-// Empty reports whether the table has no upstream at all.
-func (t *Table) Empty() bool { return len(t.upstreams) == 0 }
+// kept returns the number of slots that the owning team keeps back.
+func (s *state) kept() int {
+	if s.upstream.Team == "" {
+		return 0
+	}
+	return int((1 - s.upstream.LentShare) * float64(s.capacity()))
+}
+
+// capacity returns the number of slots that may be held at present.
+func (s *state) capacity() int {
+	if s.warmth.onTrial() {
+		return min(s.usable, 1)
+	}
+	return s.usable
+}
+
+// used returns the held slots and the reported load that nobody registered.
+func (s *state) used() int { return len(s.holds) + s.report.unknown }
+
+func (s *state) load() float64 { return float64(s.used()) / float64(max(s.capacity(), 1)) }
+
+// returnCold makes the upstream start again from its cold limit.
+func (s *state) returnCold() {
+	s.warmth.fall(s.upstream.ColdLimit)
+	s.evidence = nil
+}
+
+// cold reports whether the upstream has earned no more than its cold limit.
+func (s *state) cold() bool {
+	return s.warmth.limit <= s.upstream.ColdLimit && s.upstream.ColdLimit < s.upstream.WarmLimit
+}
