--- a/fleet/connection/wire/codec_test.go
+++ b/fleet/connection/wire/codec_test.go
@@ -17,7 +17,7 @@
 			ID: 40_000, Account: version.NewAccountID("counters"), Pool: pool,
 			Estimate: 300, WaitMillis: 60_000, Prefix: 1 << 63, Attempt: 1,
 		},
-		Grant{ID: 40_000, Attempt: 1, Pool: pool, Upstream: upstream},
+		Grant{ID: 40_000, Attempt: 1, Pool: pool, Upstream: upstream, Session: 1_000},
 		Finish{ID: 40_000, Attempt: 1, Pool: pool, Upstream: upstream, Cost: 300, FirstTokenMillis: 200},
 	}
 }
--- a/fleet/connection/wire/dispatch.go
+++ b/fleet/connection/wire/dispatch.go
@@ -22,17 +22,29 @@
 	KindRefuse Kind = 6
 	// KindRegister tags Register.
 	KindRegister Kind = 7
+	// KindRelease tags Release.
+	KindRelease Kind = 8
+	// KindReleased tags Released.
+	KindReleased Kind = 9
+	// KindDigest tags Digest.
+	KindDigest Kind = 10
+	// KindReregister tags Reregister.
+	KindReregister Kind = 11
 )
 
 // dispatchDecoders decodes the messages of this file.
 var dispatchDecoders = map[Kind]decoder{
-	KindHello:    decodeAs[Hello],
-	KindTicket:   decodeAs[Ticket],
-	KindWithdraw: decodeAs[Withdraw],
-	KindGrant:    decodeAs[Grant],
-	KindFinish:   decodeAs[Finish],
-	KindRefuse:   decodeAs[Refuse],
-	KindRegister: decodeAs[Register],
+	KindHello:      decodeAs[Hello],
+	KindTicket:     decodeAs[Ticket],
+	KindWithdraw:   decodeAs[Withdraw],
+	KindGrant:      decodeAs[Grant],
+	KindFinish:     decodeAs[Finish],
+	KindRefuse:     decodeAs[Refuse],
+	KindRegister:   decodeAs[Register],
+	KindRelease:    decodeAs[Release],
+	KindReleased:   decodeAs[Released],
+	KindDigest:     decodeAs[Digest],
+	KindReregister: decodeAs[Reregister],
 }
 
 // Hello is the first message on a link.
@@ -77,6 +89,8 @@
 	Attempt  request.Attempt
 	Pool     version.PoolID
 	Upstream version.UpstreamID
+	// Session is the registration that the grant belongs to.
+	Session Session
 }
 
 // Finish frees the slot of an attempt.
@@ -100,15 +114,86 @@
 	Pool             version.PoolID
 	Reason           request.Reason
 	RetryAfterMillis uint32
+	// Session is the registration that the refusal belongs to.
+	Session Session
 }
 
-// Register tells a dispatcher everything that an entry holds for one pool. It
-// replaces what the dispatcher knew of that entry.
+// Session numbers the registrations of one process. It grows with each of
+// them, so that a message that belongs to an earlier one is told apart.
+type Session uint32
+
+// Register tells a dispatcher everything that an entry holds for one pool. All
+// parts of a session together replace what the dispatcher knew of that entry.
 type Register struct {
 	_       struct{} `cbor:",toarray"`
 	Pool    version.PoolID
-	Waiting []Ticket
-	Running []Running
+	Session Session
+	// Part counts from 0 to Parts-1.
+	Part  uint32
+	Parts uint32
+	// Clean says that no other dispatcher can still use the entry's slots.
+	Clean bool
+	// Insist says that the entry cannot reach the pool's owner.
+	Insist   bool
+	Waiting  []Ticket
+	Running  []Running
+	Evidence []Evidence
+}
+
+// Evidence counts an entry's recent prompt answers from an upstream.
+type Evidence struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream version.UpstreamID
+	Answers  uint32
+}
+
+// Release ends an entry's registration. The dispatcher confirms with Released.
+type Release struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    version.PoolID
+	Session Session
+}
+
+// Released confirms that a dispatcher uses an entry's slots no more.
+type Released struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    version.PoolID
+	Session Session
+}
+
+// Digest sums up what an entry holds for a pool. It renews the registration,
+// and shows the dispatcher whether a message was lost.
+type Digest struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    version.PoolID
+	Session Session
+	// Seen counts the grants and refusals received in the session.
+	Seen uint32
+	// Held counts the requests and Hash combines their HoldHash.
+	Held uint32
+	Hash uint32
+}
+
+// Reregister asks an entry to register anew. It answers a message that fits no
+// registration.
+type Reregister struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    version.PoolID
+	Session Session
+	// Elsewhere says that the sender is not the pool's owner.
+	Elsewhere bool
+}
+
+// HoldHash hashes one request of a Digest. The hashes of several are combined
+// by exclusive or.
+func HoldHash(id request.ID, attempt request.Attempt, running bool) uint32 {
+	x := uint64(id)<<16 ^ uint64(attempt)<<1
+	if running {
+		x |= 1
+	}
+	x = (x + 0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>31) * 0x94d049bb133111eb
+	return uint32(x >> 32)
 }
 
 // Running is an attempt in progress within a Register.
@@ -141,6 +226,18 @@
 // Kind implements Message.
 func (Register) Kind() Kind { return KindRegister }
 
+// Kind implements Message.
+func (Release) Kind() Kind { return KindRelease }
+
+// Kind implements Message.
+func (Released) Kind() Kind { return KindReleased }
+
+// Kind implements Message.
+func (Digest) Kind() Kind { return KindDigest }
+
+// Kind implements Message.
+func (Reregister) Kind() Kind { return KindReregister }
+
 // FromTicket encodes a ticket's fields.
 func FromTicket(t request.Ticket) Ticket {
 	return Ticket{
--- a/fleet/connection/wire/spill.go
+++ b/fleet/connection/wire/spill.go
@@ -1,4 +1,36 @@
 package wire
 
+import "github.com/trefoilwell/trefoilwell/fleet/version"
+
+const (
+	// KindNeed tags Need.
+	KindNeed Kind = 40
+	// KindVacancy tags Vacancy.
+	KindVacancy Kind = 41
+)
+
 // spillDecoders decodes the messages between dispatchers of a pool in different data centres.
-var spillDecoders = map[Kind]decoder{}
+var spillDecoders = map[Kind]decoder{
+	KindNeed:    decodeAs[Need],
+	KindVacancy: decodeAs[Vacancy],
+}
+
+// Need asks a dispatcher in another data centre to report its free slots for a
+// while.
+type Need struct {
+	_    struct{} `cbor:",toarray"`
+	Pool version.PoolID
+}
+
+// Vacancy tells how many slots a dispatcher has free for others.
+type Vacancy struct {
+	_    struct{} `cbor:",toarray"`
+	Pool version.PoolID
+	Free uint32
+}
+
+// Kind implements Message.
+func (Need) Kind() Kind { return KindNeed }
+
+// Kind implements Message.
+func (Vacancy) Kind() Kind { return KindVacancy }
