--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -2,16 +2,21 @@
 // pool in one data centre.
 //
 // All its state is soft: a successor rebuilds it from what the entries
-// register.
+// register. Dispatchers of the same pool in other data centres take part as
+// entries do: they register what they place here.
 package dispatcher
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
 	"github.com/trefoilwell/trefoilwell/fleet/process/service"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -22,9 +27,9 @@
 	Incarnation uint64
 }
 
-// Send is a message for an entry.
+// Send is a message for another daemon, or for this one.
 type Send struct {
-	To      Entry
+	To      version.VMID
 	Message wire.Message
 }
 
@@ -35,24 +40,49 @@
 	Queue      queue.Options
 	// Levels gives the fleet-wide service levels.
 	Levels service.Levels
+	// NextSession returns a session number higher than any before it in this
+	// process.
+	NextSession func() wire.Session
+	// Timeline records what happens; it must not be nil.
+	Timeline *timeline.Ring
 }
 
 // Dispatcher owns one queue and one slot table. It is not safe for concurrent
 // use.
+//
+// Invariants: a request that an entry holds is in exactly one place: the
+// queue, an offer to another data centre, or a slot; and it is granted at most
+// once per session of its entry's registration.
 type Dispatcher struct {
 	options Options
 	config  *version.Config
 	queue   *queue.Queue
 	slots   *slots.Table
-	outbox  []Send
+	// owner is set while this daemon is the pool's owner by its own view.
+	owner         bool
+	registrations map[version.VMID]*registration
+	// order holds the registrations by VM.
+	order  []*registration
+	peers  []*peer
+	counts Counts
+	outbox []Send
+}
+
+// Counts counts what a dispatcher did since it started.
+type Counts struct {
+	Granted    uint64
+	HandedBack uint64
+	Spilled    uint64
+	Refused    uint64
 }
 
 // New returns a dispatcher without upstreams.
-func New(options Options) *Dispatcher {
+func New(now time.Time, options Options) *Dispatcher {
 	return &Dispatcher{
-		options: options,
-		queue:   queue.New(options.Queue),
-		slots:   slots.New(),
+		options:       options,
+		queue:         newQueue(options),
+		slots:         slots.New(now),
+		registrations: make(map[version.VMID]*registration),
 	}
 }
 
@@ -66,111 +96,245 @@
 			upstreams = append(upstreams, upstream)
 		}
 	}
-	d.slots.Configure(upstreams)
+	slices.SortFunc(upstreams, func(a, b *version.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	d.slots.Configure(now, d.expectedFirstToken(), upstreams)
 	d.grant(now)
 }
 
-// Register replaces what is known of an entry.
-func (d *Dispatcher) Register(now time.Time, from Entry, register wire.Register) {
-	for _, running := range register.Running {
-		key := keyOf(from, running.ID)
-		d.slots.Occupy(slots.Hold{Key: key, Attempt: running.Attempt}, running.Upstream)
+// SetMembers sets the VMs of the data centre that may own slots.
+func (d *Dispatcher) SetMembers(now time.Time, members []slots.Member) {
+	d.slots.SetMembers(now, members)
+	d.grant(now)
+}
+
+// SetOwner says whether this daemon is the pool's owner. One that is not keeps
+// only the entries that cannot reach the owner, and sends the others away with
+// what they hold.
+func (d *Dispatcher) SetOwner(now time.Time, owner bool) {
+	d.owner = owner
+	if owner {
+		return
+	}
+	for _, r := range slices.Clone(d.order) {
+		if !r.insists {
+			d.sendAway(now, r.entry, r.session)
+		}
 	}
-	for _, ticket := range register.Waiting {
-		d.push(now, from, ticket.Request())
+}
+
+// sendAway tells an entry to register elsewhere.
+func (d *Dispatcher) sendAway(now time.Time, from Entry, session wire.Session) {
+	if r, present := d.registrations[from.VM]; present && r.entry == from {
+		d.drop(now, r, false, now)
 	}
-	d.grant(now)
+	d.send(from.VM, wire.Reregister{Pool: d.options.Pool, Session: session, Elsewhere: true})
 }
 
+// Idle reports whether nobody needs the dispatcher any more.
+func (d *Dispatcher) Idle() bool { return !d.owner && len(d.order) == 0 }
+
 // Ticket adds a waiting request.
 func (d *Dispatcher) Ticket(now time.Time, from Entry, ticket request.Ticket) {
-	d.push(now, from, ticket)
+	r := d.registered(from)
+	if r == nil {
+		return
+	}
+	r.heard = now
+	if known, present := r.held[ticket.ID]; present {
+		if known.attempt >= ticket.Attempt {
+			return // A duplicate.
+		}
+		d.forget(now, r, ticket.ID, known)
+	}
+	d.enqueue(now, r, ticket)
 	d.grant(now)
 }
 
 // Withdraw takes a waiting request back.
-func (d *Dispatcher) Withdraw(from Entry, id request.ID) {
-	d.queue.Remove(keyOf(from, id))
+func (d *Dispatcher) Withdraw(now time.Time, from Entry, id request.ID) {
+	r := d.registered(from)
+	if r == nil {
+		return
+	}
+	r.heard = now
+	if known, present := r.held[id]; present && known.place != running {
+		d.forget(now, r, id, known)
+	}
 }
 
 // Finish frees a slot and passes it on.
 func (d *Dispatcher) Finish(now time.Time, from Entry, finish request.Finish) {
-	hold := slots.Hold{Key: keyOf(from, finish.ID), Attempt: finish.Attempt}
-	d.slots.Release(now, hold, finish)
+	r := d.registered(from)
+	if r != nil {
+		r.heard = now
+	}
+	if finish.Outcome == request.OutcomeUnused {
+		d.counts.HandedBack++
+		d.record(now, timeline.KindHandedBack, keyOf(from, finish.ID), timeline.Event{Upstream: finish.Upstream})
+	}
+	d.finish(now, from, r, finish)
+	d.grant(now)
+}
+
+// finish ends an attempt wherever it ran.
+func (d *Dispatcher) finish(now time.Time, from Entry, r *registration, finish request.Finish) {
+	key := keyOf(from, finish.ID)
+	var known held
+	if r != nil {
+		known = r.held[finish.ID]
+	}
+	matches := known.place == running && known.attempt == finish.Attempt && known.upstream == finish.Upstream
+	if matches {
+		delete(r.held, finish.ID)
+	}
+	if matches && known.peer != nil {
+		known.peer.end(now, known.id, finish, d.expectedFirstToken())
+		return
+	}
+	d.slots.Release(now, slots.Hold{Key: key, Attempt: finish.Attempt}, finish)
+}
+
+// Report takes an upstream's report of its load.
+func (d *Dispatcher) Report(now time.Time, upstream version.UpstreamID, load slots.Load) {
+	d.slots.Report(now, upstream, load)
 	d.grant(now)
 }
 
-// Tick refuses the tickets whose wait has ended.
+// NoReport notes that an upstream does not report its load.
+func (d *Dispatcher) NoReport(now time.Time, upstream version.UpstreamID) {
+	d.slots.NoReport(now, upstream)
+	d.grant(now)
+}
+
+// Polls returns the upstreams whose load is to be asked for now.
+func (d *Dispatcher) Polls(now time.Time) []version.UpstreamID { return d.slots.Polls(now) }
+
+// Tick refuses the tickets whose wait has ended and drops the registrations
+// that were not renewed.
 func (d *Dispatcher) Tick(now time.Time) {
+	d.expireRegistrations(now)
 	for _, item := range d.queue.Expired(now) {
-		d.refuse(item.Key, request.ReasonDeadline)
+		d.expire(now, item)
 	}
+	d.slots.Tick(now)
+	d.tickPeers(now)
 	d.grant(now)
 }
 
 // Waiting returns the number of queued tickets.
 func (d *Dispatcher) Waiting() int { return d.queue.Len() }
 
+// Counts returns what the dispatcher did so far.
+func (d *Dispatcher) Counts() Counts { return d.counts }
+
+// Upstreams describes the upstreams in service.
+func (d *Dispatcher) Upstreams(now time.Time) []slots.Upstream { return d.slots.Upstreams(now) }
+
+// Entries returns the number of registered daemons.
+func (d *Dispatcher) Entries() int { return len(d.order) }
+
 // Outbox takes out the messages to send.
 func (d *Dispatcher) Outbox() []Send {
+	d.drainPeers()
 	out := d.outbox
 	d.outbox = nil
 	return out
 }
 
-func (d *Dispatcher) push(now time.Time, from Entry, ticket request.Ticket) {
+// enqueue adds a ticket of a registered entry to the queue. One of another
+// data centre is only granted at once or refused.
+func (d *Dispatcher) enqueue(now time.Time, r *registration, ticket request.Ticket) {
 	item := queue.Item{
-		Key:     keyOf(from, ticket.ID),
+		Key:     keyOf(r.entry, ticket.ID),
 		Ticket:  ticket,
 		Arrived: now.Add(-ticket.Age),
 		Expires: now.Add(ticket.Wait),
 	}
-	if reason := d.queue.Push(item, d.accountLimit(ticket.Account)); reason != "" {
-		d.refuse(item.Key, reason)
+	if r.remote {
+		d.grantRemote(now, r, item)
+		return
 	}
+	d.push(now, r, item)
+}
+
+func (d *Dispatcher) push(now time.Time, r *registration, item queue.Item) {
+	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: queued}
+	d.record(now, timeline.KindQueued, item.Key, timeline.Event{Account: item.Ticket.Account})
+	d.pushQueue(now, item)
+}
+
+// expire refuses a ticket whose wait has ended.
+func (d *Dispatcher) expire(now time.Time, item queue.Item) {
+	if r := d.registrationOf(item.Key); r != nil {
+		delete(r.held, item.Key.ID)
+		d.refuse(now, r, item, request.ReasonDeadline)
+	}
+}
+
+func (d *Dispatcher) refuse(now time.Time, r *registration, item queue.Item, reason request.Reason) {
+	d.counts.Refused++
+	r.sent++
+	d.record(now, timeline.KindRefused, item.Key, timeline.Event{Account: item.Ticket.Account, Detail: string(reason)})
+	d.send(r.entry.VM, wire.Refuse{
+		ID:               item.Key.ID,
+		Pool:             d.options.Pool,
+		Reason:           reason,
+		RetryAfterMillis: uint32(d.retryAfter(now, item.Ticket.Account).Milliseconds()),
+		Session:          r.session,
+	})
+}
+
+func (d *Dispatcher) send(to version.VMID, message wire.Message) {
+	d.outbox = append(d.outbox, Send{To: to, Message: message})
 }
 
-func (d *Dispatcher) accountLimit(id version.AccountID) int {
+func (d *Dispatcher) record(now time.Time, kind timeline.Kind, key request.Key, event timeline.Event) {
+	event.Kind = kind
+	event.Request = key
+	event.Pool = d.options.Pool
+	d.options.Timeline.Record(now, event)
+}
+
+func (d *Dispatcher) account(id version.AccountID) *version.Account {
 	if d.config == nil {
-		return 0
+		return nil
 	}
-	account, present := d.config.Accounts[id]
-	if !present {
-		return 0
+	return d.config.Accounts[id]
+}
+
+func (d *Dispatcher) team(id version.AccountID) string {
+	if account := d.account(id); account != nil {
+		return account.Team
 	}
-	return account.MaxWaiting
+	return ""
 }
 
-// grant hands out free slots until none is left or nobody waits.
-func (d *Dispatcher) grant(now time.Time) {
-	for {
-		item, waiting := d.queue.Next(d.options.Levels)
-		if !waiting {
-			return
-		}
-		attempt := item.Ticket.Attempt
-		hold := slots.Hold{Key: item.Key, Attempt: attempt}
-		upstream, free := d.slots.Acquire(now, hold, item.Ticket.Avoid)
-		if !free {
-			return
+func (d *Dispatcher) expectedFirstToken() time.Duration {
+	if d.config != nil {
+		if pool, present := d.config.Pools[d.options.Pool]; present {
+			return pool.ExpectedFirstToken
 		}
-		d.queue.Remove(item.Key)
-		d.send(item.Key, wire.Grant{
-			ID:       item.Key.ID,
-			Attempt:  attempt,
-			Pool:     d.options.Pool,
-			Upstream: upstream,
-		})
 	}
+	return 0
 }
 
-func (d *Dispatcher) refuse(key request.Key, reason request.Reason) {
-	d.send(key, wire.Refuse{ID: key.ID, Pool: d.options.Pool, Reason: reason})
+// local reports whether an upstream stands in this data centre.
+func (d *Dispatcher) local(id version.UpstreamID) bool {
+	if d.config == nil {
+		return true
+	}
+	upstream, present := d.config.Upstreams[id]
+	return !present || upstream.DataCentre == d.options.DataCentre
 }
 
-func (d *Dispatcher) send(key request.Key, message wire.Message) {
-	to := Entry{VM: key.Entry, Incarnation: key.Incarnation}
-	d.outbox = append(d.outbox, Send{To: to, Message: message})
+func (d *Dispatcher) sortRegistrations() {
+	d.order = d.order[:0]
+	for _, r := range d.registrations {
+		d.order = append(d.order, r)
+	}
+	slices.SortFunc(d.order, func(a, b *registration) int {
+		return strings.Compare(string(a.entry.VM), string(b.entry.VM))
+	})
 }
 
 func keyOf(entry Entry, id request.ID) request.Key {
--- a/fleet/process/entry/entry.go
+++ b/fleet/process/entry/entry.go
@@ -2,7 +2,11 @@
 // submission to their final answer.
 //
 // Entries are the source of truth for waiting and running requests: a
-// dispatcher is rebuilt from what they register.
+// dispatcher is rebuilt from what they register. For each pool an entry is
+// registered with one dispatcher at a time (registration.go).
+//
+// A dispatcher uses an Entry too, to place tickets with the dispatchers of
+// other data centres.
 package entry
 
 import (
@@ -14,6 +18,9 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
+// retryAfterDeadline is the advice to a caller whose wait has ended.
+const retryAfterDeadline = time.Second
+
 // phase is where a request stands.
 type phase uint8
 
@@ -31,9 +38,9 @@
 	upstream  version.UpstreamID
 }
 
-// Send is a message for the dispatcher of a pool.
+// Send is a message for a dispatcher.
 type Send struct {
-	Pool    version.PoolID
+	To      version.VMID
 	Message wire.Message
 }
 
@@ -43,20 +50,35 @@
 	Refusal request.Refusal
 }
 
+// Options set up an Entry.
+type Options struct {
+	// NextSession returns a session number higher than any before it in this
+	// process.
+	NextSession func() wire.Session
+}
+
 // Entry holds requests. It is not safe for concurrent use.
 //
 // Invariant: each submitted request ends in exactly one of End, Withdraw or a
 // Refused.
 type Entry struct {
-	requests map[request.ID]*state
-	outbox   []Send
-	granted  []request.Grant
-	refused  []Refused
+	options       Options
+	requests      map[request.ID]*state
+	registrations map[version.PoolID]*registration
+	evidence      map[version.UpstreamID]*evidence
+	outbox        []Send
+	granted       []request.Grant
+	refused       []Refused
 }
 
 // New returns an entry without requests.
-func New() *Entry {
-	return &Entry{requests: make(map[request.ID]*state)}
+func New(options Options) *Entry {
+	return &Entry{
+		options:       options,
+		requests:      make(map[request.ID]*state),
+		registrations: make(map[version.PoolID]*registration),
+		evidence:      make(map[version.UpstreamID]*evidence),
+	}
 }
 
 // Len returns the number of requests held.
@@ -72,17 +94,32 @@
 	return waitingCount, len(e.requests) - waitingCount
 }
 
-// Submit adds a request, or another attempt of one that ended with End, and
-// sends its ticket.
+// Submit adds a request, or another attempt of one that ended with End. Its
+// ticket is sent at once or with the next registration.
 func (e *Entry) Submit(now time.Time, ticket request.Ticket) {
 	e.requests[ticket.ID] = &state{
 		ticket:    ticket,
 		submitted: now.Add(-ticket.Age),
 		expires:   now.Add(ticket.Wait),
 	}
-	e.send(ticket.Pool, wire.FromTicket(ticket))
+	e.tell(ticket.Pool, wire.FromTicket(ticket))
+}
+
+// Adopt adds a request that runs already. The next registration tells of it.
+func (e *Entry) Adopt(now time.Time, ticket request.Ticket, upstream version.UpstreamID) {
+	e.requests[ticket.ID] = &state{
+		ticket:    ticket,
+		phase:     running,
+		submitted: now,
+		upstream:  upstream,
+	}
+	e.RegisterAgain(now, ticket.Pool)
 }
 
+// Forget drops a request without a word. The dispatcher learns of it from the
+// next digest.
+func (e *Entry) Forget(id request.ID) { delete(e.requests, id) }
+
 // Withdraw ends a request whose caller went away while it waited.
 func (e *Entry) Withdraw(id request.ID) {
 	s, present := e.requests[id]
@@ -90,15 +127,19 @@
 		return
 	}
 	delete(e.requests, id)
-	e.send(s.ticket.Pool, wire.Withdraw{Pool: s.ticket.Pool, ID: id})
+	e.tell(s.ticket.Pool, wire.Withdraw{Pool: s.ticket.Pool, ID: id})
 }
 
-// Grant handles a dispatcher's grant. One that fits no waiting attempt is
-// handed back.
-func (e *Entry) Grant(grant wire.Grant) {
+// Grant handles a dispatcher's grant. One that fits no waiting attempt, or
+// comes from a dispatcher that the entry has left, is handed back.
+func (e *Entry) Grant(from version.VMID, grant wire.Grant) {
+	current := e.saw(from, grant.Pool, grant.Session)
 	s, present := e.requests[grant.ID]
-	if !present || s.phase != waiting || s.ticket.Attempt != grant.Attempt {
-		e.handBack(grant)
+	if present && s.phase == running && s.ticket.Attempt == grant.Attempt && s.upstream == grant.Upstream {
+		return // A duplicate.
+	}
+	if !current || !present || s.phase != waiting || s.ticket.Attempt != grant.Attempt {
+		e.handBack(from, grant)
 		return
 	}
 	s.phase = running
@@ -111,10 +152,12 @@
 	})
 }
 
-// Refuse handles a dispatcher's refusal.
-func (e *Entry) Refuse(refuse wire.Refuse) {
+// Refuse handles a dispatcher's refusal. One that comes from a dispatcher that
+// the entry has left is ignored.
+func (e *Entry) Refuse(from version.VMID, refuse wire.Refuse) {
+	current := e.saw(from, refuse.Pool, refuse.Session)
 	s, present := e.requests[refuse.ID]
-	if !present || s.phase != waiting {
+	if !current || !present || s.phase != waiting {
 		return
 	}
 	e.refuse(refuse.ID, request.Refusal{
@@ -124,49 +167,52 @@
 	})
 }
 
-// End reports the end of a running attempt.
-func (e *Entry) End(finish request.Finish) {
+// End reports the end of a running attempt. expected is the first-token time
+// of a healthy upstream of the pool.
+func (e *Entry) End(now time.Time, finish request.Finish, expected time.Duration) {
 	s, present := e.requests[finish.ID]
-	if !present || s.phase != running {
+	if !present || s.phase != running || s.ticket.Attempt != finish.Attempt {
 		return
 	}
 	delete(e.requests, finish.ID)
-	e.send(finish.Pool, wire.FromFinish(finish))
+	e.learn(now, finish, expected)
+	e.tell(finish.Pool, wire.FromFinish(finish))
 }
 
-// Tick refuses the waiting requests whose deadline has passed.
+// Tick refuses the waiting requests whose deadline has passed and renews the
+// registrations.
 func (e *Entry) Tick(now time.Time) {
-	for id, s := range e.requests {
-		if s.phase == waiting && !now.Before(s.expires) {
-			e.send(s.ticket.Pool, wire.Withdraw{Pool: s.ticket.Pool, ID: id})
-			e.refuse(id, request.Refusal{Reason: request.ReasonDeadline, Execution: request.NotRun})
-		}
+	for _, id := range e.expired(now) {
+		pool := e.requests[id].ticket.Pool
+		e.tell(pool, wire.Withdraw{Pool: pool, ID: id})
+		e.refuse(id, request.Refusal{
+			Reason:     request.ReasonDeadline,
+			Execution:  request.NotRun,
+			RetryAfter: retryAfterDeadline,
+		})
 	}
+	e.tickRegistrations(now)
 }
 
-// Register sends everything held for a pool to its (new) dispatcher.
-func (e *Entry) Register(now time.Time, pool version.PoolID) {
-	register := wire.Register{Pool: pool}
-	for _, id := range e.ids() {
-		s := e.requests[id]
-		if s.ticket.Pool != pool {
+// RefuseWaiting refuses the waiting requests of a pool for which no answer can
+// come.
+func (e *Entry) RefuseWaiting(pool version.PoolID, refusal request.Refusal) {
+	for _, id := range e.ids(pool) {
+		if e.requests[id].phase != waiting {
 			continue
 		}
-		if s.phase == running {
-			register.Running = append(register.Running, wire.Running{
-				ID:       id,
-				Account:  s.ticket.Account,
-				Attempt:  s.ticket.Attempt,
-				Upstream: s.upstream,
-			})
-			continue
-		}
-		ticket := s.ticket
-		ticket.Age = now.Sub(s.submitted)
-		ticket.Wait = s.expires.Sub(now)
-		register.Waiting = append(register.Waiting, wire.FromTicket(ticket))
+		e.tell(pool, wire.Withdraw{Pool: pool, ID: id})
+		e.refuse(id, refusal)
+	}
+}
+
+// Request returns a held request's ticket.
+func (e *Entry) Request(id request.ID) (request.Ticket, bool) {
+	s, present := e.requests[id]
+	if !present {
+		return request.Ticket{}, false
 	}
-	e.send(pool, register)
+	return s.ticket, true
 }
 
 // Outbox takes out the messages to send.
@@ -190,12 +236,27 @@
 	return out
 }
 
-// ids returns the request IDs in order, so that the same events give the same
-// messages.
-func (e *Entry) ids() []request.ID {
-	ids := make([]request.ID, 0, len(e.requests))
-	for id := range e.requests {
-		ids = append(ids, id)
+// ids returns the IDs of a pool's requests in order, so that the same events
+// give the same messages.
+func (e *Entry) ids(pool version.PoolID) []request.ID {
+	var ids []request.ID
+	for id, s := range e.requests {
+		if s.ticket.Pool == pool {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// expired returns the IDs of the waiting requests whose deadline has passed,
+// in order.
+func (e *Entry) expired(now time.Time) []request.ID {
+	var ids []request.ID
+	for id, s := range e.requests {
+		if s.phase == waiting && !now.Before(s.expires) {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return ids
@@ -206,8 +267,8 @@
 	e.refused = append(e.refused, Refused{ID: id, Refusal: refusal})
 }
 
-func (e *Entry) handBack(grant wire.Grant) {
-	e.send(grant.Pool, wire.Finish{
+func (e *Entry) handBack(to version.VMID, grant wire.Grant) {
+	e.send(to, wire.Finish{
 		ID:       grant.ID,
 		Attempt:  grant.Attempt,
 		Pool:     grant.Pool,
@@ -216,6 +277,6 @@
 	})
 }
 
-func (e *Entry) send(pool version.PoolID, message wire.Message) {
-	e.outbox = append(e.outbox, Send{Pool: pool, Message: message})
+func (e *Entry) send(to version.VMID, message wire.Message) {
+	e.outbox = append(e.outbox, Send{To: to, Message: message})
 }
--- a/fleet/process/membership/membership.go
+++ b/fleet/process/membership/membership.go
@@ -1,91 +1,305 @@
 // Package membership keeps which VMs of the fleet take part, as one daemon
 // sees it.
+//
+// In its own data centre a daemon probes one random member a period, so the
+// cost does not depend on the number of members (probe.go). What is found out
+// rides on the probes (gossip.go). The platform's list says who may exist; of
+// other data centres it is all that is known, beside the links that are up.
 package membership
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// State is a member's state as seen from here.
-type State uint8
-
 const (
-	// Alive is a member that answers.
-	Alive State = iota
-	// Leaving is a member that drains; it gets no new role.
-	Leaving
-	// Lapsed is a member that no longer answers.
-	Lapsed
+	// SuspectTime is how long a member may deny that it has lapsed.
+	SuspectTime = time.Second
+	// LapseTime is how long a lapsed or merely listed member still owns slots
+	// of warm upstreams.
+	LapseTime = 3 * time.Second
+	// unreachableTime is how long a listed daemon of another data centre may
+	// take to be linked before another one is taken in its place.
+	unreachableTime = 3 * time.Second
 )
 
-// Member is one daemon of the fleet.
-type Member struct {
-	VM          version.VMID
-	DataCentre  version.DataCentreID
-	Incarnation uint64
-	State       State
+// VM is one row of the platform's list.
+type VM struct {
+	ID         version.VMID
+	DataCentre version.DataCentreID
+	// Address is the host:port of the VM's peer listener.
+	Address string
+	Leaving bool
+}
+
+// Send is a message for another daemon.
+type Send struct {
+	To      version.VMID
+	Message wire.Message
+}
+
+// Options set up a Tracker.
+type Options struct {
+	Self Member
+	// Seed feeds the choice of whom to probe.
+	Seed uint64
+}
+
+// Tracker keeps the members. It is not safe for concurrent use.
+//
+// Invariant: of a VM, the incarnation that is known never falls; of an
+// incarnation, neither does the refutation.
+type Tracker struct {
+	options Options
+	random  *rand.Rand
+	members map[version.VMID]*record
+	// listedAt is when the platform's list last came; zero is never.
+	listedAt time.Time
+	probes   probes
+	gossip   gossip
+	outbox   []Send
+	changed  bool
 }
 
-// View is an immutable picture of the members, ordered by VM.
-type View struct {
-	Members []Member
+// record is what is kept of one VM.
+type record struct {
+	Member
+	refutation uint32
+	// known is set once the member was linked or heard of by others.
+	known  bool
+	linked bool
+	// listed is set while the platform's list has the VM, and leaving while
+	// that list says so.
+	listed  bool
+	leaving bool
+	address string
+	// since is when the state began.
+	since time.Time
+	// dialled is when a link was first wanted and not there; zero is not.
+	dialled time.Time
 }
 
-// NewView returns a view of the members.
-func NewView(members []Member) View {
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		return strings.Compare(string(a.VM), string(b.VM))
-	})
-	return View{Members: sorted}
+// New returns a tracker that knows itself only.
+func New(options Options) *Tracker {
+	t := &Tracker{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, uint64(len(options.Self.VM)))),
+		members: make(map[version.VMID]*record),
+		changed: true,
+	}
+	t.members[options.Self.VM] = &record{Member: options.Self, known: true, linked: true}
+	t.gossip.spread(options.Self.VM, 1)
+	return t
+}
+
+// Changed reports whether the view changed since the last call.
+func (t *Tracker) Changed() bool {
+	changed := t.changed
+	t.changed = false
+	return changed
+}
+
+// View returns the members as seen at now.
+func (t *Tracker) View(now time.Time) View {
+	members := make([]Member, 0, len(t.members))
+	for _, r := range t.members {
+		if member, visible := t.visible(now, r); visible {
+			members = append(members, member)
+		}
+	}
+	return NewView(members)
 }
 
-// Owner returns the living member of a data centre that rendezvous hashing
-// gives for key. It reports false if the data centre has none.
-func (v View) Owner(dataCentre version.DataCentreID, key string) (version.VMID, bool) {
-	var owner version.VMID
-	var best uint64
-	found := false
-	for _, member := range v.Members {
-		if member.State != Alive || member.DataCentre != dataCentre {
+// visible returns a record as others see it.
+func (t *Tracker) visible(now time.Time, r *record) (Member, bool) {
+	member := r.Member
+	if r.leaving && member.State < Leaving {
+		member.State = Leaving
+	}
+	if r.known && t.own(r) {
+		return member, true
+	}
+	if t.own(r) {
+		member.State = Listed
+		return member, r.listed
+	}
+	unreachable := !r.dialled.IsZero() && now.Sub(r.dialled) >= unreachableTime
+	if !r.linked && unreachable {
+		member.State = Lapsed
+	}
+	return member, r.linked || r.listed
+}
+
+// SlotMembers returns the VMs of the data centre that may own slots. One that
+// is live by the platform's list or by peers counts for cold upstreams.
+func (t *Tracker) SlotMembers(now time.Time) []slots.Member {
+	var list []slots.Member
+	for _, r := range t.members {
+		if !t.own(r) || !t.mayRun(r) {
 			continue
 		}
-		score := xxhash.Sum64String(key + "\x00" + string(member.VM))
-		if !found || score > best {
-			owner, best, found = member.VM, score, true
+		live := r.known && r.State < Lapsed || now.Sub(r.since) < LapseTime
+		list = append(list, slots.Member{VM: r.VM, Live: live})
+	}
+	slices.SortFunc(list, func(a, b slots.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return list
+}
+
+// mayRun reports whether a VM may still run work: it does unless it said that
+// it ends, or lapsed and a later list of the platform has it no more.
+func (t *Tracker) mayRun(r *record) bool {
+	if !r.known || r.State != Lapsed {
+		return r.known || r.listed
+	}
+	if r.listed {
+		return true
+	}
+	return !t.listedAt.After(r.since)
+}
+
+// LinkUp notes a link to another daemon.
+func (t *Tracker) LinkUp(now time.Time, hello wire.Hello) {
+	r := t.record(hello.VM, hello.DataCentre)
+	if hello.Incarnation < r.Incarnation {
+		return
+	}
+	state := Alive
+	if hello.Leaving {
+		state = Leaving
+	}
+	if hello.Incarnation > r.Incarnation {
+		r.refutation = 0
+	}
+	r.Incarnation = hello.Incarnation
+	r.known, r.linked = true, true
+	r.dialled = time.Time{}
+	t.set(now, r, state)
+	t.spread(r)
+	t.greet(now, r)
+}
+
+// LinkDown notes that a link went down. A member of the data centre is probed
+// through others at once; one that was leaving has ended.
+func (t *Tracker) LinkDown(now time.Time, hello wire.Hello) {
+	r, present := t.members[hello.VM]
+	if !present || r.Incarnation != hello.Incarnation || !r.linked {
+		return
+	}
+	r.linked = false
+	r.dialled = now
+	t.changed = true
+	switch {
+	case !t.own(r) || r.State == Leaving:
+		t.set(now, r, Lapsed)
+		t.spread(r)
+	case r.State == Alive:
+		t.probeNow(now, r)
+	}
+}
+
+// List takes the platform's list, which lags.
+func (t *Tracker) List(now time.Time, vms []VM) {
+	t.listedAt = now
+	for _, r := range t.members {
+		r.listed = false
+	}
+	for _, vm := range vms {
+		r := t.record(vm.ID, vm.DataCentre)
+		if r.since.IsZero() {
+			r.since = now
+		}
+		r.listed, r.leaving, r.address = true, vm.Leaving, vm.Address
+	}
+	for vm, r := range t.members {
+		gone := !r.listed && !r.linked && (!r.known || r.State == Lapsed)
+		if gone && vm != t.options.Self.VM {
+			delete(t.members, vm)
 		}
 	}
-	return owner, found
+	t.changed = true
 }
 
-// Member returns the member of a VM.
-func (v View) Member(vm version.VMID) (Member, bool) {
-	i, found := slices.BinarySearchFunc(v.Members, vm, func(m Member, vm version.VMID) int {
-		return strings.Compare(string(m.VM), string(vm))
-	})
-	if !found {
-		return Member{}, false
+// Leave makes this daemon a leaving one and tells all linked members at once.
+func (t *Tracker) Leave(now time.Time) {
+	self := t.self()
+	t.set(now, self, Leaving)
+	t.spread(self)
+	for _, r := range t.linkedMembers() {
+		t.ping(now, r.VM)
 	}
-	return v.Members[i], true
 }
 
-// With returns a view in which member replaces any member of the same VM.
-func (v View) With(member Member) View {
-	return NewView(append(v.Without(member.VM).Members, member))
+// Address returns where a VM can be linked to, or "".
+func (t *Tracker) Address(vm version.VMID) string {
+	r, present := t.members[vm]
+	if !present {
+		return ""
+	}
+	return r.address
 }
 
-// Without returns a view without the member of vm.
-func (v View) Without(vm version.VMID) View {
-	kept := make([]Member, 0, len(v.Members))
-	for _, member := range v.Members {
-		if member.VM != vm {
-			kept = append(kept, member)
+// Linked reports whether there is a link to a VM. There always is to itself.
+func (t *Tracker) Linked(vm version.VMID) bool {
+	r, present := t.members[vm]
+	return present && r.linked
+}
+
+// Wanted notes that a link to a VM is wanted.
+func (t *Tracker) Wanted(now time.Time, vm version.VMID) {
+	r, present := t.members[vm]
+	if present && !r.linked && r.dialled.IsZero() {
+		r.dialled = now
+	}
+}
+
+// Outbox takes out the messages to send.
+func (t *Tracker) Outbox() []Send {
+	out := t.outbox
+	t.outbox = nil
+	return out
+}
+
+func (t *Tracker) self() *record { return t.members[t.options.Self.VM] }
+
+func (t *Tracker) own(r *record) bool { return r.DataCentre == t.options.Self.DataCentre }
+
+func (t *Tracker) record(vm version.VMID, dataCentre version.DataCentreID) *record {
+	r, present := t.members[vm]
+	if !present {
+		r = &record{Member: Member{VM: vm, DataCentre: dataCentre}}
+		t.members[vm] = r
+	}
+	r.DataCentre = dataCentre
+	return r
+}
+
+// set changes a member's state.
+func (t *Tracker) set(now time.Time, r *record, state State) {
+	if r.State != state || r.since.IsZero() {
+		r.since = now
+	}
+	r.State = state
+	t.changed = true
+}
+
+// linkedMembers returns the linked members of the data centre, by VM.
+func (t *Tracker) linkedMembers() []*record {
+	var linked []*record
+	for _, r := range t.members {
+		if r.linked && t.own(r) && r.VM != t.options.Self.VM {
+			linked = append(linked, r)
 		}
 	}
-	return View{Members: kept}
+	slices.SortFunc(linked, func(a, b *record) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return linked
+}
+
+func (t *Tracker) send(to version.VMID, message wire.Message) {
+	t.outbox = append(t.outbox, Send{To: to, Message: message})
 }
--- /dev/null
+++ b/fleet/process/membership/view.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// State is a member's state as seen from here. Of two states that are known of
+// the same incarnation and refutation, the higher one holds.
+type State uint8
+
+const (
+	// Alive is a member that answers.
+	Alive State = iota
+	// Suspect is a member that missed an answer.
+	Suspect
+	// Leaving is a member that drains; it gets no new role.
+	Leaving
+	// Lapsed is a member that no longer answers, or has ended.
+	Lapsed
+	// Listed is a member of the own data centre that is known from the
+	// platform's list only. It is never sent.
+	Listed
+)
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	names := [...]string{"alive", "suspect", "leaving", "lapsed", "listed"}
+	if int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// Member is one daemon of the fleet.
+type Member struct {
+	VM          version.VMID
+	DataCentre  version.DataCentreID
+	Incarnation uint64
+	State       State
+}
+
+// View is an immutable picture of the members, ordered by VM.
+type View struct {
+	Members []Member
+}
+
+// NewView returns a view of the members.
+func NewView(members []Member) View {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return strings.Compare(string(a.VM), string(b.VM))
+	})
+	return View{Members: sorted}
+}
+
+// Owner returns the living member of a data centre that rendezvous hashing
+// gives for key. A leaving one is taken only if no other is left. It reports
+// false if the data centre has none.
+func (v View) Owner(dataCentre version.DataCentreID, key string) (version.VMID, bool) {
+	ranked := v.Ranked(dataCentre, key)
+	if len(ranked) == 0 {
+		return "", false
+	}
+	return ranked[0], true
+}
+
+// Ranked returns the members of a data centre that may own key, the owner
+// first. Leaving ones come last.
+func (v View) Ranked(dataCentre version.DataCentreID, key string) []version.VMID {
+	type candidate struct {
+		vm      version.VMID
+		leaving bool
+		score   uint64
+	}
+	var candidates []candidate
+	for _, member := range v.Members {
+		if member.State > Leaving || member.DataCentre != dataCentre {
+			continue
+		}
+		candidates = append(candidates, candidate{
+			vm:      member.VM,
+			leaving: member.State == Leaving,
+			score:   score(key, member.VM),
+		})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.leaving != b.leaving && a.leaving:
+			return 1
+		case a.leaving != b.leaving:
+			return -1
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		default:
+			return strings.Compare(string(a.vm), string(b.vm))
+		}
+	})
+	ranked := make([]version.VMID, 0, len(candidates))
+	for _, c := range candidates {
+		ranked = append(ranked, c.vm)
+	}
+	return ranked
+}
+
+func score(key string, vm version.VMID) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(vm))
+}
+
+// Member returns the member of a VM.
+func (v View) Member(vm version.VMID) (Member, bool) {
+	i, found := slices.BinarySearchFunc(v.Members, vm, func(m Member, vm version.VMID) int {
+		return strings.Compare(string(m.VM), string(vm))
+	})
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// With returns a view in which member replaces any member of the same VM.
+func (v View) With(member Member) View {
+	return NewView(append(v.Without(member.VM).Members, member))
+}
+
+// Without returns a view without the member of vm.
+func (v View) Without(vm version.VMID) View {
+	kept := make([]Member, 0, len(v.Members))
+	for _, member := range v.Members {
+		if member.VM != vm {
+			kept = append(kept, member)
+		}
+	}
+	return View{Members: kept}
+}
