--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
@@ -168,12 +167,12 @@
 
 // Upstream describes an upstream's slots for people and metrics.
 type Upstream struct {
-	ID      version.UpstreamID
-	Used    int
-	Limit   int
-	Usable  int
-	Cold    bool
-	Ejected bool
+	Upstream version.UpstreamID
+	Used     int
+	Limit    int
+	Usable   int
+	Cold     bool
+	Ejected  bool
 }
 
 // Upstreams describes the upstreams in service, by ID.
@@ -181,23 +180,13 @@
 	list := make([]Upstream, 0, len(t.order))
 	for _, s := range t.order {
 		list = append(list, Upstream{
-			ID:      s.upstream.ID,
-			Used:    s.used(),
-			Limit:   s.warmth.limit,
-			Usable:  s.capacity(),
-			Cold:    s.cold(),
-			Ejected: s.warmth.ejected(now),
+			Upstream: s.upstream.ID,
+			Used:     s.used(),
+			Limit:    s.warmth.limit,
+			Usable:   s.capacity(),
+			Cold:     s.cold(),
+			Ejected:  s.warmth.ejected(now),
 		})
 	}
 	return list
 }
-
-// Unused is the finish of a slot that nothing ran in.
-func Unused(hold Hold, upstream version.UpstreamID) request.Finish {
-	return request.Finish{
-		ID:       hold.Key.ID,
-		Attempt:  hold.Attempt,
-		Upstream: upstream,
-		Outcome:  request.OutcomeUnused,
-	}
-}
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -64,7 +64,7 @@
 	// evidence counts the prompt answers that entries brought along.
 	evidence map[version.VMID]int
 	owners   owners
-	holds  map[Hold]held
+	holds    map[Hold]held
 	// foreign counts the holds of accounts outside the upstream's team.
 	foreign int
 	// usable caches the number of earned slots whose owner is registered.
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -38,8 +38,8 @@
 	Pool       version.PoolID
 	DataCentre version.DataCentreID
 	Queue      queue.Options
-	// Levels gives the fleet-wide service levels.
-	Levels service.Levels
+	// Meter counts what is granted and gives the fleet-wide service levels.
+	Meter *service.Meter
 	// NextSession returns a session number higher than any before it in this
 	// process.
 	NextSession func() wire.Session
@@ -80,7 +80,7 @@
 func New(now time.Time, options Options) *Dispatcher {
 	return &Dispatcher{
 		options:       options,
-		queue:         newQueue(options),
+		queue:         queue.New(options.Queue, options.Meter),
 		slots:         slots.New(now),
 		registrations: make(map[version.VMID]*registration),
 	}
@@ -187,6 +187,7 @@
 	if matches {
 		delete(r.held, finish.ID)
 	}
+	d.options.Meter.Finish(service.Hold{Key: key, Attempt: finish.Attempt}, finish.Cost, finish.Outcome)
 	if matches && known.peer != nil {
 		known.peer.end(now, known.id, finish, d.expectedFirstToken())
 		return
@@ -214,25 +215,13 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.expireRegistrations(now)
 	for _, item := range d.queue.Expired(now) {
-		d.expire(now, item)
+		d.giveUp(now, item, request.ReasonDeadline)
 	}
 	d.slots.Tick(now)
 	d.tickPeers(now)
 	d.grant(now)
 }
 
-// Waiting returns the number of queued tickets.
-func (d *Dispatcher) Waiting() int { return d.queue.Len() }
-
-// Counts returns what the dispatcher did so far.
-func (d *Dispatcher) Counts() Counts { return d.counts }
-
-// Upstreams describes the upstreams in service.
-func (d *Dispatcher) Upstreams(now time.Time) []slots.Upstream { return d.slots.Upstreams(now) }
-
-// Entries returns the number of registered daemons.
-func (d *Dispatcher) Entries() int { return len(d.order) }
-
 // Outbox takes out the messages to send.
 func (d *Dispatcher) Outbox() []Send {
 	d.drainPeers()
@@ -241,36 +230,6 @@
 	return out
 }
 
-// enqueue adds a ticket of a registered entry to the queue. One of another
-// data centre is only granted at once or refused.
-func (d *Dispatcher) enqueue(now time.Time, r *registration, ticket request.Ticket) {
-	item := queue.Item{
-		Key:     keyOf(r.entry, ticket.ID),
-		Ticket:  ticket,
-		Arrived: now.Add(-ticket.Age),
-		Expires: now.Add(ticket.Wait),
-	}
-	if r.remote {
-		d.grantRemote(now, r, item)
-		return
-	}
-	d.push(now, r, item)
-}
-
-func (d *Dispatcher) push(now time.Time, r *registration, item queue.Item) {
-	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: queued}
-	d.record(now, timeline.KindQueued, item.Key, timeline.Event{Account: item.Ticket.Account})
-	d.pushQueue(now, item)
-}
-
-// expire refuses a ticket whose wait has ended.
-func (d *Dispatcher) expire(now time.Time, item queue.Item) {
-	if r := d.registrationOf(item.Key); r != nil {
-		delete(r.held, item.Key.ID)
-		d.refuse(now, r, item, request.ReasonDeadline)
-	}
-}
-
 func (d *Dispatcher) refuse(now time.Time, r *registration, item queue.Item, reason request.Reason) {
 	d.counts.Refused++
 	r.sent++
@@ -279,7 +238,7 @@
 		ID:               item.Key.ID,
 		Pool:             d.options.Pool,
 		Reason:           reason,
-		RetryAfterMillis: uint32(d.retryAfter(now, item.Ticket.Account).Milliseconds()),
+		RetryAfterMillis: uint32(d.queue.RetryAfter(now, item.Ticket.Account).Milliseconds()),
 		Session:          r.session,
 	})
 }
--- a/fleet/process/dispatcher/grant.go
+++ b/fleet/process/dispatcher/grant.go
@@ -7,6 +7,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
+	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -25,13 +26,12 @@
 // that a team keeps back passes by the accounts of others.
 func (d *Dispatcher) grantNext(now time.Time) bool {
 	var without []string
-	for item := range d.candidates(now) {
+	for item := range d.queue.Candidates(now) {
 		team := d.team(item.Ticket.Account)
 		if slices.Contains(without, team) {
 			continue
 		}
-		demand := demandOf(item, team)
-		if upstream, free := d.slots.Acquire(now, demand); free {
+		if upstream, free := d.slots.Acquire(now, demandOf(item, team)); free {
 			d.granted(now, item, upstream)
 			return true
 		}
@@ -45,13 +45,10 @@
 
 // granted takes a ticket out of the queue and tells its entry.
 func (d *Dispatcher) granted(now time.Time, item queue.Item, upstream version.UpstreamID) {
-	d.takeQueued(now, item)
+	d.queue.Take(now, item.Key)
+	d.options.Meter.Grant(now, service.Hold(demandOf(item, "").Hold), item.Ticket)
+	// The queue holds tickets of registered entries only.
 	r := d.registrationOf(item.Key)
-	if r == nil {
-		// The queue holds tickets of registered entries only.
-		d.slots.Drop(demandOf(item, "").Hold, upstream)
-		return
-	}
 	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: running, upstream: upstream}
 	d.sendGrant(now, r, item.Key.ID, item.Ticket.Attempt, upstream)
 }
--- a/fleet/process/dispatcher/registration.go
+++ b/fleet/process/dispatcher/registration.go
@@ -155,8 +155,12 @@
 	for _, id := range r.ids() {
 		known := r.held[id]
 		attempt, present := keep[id]
-		if !present || attempt != known.attempt || isRunning[id] != (known.place == running) {
-			d.forget(now, r, id, known)
+		if present && attempt == known.attempt && isRunning[id] == (known.place == running) {
+			continue
+		}
+		d.forget(now, r, id, known)
+		if present && known.place == running {
+			d.uncharge(slots.Hold{Key: keyOf(r.entry, id), Attempt: known.attempt})
 		}
 	}
 	d.dropStrays(r, isRunning)
@@ -231,7 +235,7 @@
 	key := keyOf(r.entry, id)
 	switch {
 	case known.place == queued:
-		d.removeQueued(now, key)
+		d.queue.Remove(now, key)
 	case known.peer != nil:
 		known.peer.abandon(known.id)
 	case known.place == running:
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -8,6 +8,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
+	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -179,18 +180,17 @@
 }
 
 func (d *Dispatcher) offerNext(now time.Time, p *peer) {
-	for item := range d.candidates(now) {
-		p.free--
-		d.removeQueued(now, item.Key)
-		id := p.place(now, item)
-		if r := d.registrationOf(item.Key); r != nil {
-			r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
-		}
-		d.counts.Spilled++
-		d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
+	item, waits := d.queue.Next(now)
+	if !waits {
 		return
 	}
-	p.free = 0
+	p.free--
+	d.queue.Remove(now, item.Key)
+	id := p.place(now, item)
+	r := d.registrationOf(item.Key)
+	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
+	d.counts.Spilled++
+	d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
 }
 
 // settlePeer acts on what the proxy was told.
@@ -214,9 +214,10 @@
 		p.end(now, grant.ID, unused(grant), 0)
 		return
 	}
-	attempt := placed.item.Ticket.Attempt
-	r.held[placed.key.ID] = held{attempt: attempt, place: running, upstream: grant.Upstream, peer: p, id: grant.ID}
-	d.sendGrant(now, r, placed.key.ID, attempt, grant.Upstream)
+	ticket := placed.item.Ticket
+	d.options.Meter.Grant(now, service.Hold{Key: placed.key, Attempt: ticket.Attempt}, ticket)
+	r.held[placed.key.ID] = held{attempt: ticket.Attempt, place: running, upstream: grant.Upstream, peer: p, id: grant.ID}
+	d.sendGrant(now, r, placed.key.ID, ticket.Attempt, grant.Upstream)
 }
 
 // refusedThere puts a ticket back in the queue.
@@ -231,7 +232,7 @@
 		return
 	}
 	if !now.Before(placed.item.Expires) {
-		d.expire(now, placed.item)
+		d.giveUp(now, placed.item, request.ReasonDeadline)
 		return
 	}
 	d.push(now, r, placed.item)
--- a/fleet/process/dispatcher/waiting.go
+++ b/fleet/process/dispatcher/waiting.go
@@ -3,45 +3,51 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
+	"github.com/trefoilwell/trefoilwell/fleet/process/service"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
-	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-func newQueue(options Options) *queue.Queue { return queue.New(options.Queue) }
-
-// candidates yields the tickets in the order in which they should be granted.
-func (d *Dispatcher) candidates(_ time.Time) func(yield func(queue.Item) bool) {
-	return func(yield func(queue.Item) bool) {
-		if item, waits := d.queue.Next(d.options.Levels); waits {
-			yield(item)
-		}
+// enqueue adds a ticket of a registered entry to the queue. One of another
+// data centre is only granted at once or refused.
+func (d *Dispatcher) enqueue(now time.Time, r *registration, ticket request.Ticket) {
+	item := queue.Item{
+		Key:     keyOf(r.entry, ticket.ID),
+		Ticket:  ticket,
+		Arrived: now.Add(-ticket.Age),
+		Expires: now.Add(ticket.Wait),
+	}
+	if r.remote {
+		d.grantRemote(now, r, item)
+		return
 	}
+	d.push(now, r, item)
 }
 
-// pushQueue adds a ticket to the queue and refuses what has to go for it.
-func (d *Dispatcher) pushQueue(now time.Time, item queue.Item) {
+// push adds a ticket to the queue and refuses what has to go for it.
+func (d *Dispatcher) push(now time.Time, r *registration, item queue.Item) {
+	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: queued}
+	d.record(now, timeline.KindQueued, item.Key, timeline.Event{Account: item.Ticket.Account})
 	limit := 0
 	if account := d.account(item.Ticket.Account); account != nil {
 		limit = account.MaxWaiting
 	}
-	if reason := d.queue.Push(item, limit); reason != "" {
-		d.pushedOut(now, item, reason)
+	for _, refused := range d.queue.Push(now, item, limit) {
+		d.giveUp(now, refused.Item, refused.Reason)
 	}
 }
 
-func (d *Dispatcher) pushedOut(now time.Time, item queue.Item, reason request.Reason) {
+// giveUp refuses a ticket that is out of the queue.
+func (d *Dispatcher) giveUp(now time.Time, item queue.Item, reason request.Reason) {
 	if r := d.registrationOf(item.Key); r != nil {
 		delete(r.held, item.Key.ID)
 		d.refuse(now, r, item, reason)
 	}
 }
 
-// takeQueued removes a ticket that is granted.
-func (d *Dispatcher) takeQueued(_ time.Time, item queue.Item) { d.queue.Remove(item.Key) }
-
-// removeQueued removes a ticket that is not.
-func (d *Dispatcher) removeQueued(_ time.Time, key request.Key) { d.queue.Remove(key) }
-
-// retryAfter returns when a refused caller of an account may come back.
-func (d *Dispatcher) retryAfter(time.Time, version.AccountID) time.Duration { return time.Second }
+// uncharge takes back what was charged for an attempt that did not run.
+func (d *Dispatcher) uncharge(hold slots.Hold) {
+	d.options.Meter.Finish(service.Hold(hold), 0, request.OutcomeUnused)
+}
--- a/fleet/process/membership/membership.go
+++ b/fleet/process/membership/membership.go
@@ -79,6 +79,8 @@
 	listed  bool
 	leaving bool
 	address string
+	// ended is set for a lapsed member that had said that it leaves.
+	ended bool
 	// since is when the state began.
 	since time.Time
 	// dialled is when a link was first wanted and not there; zero is not.
@@ -157,6 +159,9 @@
 	if !r.known || r.State != Lapsed {
 		return r.known || r.listed
 	}
+	if r.ended {
+		return false
+	}
 	if r.listed {
 		return true
 	}
@@ -235,6 +240,15 @@
 	}
 }
 
+// Known returns what is known of a VM.
+func (t *Tracker) Known(vm version.VMID) (Member, bool) {
+	r, present := t.members[vm]
+	if !present {
+		return Member{}, false
+	}
+	return r.Member, true
+}
+
 // Address returns where a VM can be linked to, or "".
 func (t *Tracker) Address(vm version.VMID) string {
 	r, present := t.members[vm]
@@ -284,6 +298,7 @@
 	if r.State != state || r.since.IsZero() {
 		r.since = now
 	}
+	r.ended = state == Lapsed && (r.ended || r.State == Leaving)
 	r.State = state
 	t.changed = true
 }
@@ -291,15 +306,25 @@
 // linkedMembers returns the linked members of the data centre, by VM.
 func (t *Tracker) linkedMembers() []*record {
 	var linked []*record
-	for _, r := range t.members {
+	for _, r := range t.sorted() {
 		if r.linked && t.own(r) && r.VM != t.options.Self.VM {
 			linked = append(linked, r)
 		}
 	}
-	slices.SortFunc(linked, func(a, b *record) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return linked
 }
 
+// sorted returns the records by VM, so that the same events give the same
+// messages.
+func (t *Tracker) sorted() []*record {
+	records := make([]*record, 0, len(t.members))
+	for _, r := range t.members {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *record) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return records
+}
+
 func (t *Tracker) send(to version.VMID, message wire.Message) {
 	t.outbox = append(t.outbox, Send{To: to, Message: message})
 }
--- a/fleet/process/membership/probe.go
+++ b/fleet/process/membership/probe.go
@@ -169,7 +169,7 @@
 
 // lapseSuspects gives up on the members that did not deny in time.
 func (t *Tracker) lapseSuspects(now time.Time) {
-	for _, r := range t.members {
+	for _, r := range t.sorted() {
 		if r.State == Suspect && now.Sub(r.since) >= SuspectTime {
 			t.set(now, r, Lapsed)
 			t.spread(r)
--- /dev/null
+++ b/fleet/process/node/roles.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/process/dispatcher"
+	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
+	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// rolesInterval is how often the roles are worked out without any change.
+	rolesInterval = 250 * time.Millisecond
+	// failoverTime is how long an owner that is said to live but cannot be
+	// reached from here is waited for, before another daemon is asked.
+	failoverTime = 2 * time.Second
+)
+
+// roles is what follows from the members: who dispatches which pool.
+type roles struct {
+	// stale is set when the members or the configuration changed.
+	stale bool
+	next  time.Time
+	// unreached is since when a pool's owner could not be reached.
+	unreached map[version.PoolID]time.Time
+}
+
+// follow works the roles out if something changed.
+func (n *Node) follow(now time.Time) {
+	if n.tracker.Changed() {
+		n.roles.stale = true
+	}
+	if n.roles.stale {
+		n.updateRoles(now)
+	}
+}
+
+func (n *Node) tickRoles(now time.Time) {
+	if !now.Before(n.roles.next) {
+		n.roles.stale = true
+	}
+	n.follow(now)
+}
+
+func (n *Node) updateRoles(now time.Time) {
+	n.roles.stale = false
+	n.roles.next = now.Add(rolesInterval)
+	n.updateView(now)
+	members := n.tracker.SlotMembers(now)
+	for _, pool := range n.pools() {
+		ranked := n.view.Ranked(n.options.DataCentre, dispatcherKey(pool))
+		owner := len(ranked) > 0 && ranked[0] == n.options.VM
+		n.setOwner(now, pool, owner)
+		n.entry.SetTarget(now, pool, n.target(now, pool, ranked))
+	}
+	for _, pool := range n.ownedPools() {
+		n.dispatchers[pool].SetMembers(now, members)
+		n.dispatchers[pool].SetPeers(now, n.peersOf(now, pool))
+	}
+	n.updateLinks(now)
+}
+
+// updateView takes the tracker's picture. A VM that operators took out gets no
+// role, as if it was leaving.
+func (n *Node) updateView(now time.Time) {
+	view := n.tracker.View(now)
+	for i := range view.Members {
+		member := &view.Members[i]
+		out := n.config != nil && n.config.VMOut(member.VM)
+		if out && member.State < membership.Leaving {
+			member.State = membership.Leaving
+		}
+	}
+	if slices.Equal(view.Members, n.view.Members) {
+		return
+	}
+	n.recordChanges(now, n.view, view)
+	n.view = view
+	n.serviceViewChanged(now)
+}
+
+// recordChanges puts the members whose state changed on the time line.
+func (n *Node) recordChanges(now time.Time, before, after membership.View) {
+	for _, member := range after.Members {
+		old, present := before.Member(member.VM)
+		if present && old == member {
+			continue
+		}
+		n.options.Timeline.Record(now, timeline.Event{
+			Kind:   timeline.KindMember,
+			Peer:   member.VM,
+			Detail: member.State.String(),
+		})
+	}
+}
+
+// setOwner starts or stops the dispatcher of a pool.
+func (n *Node) setOwner(now time.Time, pool version.PoolID, owner bool) {
+	d, present := n.dispatchers[pool]
+	switch {
+	case owner && !present:
+		n.startDispatcher(now, pool).SetOwner(now, true)
+	case owner:
+		d.SetOwner(now, true)
+	case present:
+		d.SetOwner(now, false)
+		if d.Idle() {
+			n.drainDispatchers(now)
+			delete(n.dispatchers, pool)
+		}
+	}
+}
+
+// target returns the dispatcher that the entry should register with: the
+// owner, or the next that can be reached if the owner could not for a while.
+func (n *Node) target(now time.Time, pool version.PoolID, ranked []version.VMID) entry.Target {
+	if len(ranked) == 0 {
+		return entry.Target{}
+	}
+	if n.tracker.Linked(ranked[0]) {
+		delete(n.roles.unreached, pool)
+		return entry.Target{VM: ranked[0]}
+	}
+	since, waiting := n.roles.unreached[pool]
+	if !waiting {
+		if n.roles.unreached == nil {
+			n.roles.unreached = make(map[version.PoolID]time.Time)
+		}
+		n.roles.unreached[pool] = now
+		return entry.Target{}
+	}
+	if now.Sub(since) < failoverTime {
+		return entry.Target{}
+	}
+	for _, vm := range ranked[1:] {
+		if n.tracker.Linked(vm) {
+			return entry.Target{VM: vm, Insist: true}
+		}
+	}
+	return entry.Target{}
+}
+
+// startDispatcher starts the dispatcher of a pool.
+func (n *Node) startDispatcher(now time.Time, pool version.PoolID) *dispatcher.Dispatcher {
+	d := dispatcher.New(now, dispatcher.Options{
+		Pool:        pool,
+		DataCentre:  n.options.DataCentre,
+		Queue:       n.options.Queue,
+		Meter:       n.sums.meter,
+		NextSession: n.nextSession,
+		Timeline:    n.options.Timeline,
+	})
+	d.SetMembers(now, n.tracker.SlotMembers(now))
+	if n.config != nil {
+		d.Configure(now, n.config)
+	}
+	n.dispatchers[pool] = d
+	n.roles.stale = true
+	return d
+}
+
+// peersOf returns the dispatchers of a pool in the other data centres.
+func (n *Node) peersOf(now time.Time, pool version.PoolID) []dispatcher.Peer {
+	if n.config == nil {
+		return nil
+	}
+	var peers []dispatcher.Peer
+	for _, dataCentre := range n.config.DataCentres {
+		if dataCentre.ID == n.options.DataCentre {
+			continue
+		}
+		peer := dispatcher.Peer{DataCentre: dataCentre.ID, Distance: n.distance(dataCentre.ID)}
+		if vm, found := n.view.Owner(dataCentre.ID, dispatcherKey(pool)); found {
+			n.links.want(now, vm)
+			if n.tracker.Linked(vm) {
+				peer.VM = vm
+			}
+		}
+		peers = append(peers, peer)
+	}
+	slices.SortFunc(peers, func(a, b dispatcher.Peer) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return peers
+}
+
+// distance is 0 for a data centre of the own region and 1 for any other.
+func (n *Node) distance(other version.DataCentreID) int {
+	here, there := n.config.DataCentres[n.options.DataCentre], n.config.DataCentres[other]
+	if here != nil && there != nil && here.Region == there.Region {
+		return 0
+	}
+	return 1
+}
+
+func dispatcherKey(pool version.PoolID) string {
+	return "dispatcher/" + strconv.FormatUint(uint64(pool), 10)
+}
