Serve the whole callers' interface and whole answers

The thin path read two headers, relayed bytes as they came and took any end of a body for a proper one. Now: - each path, method, header and body is bounded and refused in one form; - plain services are reached under their pool's prefix; - an answer is relayed by whole events, resumed at its offset if it is cut, retried only while nothing was written and the request may repeat, and otherwise ended visibly broken; - the transport cannot replay a call, and a probe on the connection tells whether a byte of a failed attempt was ever sent; - service is charged in steps while it streams and trued up by the engine's own usage.

--- a/daemon/connection/upstream/protocol.go
+++ b/daemon/connection/upstream/protocol.go
@@ -1,11 +1,15 @@
 // Package upstream is the client side of an upstream's HTTP interface.
 //
-// Requests go to the upstream under the caller's own method and path. Beside
-// that, a model engine serves:
+// Requests go to the upstream under the caller's own method and path. Every
+// answer echoes the attempt's identifier; one that does not is discarded.
+// Beside that, a model engine serves:
 //
 //	GET    /v1/load                    its load as a Load, lagging
 //	GET    /v1/attempts/{id}?offset=N  the stream of an attempt, from event N on
 //	DELETE /v1/attempts/{id}           cancels an attempt
+//
+// Events are counted from 0; only those with data count. An engine that
+// cannot resume answers 404 or 410.
 package upstream
 
 const (
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
@@ -42,6 +43,7 @@
 	peers    *peer.Manager
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
+	handler  *serve.Handler
 	callers  *http.Server
 	links    *http.Server
 
@@ -115,11 +117,14 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	}})
-	return newServer(serve.New(serve.Options{Fleet: a.loop, Relay: relayer, Log: a.log}))
+	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	a.handler = serve.New(serve.Options{
+		Fleet:      a.loop,
+		Relay:      relayer,
+		VM:         a.settings.VM,
+		DataCentre: a.settings.DataCentre,
+	})
+	return serve.NewServer(a.handler)
 }
 
 func (a *App) hello(incarnation uint64) func() wire.Hello {
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -1,11 +1,12 @@
 // Package relay sends one attempt to an upstream and relays the answer to the
 // caller as it streams.
+//
+// An answer reaches the caller whole or not as a success at all: one that is
+// cut is resumed if the engine can, and otherwise ends visibly broken.
 package relay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,11 +15,26 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// copyBytes is the size of the relay buffer.
-const copyBytes = 16 << 10
+var (
+	// ErrCrossed is an answer that belongs to another attempt.
+	ErrCrossed = errors.New("answer of another attempt")
+	// ErrCut is an answer that ended before it was whole.
+	ErrCut = errors.New("answer was cut")
+	// ErrStalled is an upstream that sent nothing for too long.
+	ErrStalled = errors.New("answer stalled")
+	// ErrLate is an upstream that did not answer by the request's deadline.
+	ErrLate = errors.New("no answer by the deadline")
+	// ErrCallerGone is a caller that went away or reads too slowly.
+	ErrCallerGone = errors.New("caller is gone")
+	// ErrPermitOver is a permit that ended before the attempt was sent.
+	ErrPermitOver = errors.New("permit ended before sending")
+	// ErrUnconfigured is a grant for an upstream that is no longer configured.
+	ErrUnconfigured = errors.New("upstream is not configured")
+)
 
 // Accounting is told what an attempt used.
 type Accounting interface {
@@ -33,121 +49,213 @@
 type Options struct {
 	Accounting Accounting
 	Transport  http.RoundTripper
+	// Scheme is how upstreams are reached, "http" or "https"; default "http".
+	Scheme string
+	// StallTimeout is how long an upstream may send nothing within an answer;
+	// default 30 s.
+	StallTimeout time.Duration
+	// SlowReader is how long a caller may take to accept a piece of the
+	// answer; default 30 s.
+	SlowReader time.Duration
 }
 
+const (
+	defaultStallTimeout = 30 * time.Second
+	defaultSlowReader   = 30 * time.Second
+)
+
 // Relay carries attempts. It is safe for concurrent use.
 type Relay struct {
 	options Options
 }
 
 // New returns a relay.
-func New(options Options) *Relay { return &Relay{options: options} }
+func New(options Options) *Relay {
+	if options.Scheme == "" {
+		options.Scheme = "http"
+	}
+	if options.StallTimeout == 0 {
+		options.StallTimeout = defaultStallTimeout
+	}
+	if options.SlowReader == 0 {
+		options.SlowReader = defaultSlowReader
+	}
+	return &Relay{options: options}
+}
 
 // Call is one granted attempt.
 type Call struct {
 	Grant   request.Grant
 	Account version.AccountID
+	Kind    version.PoolKind
 	// Request is the caller's request; its body has been read into Body.
 	Request *http.Request
 	Body    []byte
+	// Attempt identifies the attempt in the whole fleet.
+	Attempt uuid.UUID
+	// AnswerBy is when the answer must have begun.
+	AnswerBy time.Time
+	// Permit must not have ended when the attempt is sent; nil needs none.
+	Permit *claim.Permit
+	// Record keeps the answer for the ledger and lets the attempt run to its
+	// end after the caller went away.
+	Record bool
 }
 
-// ErrCrossed is returned for an answer that belongs to another attempt.
-var ErrCrossed = errors.New("answer of another attempt")
-
-// Do runs the attempt. It returns a refusal if nothing was written to w. An
-// answer that breaks after that ends the caller's connection.
-func (r *Relay) Do(ctx context.Context, w http.ResponseWriter, call Call) *request.Refusal {
-	finish := request.Finish{
-		ID:       call.Grant.ID,
-		Attempt:  call.Grant.Attempt,
-		Pool:     call.Grant.Pool,
-		Upstream: call.Grant.Upstream,
-		Outcome:  request.OutcomeBroken,
-	}
-	defer func() { r.options.Accounting.End(finish) }()
-	started := time.Now()
-	response, err := r.send(ctx, call)
-	if err != nil {
-		return failed(err)
-	}
-	defer response.Body.Close()
-	finish.FirstToken = time.Since(started)
-	copyHeader(w.Header(), response.Header)
-	w.WriteHeader(response.StatusCode)
-	cost, err := r.copy(w, response.Body, call.Account)
-	finish.Cost = cost
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	finish.Outcome = request.OutcomeDone
-	return nil
+// Ending tells what has become of the caller's answer.
+type Ending uint8
+
+const (
+	// EndRefused is an attempt of which nothing was written; Result.Refusal
+	// says why.
+	EndRefused Ending = iota
+	// EndHeld is a whole answer that is not written yet: Result.Held.
+	EndHeld
+	// EndRelayed is a whole answer that was written.
+	EndRelayed
+	// EndBroken is an answer of which a part was written. The caller's
+	// connection must be aborted.
+	EndBroken
+	// EndGone is a caller that went away.
+	EndGone
+)
+
+// Result tells how an attempt ended. Each Result must be given to Settle, once.
+type Result struct {
+	Ending  Ending
+	Refusal *request.Refusal
+	Held    *Held
+	// NotRun promises that the attempt did not run.
+	NotRun bool
+	// Retry is set if nothing was written and another attempt may fare better.
+	Retry bool
+	// Answer is the whole answer, for Call.Record.
+	Answer *claim.Answer
+
+	finish request.Finish
+	// cancel is the attempt to cancel at its upstream.
+	cancel *attempt
 }
 
-func (r *Relay) send(ctx context.Context, call Call) (*http.Response, error) {
+// attempt is one attempt on its way.
+type attempt struct {
+	relay   *Relay
+	call    Call
+	target  *version.Upstream
+	out     *callerWriter
+	meter   *meter
+	started time.Time
+	first   time.Duration
+}
+
+// Do runs the attempt until its answer ends.
+func (r *Relay) Do(w http.ResponseWriter, call Call) Result {
+	a := &attempt{relay: r, call: call, started: time.Now()}
+	a.out = newCallerWriter(w, call, r.options.SlowReader)
+	a.meter = newMeter(r.options.Accounting, call)
 	target, known := r.options.Accounting.Config().Upstreams[call.Grant.Upstream]
 	if !known {
-		return nil, errors.New("upstream is not configured")
+		return a.unsent(ErrUnconfigured, request.OutcomeUnused)
 	}
-	url := "http://" + target.Address + call.Request.URL.RequestURI()
-	out, err := http.NewRequestWithContext(ctx, call.Request.Method, url, bytes.NewReader(call.Body))
-	if err != nil {
-		return nil, errors.Wrap(err, "build request")
-	}
-	// Without GetBody the transport cannot send the body a second time.
-	out.GetBody = nil
-	attempt := uuid.NewString()
-	out.Header.Set(upstream.HeaderAttempt, attempt)
-	out.Header.Set("Content-Type", call.Request.Header.Get("Content-Type"))
-	response, err := r.options.Transport.RoundTrip(out)
-	if err != nil {
-		return nil, errors.Wrap(err, "send to upstream")
+	a.target = target
+	result := a.run()
+	result.finish = a.finish(result.finish.Outcome)
+	return result
+}
+
+// Settle cancels what may still run of an attempt, reports its end and frees
+// its slot.
+func (r *Relay) Settle(result Result) {
+	if result.cancel != nil {
+		result.cancel.cancelUpstream()
 	}
-	if response.Header.Get(upstream.HeaderAttempt) != attempt {
-		response.Body.Close()
-		return nil, ErrCrossed
+	r.options.Accounting.End(result.finish)
+}
+
+// Unused is the Result of a grant that is handed back.
+func (r *Relay) Unused(grant request.Grant) Result {
+	return Result{NotRun: true, finish: request.Finish{
+		ID:       grant.ID,
+		Attempt:  grant.Attempt,
+		Pool:     grant.Pool,
+		Upstream: grant.Upstream,
+		Outcome:  request.OutcomeUnused,
+	}}
+}
+
+// finish describes the attempt's end for its dispatcher.
+func (a *attempt) finish(outcome request.Outcome) request.Finish {
+	return request.Finish{
+		ID:         a.call.Grant.ID,
+		Attempt:    a.call.Grant.Attempt,
+		Pool:       a.call.Grant.Pool,
+		Upstream:   a.call.Grant.Upstream,
+		Outcome:    outcome,
+		Cost:       a.meter.total,
+		FirstToken: a.first,
 	}
-	return response, nil
 }
 
-// copy relays the body and charges its events as they pass.
-func (r *Relay) copy(w http.ResponseWriter, body io.Reader, account version.AccountID) (request.Cost, error) {
-	flusher := http.NewResponseController(w)
-	buffer := make([]byte, copyBytes)
-	var total request.Cost
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return total, errors.Wrap(err, "write to caller")
-			}
-			// A writer that cannot flush still delivers at the end.
-			_ = flusher.Flush()
-			cost := request.Cost(bytes.Count(buffer[:n], []byte("data: ")))
-			r.options.Accounting.Charge(account, cost)
-			total += cost
-		}
-		if errors.Is(err, io.EOF) {
-			return total, nil
-		}
-		if err != nil {
-			return total, errors.Wrap(err, "read from upstream")
+// run sends the attempt and relays its answer.
+func (a *attempt) run() Result {
+	ctx, timer := a.context(time.Until(a.call.AnswerBy), ErrLate)
+	defer timer.stop()
+	probe := &upstream.Probe{}
+	out, err := a.newRequest(probe.Context(ctx))
+	if err != nil {
+		return a.unsent(err, request.OutcomeUnused)
+	}
+	if a.call.Permit != nil && !time.Now().Before(a.call.Permit.Deadline) {
+		return a.unsent(ErrPermitOver, request.OutcomeUnused)
+	}
+	response, err := a.relay.options.Transport.RoundTrip(out)
+	if err != nil {
+		sent := probe.Seal()
+		err = a.cause(ctx, err)
+		if !sent {
+			return a.unsent(err, request.OutcomeBroken)
 		}
+		return a.failed(err)
 	}
+	defer response.Body.Close()
+	return a.answer(response, timer)
 }
 
-func copyHeader(to, from http.Header) {
-	for _, name := range []string{"Content-Type", upstream.HeaderAttempt} {
-		if value := from.Get(name); value != "" {
-			to.Set(name, value)
-		}
+// answer relays the answer according to its form.
+func (a *attempt) answer(response *http.Response, timer *stallTimer) Result {
+	if response.Header.Get(upstream.HeaderAttempt) != a.call.Attempt.String() {
+		return a.failed(ErrCrossed)
+	}
+	if response.StatusCode < http.StatusOK {
+		return a.failed(errors.Wrapf(ErrCut, "final status %d", response.StatusCode))
+	}
+	if refusedBeforeRun(response) {
+		return a.refusedByUpstream(response)
 	}
+	if a.call.Kind == version.PoolModel && isEventStream(response) {
+		return a.stream(response, timer)
+	}
+	return a.whole(response, timer)
 }
 
-func failed(err error) *request.Refusal {
-	return &request.Refusal{
-		Reason:    request.ReasonUpstreamFailed,
-		Execution: request.Unknown,
-		Detail:    err.Error(),
+// context returns the context of one of the attempt's calls, which ends with
+// cause if the upstream sends nothing within limit. An attempt that is
+// recorded outlives its caller.
+func (a *attempt) context(limit time.Duration, cause error) (context.Context, *stallTimer) {
+	parent := a.call.Request.Context()
+	if a.call.Record {
+		parent = context.WithoutCancel(parent)
+	}
+	return newStallTimer(parent, limit, cause)
+}
+
+// cause turns an error of the transport into one of this package.
+func (a *attempt) cause(ctx context.Context, err error) error {
+	if !a.call.Record && a.call.Request.Context().Err() != nil {
+		return ErrCallerGone
+	}
+	if cause := context.Cause(ctx); errors.IsAny(cause, ErrLate, ErrStalled) {
+		return cause
 	}
+	return errors.Mark(errors.Wrap(err, "upstream"), ErrCut)
 }
--- /dev/null
+++ b/daemon/request/relay/stream.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
+)
+
+const (
+	// maxResumes bounds how often one answer is resumed without any progress.
+	maxResumes = 3
+	// drainTimeout bounds the wait for the end of a body after its last event.
+	drainTimeout = time.Second
+)
+
+// errorEvent tells the caller that a stream ends broken.
+const errorEvent = "event: error\ndata: {\"error\":{\"type\":\"upstream-failed\"," +
+	"\"message\":\"the answer was cut and could not be resumed\",\"execution\":\"unknown\"}}\n\n"
+
+// streaming is an answer of events on its way to the caller.
+type streaming struct {
+	*attempt
+	first *http.Response
+	// events counts the events with data that were written.
+	events int
+}
+
+// stream relays an answer of events, whole events only.
+func (a *attempt) stream(response *http.Response, timer *stallTimer) Result {
+	s := &streaming{attempt: a, first: response}
+	err := s.pump(response, timer)
+	for failures := 0; errors.IsAny(err, ErrCut, ErrStalled) && failures < maxResumes; failures++ {
+		before := s.events
+		err = s.resume(failures)
+		if s.events > before {
+			failures = -1
+		}
+	}
+	a.meter.end()
+	switch {
+	case err == nil:
+		return a.done(EndRelayed, response.StatusCode)
+	case errors.Is(err, ErrCallerGone):
+		return a.gone()
+	case !a.out.begun:
+		return a.failed(err)
+	}
+	s.breakOff()
+	return a.broken()
+}
+
+// pump relays events until the last one. It returns ErrCut or ErrStalled if the
+// answer ended before that.
+func (s *streaming) pump(response *http.Response, timer *stallTimer) error {
+	reader := newEventReader(response.Body)
+	defer reader.release()
+	for {
+		next, err := reader.next()
+		if err != nil {
+			return s.cause(response.Request.Context(), err)
+		}
+		timer.progress(s.relay.options.StallTimeout)
+		if err := s.relayEvent(next, !reader.pending()); err != nil {
+			return err
+		}
+		if next.last() {
+			timer.progress(drainTimeout)
+			// The answer is whole; reading on only frees the connection.
+			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, readBytes))
+			return nil
+		}
+	}
+}
+
+// relayEvent writes one event and counts it.
+func (s *streaming) relayEvent(next event, flush bool) error {
+	if !s.out.begun {
+		s.attempt.first = time.Since(s.started)
+		s.out.begin(s.first.StatusCode, s.first.Header)
+	}
+	if err := s.out.write(next.text); err != nil {
+		return err
+	}
+	if flush || next.last() {
+		if err := s.out.flush(); err != nil {
+			return err
+		}
+	}
+	if next.data != nil && !next.last() {
+		s.events++
+		s.meter.event(next.data)
+	}
+	return nil
+}
+
+// resume asks the same upstream for the rest of the answer and relays it.
+func (s *streaming) resume(failures int) error {
+	pause := retry.Backoff(failures+2, rand.Float64())
+	select {
+	case <-time.After(pause):
+	case <-s.call.Request.Context().Done():
+		if !s.call.Record {
+			return ErrCallerGone
+		}
+	}
+	ctx, timer := s.resumeContext()
+	defer timer.stop()
+	target := s.url(upstream.PathAttempts + s.call.Attempt.String() +
+		"?" + upstream.QueryOffset + "=" + strconv.Itoa(s.events))
+	out, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return errors.Wrap(err, "build resume")
+	}
+	response, err := s.relay.options.Transport.RoundTrip(out)
+	if err != nil {
+		return s.cause(ctx, err)
+	}
+	defer response.Body.Close()
+	if err := s.checkResumed(response); err != nil {
+		return err
+	}
+	return s.pump(response, timer)
+}
+
+// resumeContext bounds the wait for the next event. Before the first one, the
+// request's deadline still holds.
+func (s *streaming) resumeContext() (context.Context, *stallTimer) {
+	if !s.out.begun {
+		return s.context(time.Until(s.call.AnswerBy), ErrLate)
+	}
+	return s.context(s.relay.options.StallTimeout, ErrStalled)
+}
+
+// errCannotResume is an upstream that does not have the attempt any more.
+var errCannotResume = errors.New("answer was cut and cannot be resumed")
+
+func (s *streaming) checkResumed(response *http.Response) error {
+	switch response.StatusCode {
+	case http.StatusNotFound, http.StatusGone, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return errCannotResume
+	}
+	if !isEventStream(response) {
+		return errors.Wrapf(ErrCut, "resume was answered with status %d", response.StatusCode)
+	}
+	if response.Header.Get(upstream.HeaderAttempt) != s.call.Attempt.String() {
+		return errors.Wrap(ErrCut, "resume got another attempt's answer")
+	}
+	return nil
+}
+
+// breakOff tells the caller that the stream ends broken. The connection is
+// aborted after that, so the stream has no proper end either.
+func (s *streaming) breakOff() {
+	if err := s.out.write([]byte(errorEvent)); err != nil {
+		return
+	}
+	// A caller that is gone needs no event.
+	_ = s.out.flush()
+}
--- a/daemon/request/serve/answer.go
+++ b/daemon/request/serve/answer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -27,40 +28,78 @@
 	Execution request.Execution `json:"execution"`
 }
 
-// statusOf gives the HTTP status of each reason.
-var statusOf = map[request.Reason]int{
-	request.ReasonUnauthorised:      http.StatusUnauthorized,
-	request.ReasonBadRequest:        http.StatusBadRequest,
-	request.ReasonTooLarge:          http.StatusRequestEntityTooLarge,
-	request.ReasonUnknownModel:      http.StatusNotFound,
-	request.ReasonUnknownService:    http.StatusNotFound,
-	request.ReasonAccountQueueFull:  http.StatusTooManyRequests,
-	request.ReasonQueueFull:         http.StatusServiceUnavailable,
-	request.ReasonDeadline:          http.StatusGatewayTimeout,
-	request.ReasonNoUpstream:        http.StatusServiceUnavailable,
-	request.ReasonNotReady:          http.StatusServiceUnavailable,
-	request.ReasonUpstreamFailed:    http.StatusBadGateway,
-	request.ReasonUpstreamRefused:   http.StatusServiceUnavailable,
-	request.ReasonLedgerUnavailable: http.StatusServiceUnavailable,
-	request.ReasonBadIdempotencyKey: http.StatusBadRequest,
-	request.ReasonKeyReuse:          http.StatusUnprocessableEntity,
-	request.ReasonOutcomeUnknown:    http.StatusConflict,
+// form is how a reason is told to callers.
+type form struct {
+	status int
+	// detail is one sentence for refusals that carry none.
+	detail string
+	// again is set if the same request may fare better later.
+	again bool
 }
 
-// WriteRefusal answers a caller with a refusal.
+// forms gives the form of each reason.
+var forms = map[request.Reason]form{
+	request.ReasonUnauthorised:      {http.StatusUnauthorized, "the API key is missing or unknown", false},
+	request.ReasonBadRequest:        {http.StatusBadRequest, "the request cannot be understood", false},
+	request.ReasonTooLarge:          {http.StatusRequestEntityTooLarge, "the body is over the limit", false},
+	request.ReasonUnknownModel:      {http.StatusNotFound, "no pool serves this model", false},
+	request.ReasonUnknownService:    {http.StatusNotFound, "no pool serves this path", false},
+	request.ReasonMethodNotAllowed:  {http.StatusMethodNotAllowed, "the path does not take this method", false},
+	request.ReasonAccountQueueFull:  {http.StatusTooManyRequests, "the account has too many requests waiting", true},
+	request.ReasonQueueFull:         {http.StatusServiceUnavailable, "too many requests are waiting", true},
+	request.ReasonDeadline:          {http.StatusGatewayTimeout, "the deadline passed", true},
+	request.ReasonNoUpstream:        {http.StatusServiceUnavailable, "the pool has no upstream in service", true},
+	request.ReasonNotReady:          {http.StatusServiceUnavailable, "this router is not ready", true},
+	request.ReasonUpstreamFailed:    {http.StatusBadGateway, "the upstream failed", true},
+	request.ReasonUpstreamRefused:   {http.StatusServiceUnavailable, "the upstream refused before running", true},
+	request.ReasonLedgerUnavailable: {http.StatusServiceUnavailable, "the claim could not be recorded", true},
+	request.ReasonBadIdempotencyKey: {http.StatusBadRequest, "the idempotency key cannot be used", false},
+	request.ReasonKeyReuse:          {http.StatusUnprocessableEntity, "the idempotency key was used with another request", false},
+	request.ReasonAnswerNotKept:     {http.StatusConflict, "the request ran and its answer was not kept", false},
+	request.ReasonOutcomeUnknown:    {http.StatusConflict, "the request may have run", false},
+}
+
+// defaultRetryAfter is when to come back if nothing better is known.
+const defaultRetryAfter = time.Second
+
+// answerWriteTimeout bounds the writing of an answer that the router itself
+// gives.
+const answerWriteTimeout = 30 * time.Second
+
+// refuse returns a refusal of a request that has not run.
+func refuse(reason request.Reason, detail string) *request.Refusal {
+	return &request.Refusal{Reason: reason, Execution: request.NotRun, Detail: detail}
+}
+
+// WriteRefusal answers a caller with a refusal, at once.
 func WriteRefusal(w http.ResponseWriter, refusal *request.Refusal) {
-	w.Header().Set(HeaderExecution, string(refusal.Execution))
-	if refusal.RetryAfter > 0 {
-		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
-	}
-	status, known := statusOf[refusal.Reason]
+	reason, known := forms[refusal.Reason]
 	if !known {
-		status = http.StatusInternalServerError
+		reason = form{status: http.StatusInternalServerError}
+	}
+	detail := refusal.Detail
+	if detail == "" {
+		detail = reason.detail
 	}
-	writeJSON(w, status, refusalBody{Error: refusalError{
+	wait := refusal.RetryAfter
+	if wait <= 0 && reason.again {
+		wait = defaultRetryAfter
+	}
+	header := w.Header()
+	header.Set(HeaderExecution, string(refusal.Execution))
+	if wait > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	if refusal.Reason == request.ReasonUnauthorised {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	if refusal.Reason == request.ReasonNotReady {
+		// The caller's next request should find another router.
+		header.Set("Connection", "close")
+	}
+	writeJSON(w, reason.status, refusalBody{Error: refusalError{
 		Type:      refusal.Reason,
-		Message:   refusal.Detail,
+		Message:   detail,
 		Execution: refusal.Execution,
 	}})
 }
@@ -88,9 +127,25 @@
 	return list
 }
 
+// writeJSON answers with a body and sends it.
 func writeJSON(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		// Every body of this package can be encoded.
+		panic(err)
+	}
+	text = append(text, '\n')
+	extendWrite(w)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(status)
 	// The caller may have gone; there is nobody to tell.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(text)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// extendWrite gives the caller time to accept an answer.
+func extendWrite(w http.ResponseWriter) {
+	// A writer without deadlines is one of a test.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 }
--- /dev/null
+++ b/daemon/request/serve/completion.go
@@ -0,0 +1,96 @@
+package serve
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// MaxOutput bounds the number of tokens that a request may ask for.
+const MaxOutput = 1_000_000
+
+// completionBody is what the router reads of a completion request.
+type completionBody struct {
+	Model               string          `json:"model"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+// completion is a completion request as the router needs it.
+type completion struct {
+	Model string
+	// Output bounds the generated tokens; 0 is no bound.
+	Output int
+	prefix uint64
+}
+
+// parseCompletion reads the body of a completion request.
+func parseCompletion(body []byte) (*completion, *request.Refusal) {
+	var parsed completionBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return nil, refuse(request.ReasonBadRequest, "the body is not a JSON completion request: "+err.Error())
+	}
+	if parsed.Model == "" {
+		return nil, refuse(request.ReasonBadRequest, "model is missing")
+	}
+	result := &completion{Model: parsed.Model}
+	for _, limit := range []*int{parsed.MaxTokens, parsed.MaxCompletionTokens} {
+		if limit == nil {
+			continue
+		}
+		if *limit < 1 || *limit > MaxOutput {
+			return nil, refuse(request.ReasonBadRequest, "the bound on generated tokens is out of range")
+		}
+		result.Output = *limit
+	}
+	prompt := parsed.Messages
+	if len(prompt) == 0 {
+		prompt = parsed.Prompt
+	}
+	result.prefix = request.Prefix(prompt)
+	return result, nil
+}
+
+// estimate returns the expected cost. A hint counts up to the bound that the
+// request itself sets.
+func (c *completion) estimate(bodyBytes int, hint request.Cost) request.Cost {
+	output := request.Cost(request.DefaultOutput)
+	if hint > 0 {
+		output = hint
+	}
+	if c.Output > 0 && (hint == 0 || hint > request.Cost(c.Output)) {
+		output = request.Cost(c.Output)
+	}
+	return output + request.PromptCost(request.PromptTokens(bodyBytes))
+}
+
+// servicePool returns the pool of plain services that serves a request.
+func servicePool(config *version.Config, r *http.Request) (*version.Pool, *request.Refusal) {
+	switch r.Method {
+	case http.MethodConnect, http.MethodTrace:
+		return nil, refuse(request.ReasonMethodNotAllowed, "the router does not take this method")
+	}
+	if !strings.HasPrefix(r.URL.Path, "/") || hasDotSegment(r.URL.Path) {
+		return nil, refuse(request.ReasonBadRequest, "the path must be absolute and without dot segments")
+	}
+	pool, known := config.PoolByPath(r.URL.Path)
+	if !known {
+		return nil, refuse(request.ReasonUnknownService, "no pool serves this path")
+	}
+	return pool, nil
+}
+
+// hasDotSegment reports whether a path could mean another one to a service.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -4,31 +4,36 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"log/slog"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 const (
-	// MaxBodyBytes bounds a request body.
-	MaxBodyBytes = 4 << 20
-	// DefaultDeadline bounds a request's wait if the caller sets none.
-	DefaultDeadline = 60 * time.Second
-	// charactersPerToken converts a prompt's length to tokens.
-	charactersPerToken = 4
-	// shortLaneLimit is the estimate up to which a request is short.
-	shortLaneLimit = 256
-	// defaultEstimate is the expected cost without any hint.
-	defaultEstimate = 128
+	// PathChat and PathCompletions serve model engines.
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+	// PathModels lists the models.
+	PathModels = "/v1/models"
+	// PathReady tells a balancer whether to send new requests here.
+	PathReady = "/readyz"
+	// PathHealth tells that the process runs.
+	PathHealth = "/healthz"
+)
+
+const (
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes = 32 << 10
+	// readHeaderTimeout bounds the reading of a request's headers.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout closes a connection without a request.
+	idleTimeout = 2 * time.Minute
+	// writeTimeout bounds the time from a request's headers to the end of its
+	// answer until the answer's writer sets a deadline of its own.
+	writeTimeout = MaxDeadline + 5*time.Minute
 )
 
 // Fleet decides when a request may run and where.
@@ -38,163 +43,169 @@
 	Acquire(ctx context.Context, ticket request.Ticket) (request.Grant, *request.Refusal)
 }
 
+// Relay carries granted attempts.
+type Relay interface {
+	Do(w http.ResponseWriter, call relay.Call) relay.Result
+	// Settle ends an attempt. It is called once for each Result.
+	Settle(result relay.Result)
+	// Unused is the Result of a grant that is handed back.
+	Unused(grant request.Grant) relay.Result
+}
+
 // Options set up a Handler.
 type Options struct {
 	Fleet Fleet
-	Relay *relay.Relay
+	Relay Relay
 	// Ledger claims requests with an idempotency key; without one they are
 	// refused.
 	Ledger Ledger
-	Log    *slog.Logger
+	// VM and DataCentre tell whether operators have taken this daemon out.
+	VM         version.VMID
+	DataCentre version.DataCentreID
+	// MaxRequests bounds the requests that are held at once; default
+	// DefaultMaxRequests.
+	MaxRequests int
+	// MaxHeldBytes bounds the bodies of the requests held, in bytes; default
+	// DefaultMaxHeldBytes.
+	MaxHeldBytes int64
+	// BodyTimeout bounds the reading of a body; default DefaultBodyTimeout.
+	BodyTimeout time.Duration
 }
 
-// Handler serves callers.
+// Handler serves callers. It is safe for concurrent use.
 type Handler struct {
-	options Options
-	mux     *http.ServeMux
+	options  Options
+	holdings *holdings
+	retries  *retries
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	h := &Handler{options: options, mux: http.NewServeMux()}
-	h.mux.HandleFunc("POST /v1/chat/completions", h.completion)
-	h.mux.HandleFunc("POST /v1/completions", h.completion)
-	h.mux.HandleFunc("GET /v1/models", h.models)
-	return h
+	if options.MaxRequests == 0 {
+		options.MaxRequests = DefaultMaxRequests
+	}
+	if options.MaxHeldBytes == 0 {
+		options.MaxHeldBytes = DefaultMaxHeldBytes
+	}
+	if options.BodyTimeout == 0 {
+		options.BodyTimeout = DefaultBodyTimeout
+	}
+	return &Handler{
+		options:  options,
+		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes),
+		retries:  newRetries(),
+	}
 }
 
-// ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
-
-// authenticate returns the caller's client account.
-func (h *Handler) authenticate(r *http.Request) (*version.Config, *version.Account, *request.Refusal) {
-	config := h.options.Fleet.Config()
-	if config == nil {
-		return nil, nil, &request.Refusal{
-			Reason:     request.ReasonNotReady,
-			Execution:  request.NotRun,
-			RetryAfter: time.Second,
-			Detail:     "this router has no configuration yet",
-		}
+// NewServer returns an HTTP server with the bounds of the callers' interface.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    MaxHeaderBytes,
 	}
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	account, known := config.AccountByKey(key)
-	if !known {
-		return nil, nil, &request.Refusal{
-			Reason:    request.ReasonUnauthorised,
-			Execution: request.NotRun,
-			Detail:    "send a known API key as a bearer token",
-		}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case PathHealth:
+		h.health(w, r)
+	case PathReady:
+		h.ready(w, r)
+	case PathModels:
+		h.models(w, r)
+	case PathChat, PathCompletions:
+		h.completion(w, r)
+	default:
+		h.service(w, r)
 	}
-	return config, account, nil
 }
 
-// completionBody is what the router reads of a completion request.
-type completionBody struct {
-	Model     string `json:"model"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
+// allow refuses a request whose method is not among those given.
+func allow(w http.ResponseWriter, r *http.Request, methods ...string) bool {
+	for _, method := range methods {
+		if r.Method == method {
+			return true
+		}
+	}
+	w.Header()["Allow"] = methods
+	WriteRefusal(w, refuse(request.ReasonMethodNotAllowed, "the path does not take this method"))
+	return false
 }
 
-func (h *Handler) completion(w http.ResponseWriter, r *http.Request) {
-	config, account, refusal := h.authenticate(r)
-	if refusal != nil {
-		WriteRefusal(w, refusal)
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	if !allow(w, r, http.MethodGet, http.MethodHead) {
 		return
 	}
-	body, refusal := readBody(w, r)
+	admitted, refusal := h.admit(r)
 	if refusal != nil {
 		WriteRefusal(w, refusal)
 		return
 	}
-	var parsed completionBody
-	if err := json.Unmarshal(body, &parsed); err != nil {
-		WriteRefusal(w, &request.Refusal{
-			Reason:    request.ReasonBadRequest,
-			Execution: request.NotRun,
-			Detail:    "the body is not JSON: " + err.Error(),
-		})
-		return
-	}
-	pool, known := config.PoolByModel(parsed.Model)
-	if !known {
-		WriteRefusal(w, &request.Refusal{
-			Reason:    request.ReasonUnknownModel,
-			Execution: request.NotRun,
-			Detail:    "no pool serves this model; see GET /v1/models",
-		})
+	writeJSON(w, http.StatusOK, modelList(admitted.config))
+}
+
+// completion serves a request for a model engine.
+func (h *Handler) completion(w http.ResponseWriter, r *http.Request) {
+	if !allow(w, r, http.MethodPost) {
 		return
 	}
-	h.run(w, r, account, pool, parsed, body)
+	h.hold(w, r, func(admitted *admission, body []byte) (*call, *request.Refusal) {
+		parsed, refusal := parseCompletion(body)
+		if refusal != nil {
+			return nil, refusal
+		}
+		pool, known := admitted.config.PoolByModel(parsed.Model)
+		if !known {
+			return nil, refuse(request.ReasonUnknownModel, "no pool serves this model; see GET "+PathModels)
+		}
+		c := h.newCall(w, r, admitted, pool, body)
+		c.ticket.Estimate = parsed.estimate(len(body), admitted.costHint)
+		c.ticket.Prefix = parsed.prefix
+		return c, nil
+	})
 }
 
-func (h *Handler) run(w http.ResponseWriter, r *http.Request, account *version.Account, pool *version.Pool, parsed completionBody, body []byte) {
-	ctx, cancel := context.WithTimeout(r.Context(), DefaultDeadline)
-	defer cancel()
-	estimate := estimateCost(parsed, body)
-	ticket := request.Ticket{
-		ID:       h.options.Fleet.NewID(),
-		Account:  account.ID,
-		Pool:     pool.ID,
-		Lane:     laneOf(estimate),
-		Estimate: estimate,
-		Wait:     DefaultDeadline,
-		Attempt:  1,
-	}
-	grant, refusal := h.options.Fleet.Acquire(ctx, ticket)
+// service serves a request for a plain service.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	h.hold(w, r, func(admitted *admission, body []byte) (*call, *request.Refusal) {
+		pool, refusal := servicePool(admitted.config, r)
+		if refusal != nil {
+			return nil, refusal
+		}
+		c := h.newCall(w, r, admitted, pool, body)
+		c.ticket.Estimate = max(admitted.costHint, 1)
+		return c, nil
+	})
+}
+
+// hold admits a request, holds its body and runs the call that plan makes of
+// it.
+func (h *Handler) hold(w http.ResponseWriter, r *http.Request, plan func(*admission, []byte) (*call, *request.Refusal)) {
+	admitted, refusal := h.admit(r)
 	if refusal != nil {
 		WriteRefusal(w, refusal)
 		return
 	}
-	call := relay.Call{Grant: grant, Account: account.ID, Request: r, Body: body}
-	if refusal := h.options.Relay.Do(r.Context(), w, call); refusal != nil {
+	account := admitted.account.ID
+	if refusal := h.holdings.enter(account); refusal != nil {
 		WriteRefusal(w, refusal)
+		return
 	}
-}
-
-func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
-	config, _, refusal := h.authenticate(r)
+	defer h.holdings.leave(account)
+	body, refusal := h.readBody(w, r, account)
 	if refusal != nil {
 		WriteRefusal(w, refusal)
 		return
 	}
-	writeJSON(w, http.StatusOK, modelList(config))
-}
-
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &request.Refusal{
-			Reason:    request.ReasonTooLarge,
-			Execution: request.NotRun,
-			Detail:    "the body is over the limit",
-		}
-	}
-	if err != nil {
-		return nil, &request.Refusal{
-			Reason:    request.ReasonBadRequest,
-			Execution: request.NotRun,
-			Detail:    "the body could not be read",
-		}
-	}
-	return body, nil
-}
-
-func estimateCost(parsed completionBody, body []byte) request.Cost {
-	output := parsed.MaxTokens
-	if output <= 0 {
-		output = defaultEstimate
-	}
-	return request.Cost(output + len(body)/charactersPerToken/promptDiscount)
-}
-
-// promptDiscount is how many prompt tokens cost as much as one generated one.
-const promptDiscount = 10
-
-func laneOf(estimate request.Cost) request.Lane {
-	if estimate <= shortLaneLimit {
-		return request.LaneShort
+	defer h.holdings.free(account, int64(len(body)))
+	c, refusal := plan(admitted, body)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
+		return
 	}
-	return request.LaneLong
+	c.run()
 }
--- a/fleet/request/refusal.go
+++ b/fleet/request/refusal.go
@@ -17,6 +17,8 @@
 	ReasonUnknownModel Reason = "unknown-model"
 	// ReasonUnknownService is a path that no pool serves.
 	ReasonUnknownService Reason = "unknown-service"
+	// ReasonMethodNotAllowed is a method that the path does not take.
+	ReasonMethodNotAllowed Reason = "method-not-allowed"
 	// ReasonAccountQueueFull is an account over its share of the queue.
 	ReasonAccountQueueFull Reason = "account-queue-full"
 	// ReasonQueueFull is a full queue or ring in the fleet.
@@ -37,6 +39,9 @@
 	ReasonBadIdempotencyKey Reason = "bad-idempotency-key"
 	// ReasonKeyReuse is an idempotency key used before with another body.
 	ReasonKeyReuse Reason = "idempotency-key-reuse"
+	// ReasonAnswerNotKept is a non-idempotent request that ran and whose answer
+	// was too large to be recorded.
+	ReasonAnswerNotKept Reason = "answer-not-kept"
 	// ReasonOutcomeUnknown is a non-idempotent request that may have run.
 	ReasonOutcomeUnknown Reason = "outcome-unknown"
 )
