--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -43,6 +43,7 @@
 	poller   *upstream.Poller
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
+	handler  *serve.Handler
 	callers  *http.Server
 	links    *http.Server
 	// operators serves the operators' interface.
@@ -134,11 +135,14 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	}})
-	return newServer(serve.New(serve.Options{Fleet: a.loop, Relay: relayer, Log: a.log}))
+	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	a.handler = serve.New(serve.Options{
+		Fleet:      a.loop,
+		Relay:      relayer,
+		VM:         a.settings.VM,
+		DataCentre: a.settings.DataCentre,
+	})
+	return serve.NewServer(a.handler)
 }
 
 func (a *App) hello(incarnation uint64) func() wire.Hello {
