--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/dispatcher"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -45,8 +47,23 @@
 // Configure is a configuration version that became known.
 type Configure struct{ Config *version.Config }
 
-// Members is a new picture of the fleet's members.
-type Members struct{ View membership.View }
+// Directory is the platform's list of VMs, which lags.
+type Directory struct{ VMs []membership.VM }
+
+// Leave begins to drain: the daemon gives up its roles.
+type Leave struct{}
+
+// Unreachable is a daemon to which messages could not be sent.
+type Unreachable struct{ VM version.VMID }
+
+// Load is an upstream's report of its load.
+type Load struct {
+	Upstream version.UpstreamID
+	Load     slots.Load
+}
+
+// NoLoad is an upstream that answered that it does not report its load.
+type NoLoad struct{ Upstream version.UpstreamID }
 
 // PeerUp is a link to another daemon that came up.
 type PeerUp struct{ Hello wire.Hello }
@@ -57,7 +74,8 @@
 func (e Submit) apply(n *Node, now time.Time)    { n.submit(now, e.Ticket) }
 func (e Charge) apply(n *Node, now time.Time)    { n.charge(now, e) }
 func (e Configure) apply(n *Node, now time.Time) { n.configure(now, e.Config) }
-func (e Members) apply(n *Node, now time.Time)   { n.setView(now, e.View) }
+func (e Directory) apply(n *Node, now time.Time) { n.list(now, e.VMs) }
+func (Leave) apply(n *Node, now time.Time)       { n.leave(now) }
 func (e PeerUp) apply(n *Node, now time.Time)    { n.peerUp(now, e.Hello) }
 func (e PeerDown) apply(n *Node, now time.Time)  { n.peerDown(now, e.Hello) }
 
@@ -66,9 +84,30 @@
 	n.entry.Withdraw(e.ID)
 }
 
-func (e End) apply(n *Node, _ time.Time) {
+func (e Unreachable) apply(n *Node, now time.Time) { n.unreachable(now, e.VM) }
+
+func (e Load) apply(n *Node, now time.Time) {
+	for _, pool := range n.ownedPools() {
+		n.dispatchers[pool].Report(now, e.Upstream, e.Load)
+	}
+}
+
+func (e NoLoad) apply(n *Node, now time.Time) {
+	for _, pool := range n.ownedPools() {
+		n.dispatchers[pool].NoReport(now, e.Upstream)
+	}
+}
+
+func (e End) apply(n *Node, now time.Time) {
 	n.streamEnded(e.Finish)
-	n.entry.End(e.Finish)
+	n.entry.End(now, e.Finish, n.expectedFirstToken(e.Finish.Pool))
+	n.options.Timeline.Record(now, timeline.Event{
+		Kind:     timeline.KindFinished,
+		Request:  request.Key{Entry: n.options.VM, Incarnation: n.options.Incarnation, ID: e.Finish.ID},
+		Attempt:  e.Finish.Attempt,
+		Pool:     e.Finish.Pool,
+		Upstream: e.Finish.Upstream,
+	})
 }
 
 func (e Receive) apply(n *Node, now time.Time) {
@@ -95,6 +134,26 @@
 	Refusal request.Refusal
 }
 
-func (Send) action()    {}
-func (Granted) action() {}
-func (Refused) action() {}
+// Connect asks to keep a link to a daemon open.
+type Connect struct {
+	VM version.VMID
+	// Address is the host:port of its peer listener.
+	Address string
+}
+
+// Disconnect asks to dial a daemon no more and to end a link that was dialled.
+type Disconnect struct{ VM version.VMID }
+
+// Poll asks for an upstream's load. It is answered by Load or NoLoad.
+type Poll struct {
+	Upstream version.UpstreamID
+	// Address is the host:port of the upstream.
+	Address string
+}
+
+func (Send) action()       {}
+func (Granted) action()    {}
+func (Refused) action()    {}
+func (Connect) action()    {}
+func (Disconnect) action() {}
+func (Poll) action()       {}
--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -74,7 +74,7 @@
 	s.cost += event.Cost
 	if s.cost >= s.next {
 		s.next = s.cost * service.ProgressStep
-		n.deliver(now, n.registered[s.ticket.Pool], wire.Progress{
+		n.deliver(now, n.entry.Dispatcher(s.ticket.Pool), wire.Progress{
 			Pool:    s.ticket.Pool,
 			ID:      event.ID,
 			Attempt: s.ticket.Attempt,
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -19,6 +20,10 @@
 	Pace = 20 * time.Millisecond
 	// ChargeInterval is the time between two charges of a running request.
 	ChargeInterval = 250 * time.Millisecond
+	// pollLag is how old an upstream's report is when it arrives.
+	pollLag = 500 * time.Millisecond
+	// noticeTime is how long an upstream takes to notice that a daemon is gone.
+	noticeTime = 500 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
 	warmUp = 2 * time.Second
 )
@@ -57,8 +62,9 @@
 
 type job struct {
 	Job
-	key     jobKey
-	running bool
+	key jobKey
+	// upstream is where it runs; 0 is nowhere.
+	upstream version.UpstreamID
 }
 
 // Submit gives a daemon a caller's request of a true cost.
@@ -102,7 +108,7 @@
 	}
 	s := p.Stand(grant.Upstream)
 	s.Running++
-	j.running = true
+	j.upstream = grant.Upstream
 	s.MaxRunning = max(s.MaxRunning, s.Running)
 	first := p.firstToken(s, grant.Upstream)
 	if p.options.Observer != nil {
@@ -131,6 +137,9 @@
 	rest := j.Cost - done
 	chunk := min(rest, request.Cost(ChargeInterval/Pace))
 	p.after(time.Duration(float64(chunk)*float64(Pace)), func() {
+		if p.jobs[j.key] != j {
+			return
+		}
 		p.charge(d, j, chunk)
 		if chunk < rest {
 			p.stream(d, j, grant, first, done+chunk)
@@ -141,9 +150,6 @@
 }
 
 func (p *Pump) charge(d *Daemon, j *job, cost request.Cost) {
-	if p.jobs[j.key] != j {
-		return
-	}
 	if p.options.Observer != nil {
 		p.options.Observer.Charged(p.now, j.Job, cost)
 	}
@@ -152,9 +158,6 @@
 
 func (p *Pump) end(d *Daemon, j *job, grant request.Grant, first time.Duration) {
 	p.Stand(grant.Upstream).Running--
-	if p.jobs[j.key] != j {
-		return
-	}
 	delete(p.jobs, j.key)
 	if p.options.Observer != nil {
 		p.options.Observer.Ended(p.now, j.Job)
@@ -193,8 +196,23 @@
 	slices.SortFunc(lost, func(a, b *job) int { return cmp.Compare(a.key.id, b.key.id) })
 	for _, j := range lost {
 		delete(p.jobs, j.key)
+		if j.upstream != 0 {
+			p.after(noticeTime, func() { p.Stand(j.upstream).Running-- })
+		}
 		if p.options.Observer != nil {
-			p.options.Observer.Lost(p.now, j.Job, j.running)
+			p.options.Observer.Lost(p.now, j.Job, j.upstream != 0)
 		}
 	}
 }
+
+// poll answers with an upstream's load as it was a while ago.
+func (p *Pump) poll(d *Daemon, id version.UpstreamID) {
+	s := p.Stand(id)
+	load := slots.Load{Running: s.Running, Cold: s.WarmFor(p.now) < 0}
+	incarnation := d.Incarnation
+	p.after(pollLag, func() {
+		if d.Incarnation == incarnation {
+			p.Step(d.VM, node.Load{Upstream: id, Load: load})
+		}
+	})
+}
--- a/fleet/process/pump/traffic.go
+++ b/fleet/process/pump/traffic.go
@@ -23,12 +23,8 @@
 
 // perRequest reports whether messages of a kind go with requests.
 func perRequest(kind wire.Kind) bool {
-	switch {
-	case kind == wire.KindHello || kind == wire.KindRegister:
-		return false
-	case kind < 20:
-		return true
-	case kind >= 40 && kind < 50:
+	switch kind {
+	case wire.KindTicket, wire.KindWithdraw, wire.KindGrant, wire.KindFinish, wire.KindRefuse, wire.KindProgress:
 		return true
 	default:
 		return false
@@ -50,6 +46,12 @@
 			p.granted(d, a.Grant)
 		case node.Refused:
 			p.refused(d, a)
+		case node.Connect:
+			p.connect(d, a.VM)
+		case node.Disconnect:
+			p.disconnect(d, a.VM)
+		case node.Poll:
+			p.poll(d, a.Upstream)
 		}
 	}
 	for _, to := range peers {
@@ -60,7 +62,8 @@
 // send puts a frame on a link.
 func (p *Pump) send(d *Daemon, to version.VMID, messages []wire.Message) {
 	peer, known := p.daemons[to]
-	if !known {
+	if !known || !p.links.up[link{d.VM, to}] {
+		p.after(0, func() { p.Step(d.VM, node.Unreachable{VM: to}) })
 		return
 	}
 	p.count(d, peer, messages)
@@ -68,7 +71,7 @@
 	if p.options.Fault != nil {
 		fate = p.options.Fault(d.VM, to, p.random)
 	}
-	if fate.Lose || p.cut[link{d.VM, to}] {
+	if fate.Lose || p.links.cut[link{d.VM, to}] {
 		return
 	}
 	for range fate.Copies + 1 {
@@ -79,7 +82,7 @@
 func (p *Pump) deliver(from, to *Daemon, messages []wire.Message, delay time.Duration) {
 	sender, receiver := from.Incarnation, to.Incarnation
 	p.after(delay, func() {
-		if p.cut[link{from.VM, to.VM}] || to.Incarnation != receiver {
+		if p.links.cut[link{from.VM, to.VM}] || to.Incarnation != receiver {
 			return
 		}
 		for _, message := range messages {
