--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -5,10 +5,14 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -27,10 +31,26 @@
 	Send(to version.VMID, message wire.Message) bool
 }
 
+// Linker keeps links to other daemons open.
+type Linker interface {
+	// Connect keeps a link to a VM open until ctx ends or Disconnect.
+	Connect(ctx context.Context, vm version.VMID, address string)
+	// Disconnect stops dialling a VM and ends a link that was dialled.
+	Disconnect(vm version.VMID)
+}
+
+// Poller asks upstreams for their load.
+type Poller interface {
+	// Poll asks an upstream; the answer is an event of the loop.
+	Poll(upstream version.UpstreamID, address string)
+}
+
 // Options set up a Loop.
 type Options struct {
 	Node   *node.Node
 	Sender Sender
+	Linker Linker
+	Poller Poller
 	Log    *slog.Logger
 }
 
@@ -44,6 +64,9 @@
 	// ticks belongs to the goroutine of Run.
 	ticks uint64
 
+	// done is closed when Run ends.
+	done chan struct{}
+
 	mu      sync.Mutex
 	waiters map[request.ID]chan decision
 }
@@ -59,6 +82,7 @@
 	return &Loop{
 		options: options,
 		events:  make(chan node.Event, ringEvents),
+		done:    make(chan struct{}),
 		waiters: make(map[request.ID]chan decision),
 	}
 }
@@ -66,8 +90,15 @@
 // SetSender sets the carrier of messages. It must be called before Run.
 func (l *Loop) SetSender(sender Sender) { l.options.Sender = sender }
 
-// Run owns the node until ctx ends.
+// SetLinker sets the keeper of links. It must be called before Run.
+func (l *Loop) SetLinker(linker Linker) { l.options.Linker = linker }
+
+// SetPoller sets who asks for loads. It must be called before Run.
+func (l *Loop) SetPoller(poller Poller) { l.options.Poller = poller }
+
+// Run owns the node until ctx ends. It must be called once.
 func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
 	ticker := time.NewTicker(node.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -79,7 +110,7 @@
 		case <-ticker.C:
 			l.tick(time.Now())
 		}
-		l.carryOut()
+		l.carryOut(ctx)
 	}
 }
 
@@ -119,11 +150,29 @@
 	case d := <-decided:
 		return l.decide(d)
 	case <-ctx.Done():
-		l.Post(node.Withdraw{ID: ticket.ID})
-		return request.Grant{}, &request.Refusal{Reason: request.ReasonDeadline, Execution: request.NotRun}
+		return l.abandon(ctx, ticket.ID, decided)
 	}
 }
 
+// abandon ends a wait whose ctx has ended. A grant that came at the same time
+// is handed back.
+func (l *Loop) abandon(ctx context.Context, id request.ID, decided <-chan decision) (request.Grant, *request.Refusal) {
+	l.forget(id)
+	select {
+	case d := <-decided:
+		if d.grant != nil {
+			l.End(unused(*d.grant))
+		}
+	default:
+		l.Post(node.Withdraw{ID: id})
+	}
+	refusal := &request.Refusal{Reason: request.ReasonDeadline, Execution: request.NotRun, RetryAfter: time.Second}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal = &request.Refusal{Reason: request.ReasonCallerGone, Execution: request.NotRun}
+	}
+	return request.Grant{}, refusal
+}
+
 func (l *Loop) decide(d decision) (request.Grant, *request.Refusal) {
 	if d.refusal != nil {
 		return request.Grant{}, d.refusal
@@ -131,8 +180,15 @@
 	return *d.grant, nil
 }
 
-// Post hands an event to the node and waits for room in the ring.
-func (l *Loop) Post(event node.Event) { l.events <- event }
+// Post hands an event to the node. It waits for room in the ring, so that a
+// link or a relay that brings more than the node can handle is slowed down
+// rather than cut. After Run it does nothing.
+func (l *Loop) Post(event node.Event) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
 
 // offer hands an event to the node unless the ring is full.
 func (l *Loop) offer(event node.Event) bool {
@@ -159,18 +215,39 @@
 }
 
 // carryOut does what the node decided.
-func (l *Loop) carryOut() {
-	for _, action := range l.options.Node.Ready() {
+func (l *Loop) carryOut(ctx context.Context) {
+	for actions := l.options.Node.Ready(); len(actions) > 0; actions = l.options.Node.Ready() {
+		for _, vm := range l.perform(ctx, actions) {
+			l.options.Node.Step(time.Now(), node.Unreachable{VM: vm})
+		}
+	}
+	l.config.Store(l.options.Node.Config())
+}
+
+// perform carries out actions and returns the VMs to which a message could not
+// be sent.
+func (l *Loop) perform(ctx context.Context, actions []node.Action) []version.VMID {
+	var unreachable []version.VMID
+	for _, action := range actions {
 		switch a := action.(type) {
 		case node.Send:
-			l.options.Sender.Send(a.To, a.Message)
+			sent := slices.Contains(unreachable, a.To) || l.options.Sender.Send(a.To, a.Message)
+			if !sent {
+				unreachable = append(unreachable, a.To)
+			}
 		case node.Granted:
 			l.resolve(a.Grant.ID, decision{grant: &a.Grant})
 		case node.Refused:
 			l.resolve(a.ID, decision{refusal: &a.Refusal})
+		case node.Connect:
+			l.options.Linker.Connect(ctx, a.VM, a.Address)
+		case node.Disconnect:
+			l.options.Linker.Disconnect(a.VM)
+		case node.Poll:
+			l.options.Poller.Poll(a.Upstream, a.Address)
 		}
 	}
-	l.config.Store(l.options.Node.Config())
+	return unreachable
 }
 
 // resolve ends a wait. A grant that nobody waits for any more is handed back.
@@ -218,3 +295,11 @@
 
 // End reports the end of an attempt.
 func (l *Loop) End(finish request.Finish) { l.Post(node.End{Finish: finish}) }
+
+// Load implements upstream.LoadHandler.
+func (l *Loop) Load(upstream version.UpstreamID, load slots.Load) {
+	l.Post(node.Load{Upstream: upstream, Load: load})
+}
+
+// NoLoad implements upstream.LoadHandler.
+func (l *Loop) NoLoad(upstream version.UpstreamID) { l.Post(node.NoLoad{Upstream: upstream}) }
