--- /dev/null
+++ b/lab/bench/run.go
@@ -0,0 +1,48 @@
+package bench
+
+import (
+	"context"
+	"runtime"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/trefoilwell/trefoilwell/lab/measure"
+)
+
+// Options set up a run of the benchmark.
+type Options struct {
+	Seed uint64
+	// Daemons are the fleet sizes that the slopes are measured at.
+	Daemons []int
+}
+
+// DefaultDaemons are the fleet sizes of a full run.
+var DefaultDaemons = []int{6, 12, 28, 60, 120, 340}
+
+// Run runs every scenario and returns the results in the order of scenarios.
+// It uses half of the processors.
+func Run(ctx context.Context, options Options) ([]measure.Result, error) {
+	scenarios := Scenarios(options)
+	results := make([]measure.Result, len(scenarios))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(runtime.NumCPU()/2, 1))
+	for i, scenario := range scenarios {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			result, err := measure.Run(scenario)
+			results[i] = result
+			return errors.Wrapf(err, "scenario %s of %s", scenario.Name, scenario.Deployment.Name)
+		})
+	}
+	return results, group.Wait()
+}
+
+// Scenarios lists what a run consists of.
+func Scenarios(options Options) []measure.Scenario {
+	scenarios := measure.Standard(measure.Queensland, options.Seed)
+	scenarios = append(scenarios, measure.Standard(measure.Sialkot, options.Seed)...)
+	return append(scenarios, measure.Growing(options.Daemons, options.Seed)...)
+}
