--- a/lab/chart/chart.go
+++ b/lab/chart/chart.go
@@ -12,6 +12,10 @@
 const (
 	width  = 18 * vg.Centimeter
 	height = 9 * vg.Centimeter
+	// legendRoom stretches the vertical axis so that the legend is free of
+	// lines.
+	legendRoom = 1.3
+	lineWidth  = 1.5 * vg.Millimeter / 2
 )
 
 // Point is one value of a series.
@@ -54,6 +58,7 @@
 	if !c.Logarithmic {
 		p.Y.Min = min(p.Y.Min, 0)
 	}
+	p.Y.Max *= legendRoom
 	return errors.Wrap(p.Save(width, height, path), "save chart")
 }
 
@@ -72,6 +77,7 @@
 		return errors.Wrap(err, "line")
 	}
 	line.Color = plotutil.Color(index)
+	line.Width = lineWidth
 	line.Dashes = plotutil.Dashes(index)
 	p.Add(line)
 	p.Legend.Add(series.Name, line)
