--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
@@ -29,8 +30,6 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's headers.
 	readHeaderTimeout = 5 * time.Second
-	// directoryInterval is how often the platform's list of VMs is read.
-	directoryInterval = 2 * time.Second
 )
 
 // App is one daemon.
@@ -41,8 +40,10 @@
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
+	poller   *upstream.Poller
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
+	handler  *serve.Handler
 	callers  *http.Server
 	links    *http.Server
 	// operators serves the operators' interface.
@@ -73,6 +74,9 @@
 		Log:     log,
 	})
 	a.loop.SetSender(a.peers)
+	a.loop.SetLinker(a.peers)
+	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
+	a.loop.SetPoller(a.poller)
 	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
@@ -98,6 +102,7 @@
 	addLoop(&group, ctx, a.loop.Run)
 	addLoop(&group, ctx, a.watcher.Run)
 	addLoop(&group, ctx, a.followDirectory)
+	addLoop(&group, ctx, a.poller.Run)
 	err := group.Run()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -130,11 +135,14 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	}})
-	return newServer(serve.New(serve.Options{Fleet: a.loop, Relay: relayer, Log: a.log}))
+	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	a.handler = serve.New(serve.Options{
+		Fleet:      a.loop,
+		Relay:      relayer,
+		VM:         a.settings.VM,
+		DataCentre: a.settings.DataCentre,
+	})
+	return serve.NewServer(a.handler)
 }
 
 func (a *App) hello(incarnation uint64) func() wire.Hello {
@@ -156,26 +164,6 @@
 	a.loop.Post(node.Configure{Config: config})
 }
 
-// followDirectory links to the VMs of the platform's list.
-func (a *App) followDirectory(ctx context.Context) error {
-	ticker := time.NewTicker(directoryInterval)
-	defer ticker.Stop()
-	for {
-		vms, err := a.client.VMs(ctx)
-		if err != nil {
-			a.log.Warn("platform list of VMs", "error", err)
-		}
-		for _, vm := range vms {
-			a.peers.Connect(ctx, vm.ID, vm.PeerAddress)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 }
--- a/fleet/process/node/stats.go
+++ b/fleet/process/node/stats.go
@@ -105,7 +105,24 @@
 	return stats
 }
 
-func (n *Node) poolStats(_ time.Time, pool version.PoolID) PoolStats {
+func (n *Node) poolStats(now time.Time, pool version.PoolID) PoolStats {
 	d := n.dispatchers[pool]
-	return PoolStats{Pool: pool, Waiting: d.Waiting()}
+	counts := d.Counts()
+	stats := PoolStats{
+		Pool:       pool,
+		Entries:    d.Entries(),
+		Waiting:    d.Waiting(),
+		Offered:    d.Offered(),
+		Granted:    counts.Granted,
+		HandedBack: counts.HandedBack,
+		Spilled:    counts.Spilled,
+		Refused:    counts.Refused,
+	}
+	for _, a := range d.Accounts(now) {
+		stats.Accounts = append(stats.Accounts, AccountStats(a))
+	}
+	for _, u := range d.Upstreams(now) {
+		stats.Upstreams = append(stats.Upstreams, UpstreamStats(u))
+	}
+	return stats
 }
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -59,6 +59,8 @@
 	Avoid version.UpstreamID
 	// Attempt numbers the attempt that the grant will be for.
 	Attempt Attempt
+	// BodyBytes is the size of the body. It stays with the entry too.
+	BodyBytes int
 }
 
 // Attempt numbers the attempts of one request, from 1.
