Serve the daemon's own metrics to operators

The operators' listener served expvar's global registry, which cannot hold the variables of several daemons in one process. Links count the bytes of their frames and the platform client its calls.

--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -76,6 +76,8 @@
 	mu      sync.Mutex
 	links   map[version.VMID]*link
 	dialled map[version.VMID]context.CancelFunc
+
+	traffic traffic
 }
 
 // link is one open connection.
@@ -88,6 +90,8 @@
 	close   context.CancelFunc
 	// done is closed after LinkDown.
 	done chan struct{}
+	// traffic counts the frames of all links of the manager.
+	traffic *traffic
 }
 
 // New returns a manager without links.
@@ -226,6 +230,7 @@
 		ring:    make(chan wire.Message, ringMessages),
 		close:   cancel,
 		done:    make(chan struct{}),
+		traffic: &m.traffic,
 	}
 	if !m.add(l) {
 		return
@@ -242,10 +247,10 @@
 func (m *Manager) greet(ctx context.Context, conn *websocket.Conn) (wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	if err := writeFrame(ctx, conn, []wire.Message{m.options.Hello()}); err != nil {
+	if _, err := writeFrame(ctx, conn, []wire.Message{m.options.Hello()}); err != nil {
 		return wire.Hello{}, err
 	}
-	messages, err := readFrame(ctx, conn)
+	messages, _, err := readFrame(ctx, conn)
 	if err != nil {
 		return wire.Hello{}, err
 	}
@@ -328,9 +333,11 @@
 		case <-ctx.Done():
 			return
 		case first := <-l.ring:
-			if err := writeFrame(ctx, l.conn, l.batch(first)); err != nil {
+			bytes, err := writeFrame(ctx, l.conn, l.batch(first))
+			if err != nil {
 				return
 			}
+			l.traffic.sent.Add(uint64(bytes))
 		}
 	}
 }
@@ -353,28 +360,32 @@
 
 func (l *link) read(ctx context.Context, handler Handler) {
 	for {
-		messages, err := readFrame(ctx, l.conn)
+		messages, bytes, err := readFrame(ctx, l.conn)
 		if err != nil {
 			return
 		}
+		l.traffic.received.Add(uint64(bytes))
 		handler.Receive(l.hello, messages)
 	}
 }
 
-func writeFrame(ctx context.Context, conn *websocket.Conn, messages []wire.Message) error {
+// writeFrame sends messages as one frame and returns the frame's size in bytes.
+func writeFrame(ctx context.Context, conn *websocket.Conn, messages []wire.Message) (int, error) {
 	frame, err := wire.Encode(messages)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, frame), "write frame")
+	return len(frame), errors.Wrap(conn.Write(ctx, websocket.MessageBinary, frame), "write frame")
 }
 
-func readFrame(ctx context.Context, conn *websocket.Conn) ([]wire.Message, error) {
+// readFrame returns the messages of the next frame and its size in bytes.
+func readFrame(ctx context.Context, conn *websocket.Conn) ([]wire.Message, int, error) {
 	_, frame, err := conn.Read(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "read frame")
+		return nil, 0, errors.Wrap(err, "read frame")
 	}
-	return wire.Decode(frame)
+	messages, err := wire.Decode(frame)
+	return messages, len(frame), err
 }
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
+	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
@@ -48,6 +50,7 @@
 	links    *http.Server
 	// operators serves the operators' interface.
 	operators   *http.Server
+	metrics     *metrics.Metrics
 	incarnation uint64
 
 	callersListener   net.Listener
@@ -63,7 +66,12 @@
 	}
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
-	a.client = platform.New(platform.Options{URL: s.Platform.URL, Token: s.Platform.Token})
+	var calls atomic.Uint64
+	a.client = platform.New(platform.Options{
+		URL:     s.Platform.URL,
+		Token:   s.Platform.Token,
+		Observe: func(platform.Call, error) { calls.Add(1) },
+	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
 	a.peers = peer.New(peer.Options{
@@ -80,6 +88,11 @@
 	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
+	a.metrics = metrics.New(a.loop, metrics.Counters{
+		PeerBytesSent:     a.peers.BytesSent,
+		PeerBytesReceived: a.peers.BytesReceived,
+		PlatformCalls:     calls.Load,
+	})
 	a.operators = newServer(a.newOperator())
 	return a, nil
 }
--- a/daemon/process/app/operators.go
+++ b/daemon/process/app/operators.go
@@ -16,6 +16,7 @@
 		Token:    a.settings.Operators.Token,
 		Status:   a.status,
 		Timeline: a.timeline,
+		Metrics:  a.metrics,
 		Order:    a.order,
 		Log:      a.log,
 	})
--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -128,6 +128,9 @@
 // Nobody may change it.
 func (l *Loop) Stats() *node.Stats { return l.stats.Load() }
 
+// RingFill returns how many events wait for the node, and how many may.
+func (l *Loop) RingFill() (waiting, capacity int) { return len(l.events), cap(l.events) }
+
 // Config returns the configuration in force, or nil.
 func (l *Loop) Config() *version.Config { return l.config.Load() }
 
--- a/daemon/process/operator/operator.go
+++ b/daemon/process/operator/operator.go
@@ -9,7 +9,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"expvar"
 	"io"
 	"log/slog"
 	"net/http"
@@ -51,6 +50,8 @@
 	Status func() Status
 	// Timeline holds the process's events; required.
 	Timeline *timeline.Ring
+	// Metrics serves the process's metrics; required.
+	Metrics http.Handler
 	// Order puts an order in force here and passes it on; required. It
 	// returns the configuration number that includes the order.
 	Order func(ctx context.Context, order version.Order) (version.Number, error)
@@ -85,7 +86,7 @@
 	h.mux.HandleFunc("GET "+PathStatus, h.status)
 	h.mux.HandleFunc("GET "+PathTimeline, h.timeline)
 	h.mux.HandleFunc("POST "+PathOrders, h.order)
-	h.mux.Handle("GET "+PathMetrics, expvar.Handler())
+	h.mux.Handle("GET "+PathMetrics, options.Metrics)
 	return h
 }
 
--- a/daemon/process/operator/operator_test.go
+++ b/daemon/process/operator/operator_test.go
@@ -32,6 +32,7 @@
 		Token:    testToken,
 		Status:   func() Status { return Status{VM: "vm-1", Ready: true} },
 		Timeline: ring,
+		Metrics:  http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
 		Order: func(_ context.Context, order version.Order) (version.Number, error) {
 			if err := order.Check(); err != nil {
 				return 0, errors.Mark(err, ErrBadOrder)
@@ -73,7 +74,7 @@
 }
 
 func TestAnEmptyTokenAuthorisesNobody(t *testing.T) {
-	h := New(Options{Status: func() Status { return Status{} }})
+	h := New(Options{Status: func() Status { return Status{} }, Metrics: http.NotFoundHandler()})
 	r := httptest.NewRequest(http.MethodGet, PathStatus, nil)
 	r.Header.Set("Authorization", "Bearer ")
 	w := httptest.NewRecorder()
