Let an engine's attempt leave before its end is seen

A finished or cancelled attempt still counted as running for a moment after its client knew of the end, so that a correct router could be taken for one that overloads a cold engine. Now the attempt leaves first.

--- a/lab/engine/attempt.go
+++ b/lab/engine/attempt.go
@@ -14,6 +14,8 @@
 	stop   func()
 	// stopped is closed by stop.
 	stopped chan struct{}
+	// left is closed when the attempt no longer counts as running.
+	left chan struct{}
 
 	mu sync.Mutex
 	// generated counts the tokens that are ready.
@@ -31,14 +33,23 @@
 		tokens:  asked.MaxTokens,
 		prompt:  asked.promptTokens(),
 		stopped: make(chan struct{}),
+		left:    make(chan struct{}),
 		changed: make(chan struct{}),
 	}
 	a.stop = sync.OnceFunc(func() { close(a.stopped) })
 	return a
 }
 
-// generate makes the tokens and reports whether all were made.
-func (a *attempt) generate(first time.Duration, pace func() time.Duration) bool {
+// generate makes the tokens. It calls leave with whether all were made before
+// anybody can see the end.
+func (a *attempt) generate(first time.Duration, pace func() time.Duration, leave func(all bool)) {
+	all := a.generateTokens(first, pace)
+	leave(all)
+	a.advance(0, true)
+	close(a.left)
+}
+
+func (a *attempt) generateTokens(first time.Duration, pace func() time.Duration) bool {
 	pause := first
 	for range a.tokens {
 		timer := time.NewTimer(pause)
@@ -47,15 +58,19 @@
 			a.advance(1, false)
 		case <-a.stopped:
 			timer.Stop()
-			a.advance(0, true)
 			return false
 		}
 		pause = pace()
 	}
-	a.advance(0, true)
 	return true
 }
 
+// end stops the attempt and waits until it no longer counts as running.
+func (a *attempt) end() {
+	a.stop()
+	<-a.left
+}
+
 func (a *attempt) advance(tokens int, ended bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/lab/engine/handlers.go
+++ b/lab/engine/handlers.go
@@ -68,7 +68,7 @@
 	e.mu.Unlock()
 	first := e.firstToken(request.Prefix(asked.prompt()))
 	go func() {
-		e.leave(a.generate(first, e.pace))
+		a.generate(first, e.pace, e.leave)
 		time.AfterFunc(e.options.ResumeWindow, func() { e.forget(a) })
 	}()
 	return a
@@ -82,7 +82,7 @@
 	}
 	switch {
 	case faults.fail:
-		a.stop()
+		a.end()
 		http.Error(w, "internal error", http.StatusInternalServerError)
 	case stream:
 		e.stream(w, r, a, 0, faults)
@@ -182,7 +182,7 @@
 
 // forget drops an attempt.
 func (e *Engine) forget(a *attempt) {
-	a.stop()
+	a.end()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.attempts[a.id] == a {
