--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -74,7 +74,7 @@
 	s.cost += event.Cost
 	if s.cost >= s.next {
 		s.next = 2 * s.cost
-		n.deliver(now, n.registered[s.pool], wire.Progress{
+		n.deliver(now, n.entry.Dispatcher(s.pool), wire.Progress{
 			Pool:    s.pool,
 			ID:      event.ID,
 			Attempt: s.attempt,
--- a/fleet/process/queue/queue.go
+++ b/fleet/process/queue/queue.go
@@ -205,6 +205,17 @@
 	return expired
 }
 
+// All yields every waiting ticket, in no order.
+func (q *Queue) All() func(yield func(Item) bool) {
+	return func(yield func(Item) bool) {
+		for _, w := range q.items {
+			if !yield(w.Item) {
+				return
+			}
+		}
+	}
+}
+
 // Lowest returns the lowest level of a backlogged account, and false if nobody
 // waits.
 func (q *Queue) Lowest() (float64, bool) {
--- a/fleet/request/refusal.go
+++ b/fleet/request/refusal.go
@@ -25,6 +25,8 @@
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonDeadline is a deadline that passed before the request ran.
 	ReasonDeadline Reason = "deadline"
+	// ReasonCallerGone is a caller that went away; nobody reads the refusal.
+	ReasonCallerGone Reason = "caller-gone"
 	// ReasonNoUpstream is a pool without any upstream in service.
 	ReasonNoUpstream Reason = "no-upstream"
 	// ReasonNotReady is a daemon without a configuration.
