Drain a daemon on SIGTERM without cutting a request

Ending the context closed every listener and connection at once. Now a daemon that is told to end turns not ready, tells the other daemons, takes requests for a grace in which the balancer notices, then refuses new ones as not run, and exits with 0 when the last request has ended.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,8 @@
 	// operators serves the operators' interface.
 	operators   *http.Server
 	incarnation uint64
+	// leaving is set once the daemon drains.
+	leaving atomic.Bool
 
 	callersListener   net.Listener
 	peersListener     net.Listener
@@ -93,10 +96,15 @@
 // OperatorsAddress returns the bound address of the operators' listener.
 func (a *App) OperatorsAddress() string { return a.operatorsListener.Addr().String() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and every request has then ended.
 func (a *App) Run(ctx context.Context) error {
+	a.log.Info("serving",
+		"callers", a.CallersAddress(), "peers", a.PeersAddress(), "operators", a.OperatorsAddress())
 	var group run.Group
-	addServer(&group, a.callers, a.callersListener)
+	a.addDrain(&group, ctx)
+	// What serves requests outlasts ctx until the drain is done.
+	ctx = context.WithoutCancel(ctx)
+	addCallers(&group, a.callers, a.callersListener)
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
@@ -104,7 +112,7 @@
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
 	err := group.Run()
-	if errors.Is(err, context.Canceled) {
+	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
 	}
 	return err
@@ -151,6 +159,7 @@
 			VM:          a.settings.VM,
 			DataCentre:  a.settings.DataCentre,
 			Incarnation: incarnation,
+			Leaving:     a.leaving.Load(),
 		}
 		if config := a.loop.Config(); config != nil {
 			hello.Version = config.Number
--- a/daemon/process/settings/settings.go
+++ b/daemon/process/settings/settings.go
@@ -30,6 +30,9 @@
 type Callers struct {
 	// Listen is host:port; default ":8080".
 	Listen string `toml:"listen"`
+	// DrainGraceMS is how long, in milliseconds, a daemon that shuts down
+	// still takes requests, so that the balancer notices; default 5000.
+	DrainGraceMS int `toml:"drain_grace_ms"`
 }
 
 // Peers set up the links between daemons.
@@ -74,10 +77,13 @@
 	return settings, nil
 }
 
+// defaultDrainGraceMS is the default of Callers.DrainGraceMS.
+const defaultDrainGraceMS = 5000
+
 // Default returns settings with every default in place.
 func Default() *Settings {
 	return &Settings{
-		Callers:   Callers{Listen: ":8080"},
+		Callers:   Callers{Listen: ":8080", DrainGraceMS: defaultDrainGraceMS},
 		Peers:     Peers{Listen: ":7070"},
 		Operators: Operators{Listen: "127.0.0.1:7071"},
 	}
@@ -97,5 +103,8 @@
 			return errors.Wrapf(ErrInvalid, "%s is required", setting.name)
 		}
 	}
+	if s.Callers.DrainGraceMS < 0 {
+		return errors.Wrap(ErrInvalid, "callers.drain_grace_ms is negative")
+	}
 	return nil
 }
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -109,7 +109,7 @@
 		}
 		document.Upstreams[i].Address = address
 	}
-	if err := publish(ctx, client.New(client.Options{URL: "http://" + platformAddress}), document); err != nil {
+	if err := Publish(ctx, client.New(client.Options{URL: "http://" + platformAddress}), document); err != nil {
 		return nil, err
 	}
 	return startDaemons(ctx, store, platformAddress, log)
@@ -123,6 +123,7 @@
 		s.VM = version.VMID(fmt.Sprintf("vm-%d", i+1))
 		s.DataCentre = dataCentre
 		s.Callers.Listen = "127.0.0.1:0"
+		s.Callers.DrainGraceMS = 0
 		s.Peers.Listen = "127.0.0.1:0"
 		s.Peers.Secret = "demo"
 		s.Operators.Listen = "127.0.0.1:0"
@@ -179,8 +180,8 @@
 	return document
 }
 
-// publish puts a document in force.
-func publish(ctx context.Context, store client.Store, document *version.Document) error {
+// Publish puts a document in force at an empty platform.
+func Publish(ctx context.Context, store client.Store, document *version.Document) error {
 	part, err := toml.Marshal(document)
 	if err != nil {
 		return errors.Wrap(err, "encode part")
