--- /dev/null
+++ b/daemon/request/relay/event_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readEvents returns the text of all whole events and of those with data.
+func readEvents(source io.Reader) (text []byte, withData int, err error) {
+	reader := newEventReader(source)
+	defer reader.release()
+	for {
+		next, err := reader.next()
+		if err != nil {
+			return text, withData, err
+		}
+		text = append(text, next.text...)
+		if next.data != nil {
+			withData++
+		}
+	}
+}
+
+func TestAnEventThatIsCutIsNotRead(t *testing.T) {
+	stream := "data: a\n\n: comment\n\ndata: b\ndata: c\n\ndata: [DO"
+	text, withData, err := readEvents(strings.NewReader(stream))
+	if want := "data: a\n\n: comment\n\ndata: b\ndata: c\n\n"; string(text) != want || withData != 2 {
+		t.Errorf("read %q with %d events, want %q with 2", text, withData, want)
+	}
+	if !errors.Is(err, ErrCut) {
+		t.Errorf("error is %v, want %v", err, ErrCut)
+	}
+}
+
+func TestAnEventWithoutEndIsBounded(t *testing.T) {
+	endless := io.MultiReader(strings.NewReader("data: "), neverEnding('x'))
+	if _, _, err := readEvents(endless); !errors.Is(err, ErrCut) {
+		t.Errorf("error is %v, want %v", err, ErrCut)
+	}
+}
+
+type neverEnding byte
+
+func (b neverEnding) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
+
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{
+		"data: {}\n\ndata: [DONE]\n\n",
+		"data: a\r\n\r\n:\r\n\r\n",
+		"\n\n\n", "data", "data:", "event: error\ndata: x\n\n", strings.Repeat("data: x\n", 3000),
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		text, withData, err := readEvents(bytes.NewReader(stream))
+		if !errors.Is(err, ErrCut) {
+			t.Fatalf("error is %v, want %v", err, ErrCut)
+		}
+		if !bytes.HasPrefix(stream, text) {
+			t.Fatalf("what was read is not the head of the stream")
+		}
+		if len(text) > 0 && text[len(text)-1] != '\n' {
+			t.Fatalf("read ends inside an event: %q", text)
+		}
+		// The pieces in which the stream arrives make no difference.
+		slowly, slowWithData, _ := readEvents(iotest.OneByteReader(bytes.NewReader(stream)))
+		if !bytes.Equal(slowly, text) || slowWithData != withData {
+			t.Fatalf("read %q byte by byte, %q at once", slowly, text)
+		}
+	})
+}
--- a/daemon/request/serve/answer.go
+++ b/daemon/request/serve/answer.go
@@ -37,6 +37,10 @@
 	again bool
 }
 
+// statusClientClosedRequest is the usual status for a caller that went away;
+// nobody reads it.
+const statusClientClosedRequest = 499
+
 // forms gives the form of each reason.
 var forms = map[request.Reason]form{
 	request.ReasonUnauthorised:      {http.StatusUnauthorized, "the API key is missing or unknown", false},
@@ -48,6 +52,7 @@
 	request.ReasonAccountQueueFull:  {http.StatusTooManyRequests, "the account has too many requests waiting", true},
 	request.ReasonQueueFull:         {http.StatusServiceUnavailable, "too many requests are waiting", true},
 	request.ReasonDeadline:          {http.StatusGatewayTimeout, "the deadline passed", true},
+	request.ReasonCallerGone:        {statusClientClosedRequest, "the caller went away", false},
 	request.ReasonNoUpstream:        {http.StatusServiceUnavailable, "the pool has no upstream in service", true},
 	request.ReasonNotReady:          {http.StatusServiceUnavailable, "this router is not ready", true},
 	request.ReasonUpstreamFailed:    {http.StatusBadGateway, "the upstream failed", true},
@@ -71,8 +76,8 @@
 	return &request.Refusal{Reason: reason, Execution: request.NotRun, Detail: detail}
 }
 
-// WriteRefusal answers a caller with a refusal, at once.
-func WriteRefusal(w http.ResponseWriter, refusal *request.Refusal) {
+// writeRefusal answers a caller with a refusal, at once.
+func writeRefusal(w http.ResponseWriter, refusal *request.Refusal) {
 	reason, known := forms[refusal.Reason]
 	if !known {
 		reason = form{status: http.StatusInternalServerError}
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -176,8 +176,10 @@
 		if err := result.Held.Write(); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		c.handler.options.Counter.Answered()
 	case relay.EndRelayed:
 		c.handler.retries.success()
+		c.handler.options.Counter.Answered()
 	case relay.EndBroken, relay.EndGone:
 		// Nothing may follow that looks like a proper end.
 		panic(http.ErrAbortHandler)
@@ -192,5 +194,5 @@
 		unknown.Execution = request.Unknown
 		refusal = &unknown
 	}
-	WriteRefusal(c.w, refusal)
+	c.handler.refuse(c.w, refusal)
 }
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"net/http"
 	"strconv"
 
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
@@ -58,16 +57,16 @@
 	case verdict.Refusal != nil:
 		c.refuse(verdict.Refusal)
 	case verdict.Replay != nil:
-		replay(c.w, verdict.Replay)
+		c.replay(verdict.Replay)
 	default:
 		c.refuse(refuse(request.ReasonLedgerUnavailable, "the ledger gave no verdict"))
 	}
 }
 
 // replay answers with a recorded answer.
-func replay(w http.ResponseWriter, answer *claim.Answer) {
+func (c *call) replay(answer *claim.Answer) {
 	if len(answer.Body) == 0 && answer.BodyDigest != sha256.Sum256(nil) {
-		WriteRefusal(w, &request.Refusal{
+		c.refuse(&request.Refusal{
 			Reason:    request.ReasonAnswerNotKept,
 			Execution: request.Unknown,
 			Detail: "the request ran before and was answered with status " +
@@ -75,6 +74,7 @@
 		})
 		return
 	}
+	w := c.w
 	extendWrite(w)
 	w.Header().Set(HeaderReplayed, "true")
 	if answer.ContentType != "" {
@@ -83,6 +83,7 @@
 	w.WriteHeader(answer.Status)
 	// The caller may have gone; there is nobody to tell.
 	_, _ = w.Write(answer.Body)
+	c.handler.options.Counter.Answered()
 }
 
 // digest returns the digest of a request's content.
--- a/daemon/request/serve/health.go
+++ b/daemon/request/serve/health.go
@@ -13,17 +13,17 @@
 }
 
 func (h *Handler) health(w http.ResponseWriter, r *http.Request) {
-	if allow(w, r, http.MethodGet, http.MethodHead) {
+	if h.allow(w, r, http.MethodGet, http.MethodHead) {
 		writeJSON(w, http.StatusOK, healthBody{Status: "alive"})
 	}
 }
 
 func (h *Handler) ready(w http.ResponseWriter, r *http.Request) {
-	if !allow(w, r, http.MethodGet, http.MethodHead) {
+	if !h.allow(w, r, http.MethodGet, http.MethodHead) {
 		return
 	}
 	if detail := h.unready(); detail != "" {
-		WriteRefusal(w, refuse(request.ReasonNotReady, detail))
+		writeRefusal(w, refuse(request.ReasonNotReady, detail))
 		return
 	}
 	writeJSON(w, http.StatusOK, healthBody{Status: "ready"})
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -52,6 +52,14 @@
 	Unused(grant request.Grant) relay.Result
 }
 
+// Counter counts final answers. Its methods are safe for concurrent use.
+type Counter interface {
+	// Answered counts an answer that was relayed whole.
+	Answered()
+	// Refused counts a refusal.
+	Refused(reason request.Reason)
+}
+
 // Options set up a Handler.
 type Options struct {
 	Fleet Fleet
@@ -59,6 +67,8 @@
 	// Ledger claims requests with an idempotency key; without one they are
 	// refused.
 	Ledger Ledger
+	// Counter counts final answers; default none.
+	Counter Counter
 	// VM and DataCentre tell whether operators have taken this daemon out.
 	VM         version.VMID
 	DataCentre version.DataCentreID
@@ -90,6 +100,9 @@
 	if options.BodyTimeout == 0 {
 		options.BodyTimeout = DefaultBodyTimeout
 	}
+	if options.Counter == nil {
+		options.Counter = uncounted{}
+	}
 	return &Handler{
 		options:  options,
 		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes),
@@ -124,25 +137,40 @@
 	}
 }
 
+// uncounted is a Counter that counts nothing.
+type uncounted struct{}
+
+// Answered implements Counter.
+func (uncounted) Answered() {}
+
+// Refused implements Counter.
+func (uncounted) Refused(request.Reason) {}
+
+// refuse answers a caller with a refusal and counts it.
+func (h *Handler) refuse(w http.ResponseWriter, refusal *request.Refusal) {
+	h.options.Counter.Refused(refusal.Reason)
+	writeRefusal(w, refusal)
+}
+
 // allow refuses a request whose method is not among those given.
-func allow(w http.ResponseWriter, r *http.Request, methods ...string) bool {
+func (h *Handler) allow(w http.ResponseWriter, r *http.Request, methods ...string) bool {
 	for _, method := range methods {
 		if r.Method == method {
 			return true
 		}
 	}
 	w.Header()["Allow"] = methods
-	WriteRefusal(w, refuse(request.ReasonMethodNotAllowed, "the path does not take this method"))
+	h.refuse(w, refuse(request.ReasonMethodNotAllowed, "the path does not take this method"))
 	return false
 }
 
 func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
-	if !allow(w, r, http.MethodGet, http.MethodHead) {
+	if !h.allow(w, r, http.MethodGet, http.MethodHead) {
 		return
 	}
 	admitted, refusal := h.admit(r)
 	if refusal != nil {
-		WriteRefusal(w, refusal)
+		h.refuse(w, refusal)
 		return
 	}
 	writeJSON(w, http.StatusOK, modelList(admitted.config))
@@ -150,7 +178,7 @@
 
 // completion serves a request for a model engine.
 func (h *Handler) completion(w http.ResponseWriter, r *http.Request) {
-	if !allow(w, r, http.MethodPost) {
+	if !h.allow(w, r, http.MethodPost) {
 		return
 	}
 	h.hold(w, r, func(admitted *admission, body []byte) (*call, *request.Refusal) {
@@ -187,24 +215,24 @@
 func (h *Handler) hold(w http.ResponseWriter, r *http.Request, plan func(*admission, []byte) (*call, *request.Refusal)) {
 	admitted, refusal := h.admit(r)
 	if refusal != nil {
-		WriteRefusal(w, refusal)
+		h.refuse(w, refusal)
 		return
 	}
 	account := admitted.account.ID
 	if refusal := h.holdings.enter(account); refusal != nil {
-		WriteRefusal(w, refusal)
+		h.refuse(w, refusal)
 		return
 	}
 	defer h.holdings.leave(account)
 	body, refusal := h.readBody(w, r, account)
 	if refusal != nil {
-		WriteRefusal(w, refusal)
+		h.refuse(w, refusal)
 		return
 	}
 	defer h.holdings.free(account, int64(len(body)))
 	c, refusal := plan(admitted, body)
 	if refusal != nil {
-		WriteRefusal(w, refusal)
+		h.refuse(w, refusal)
 		return
 	}
 	c.run()
--- a/lab/fleetproc/drain_test.go
+++ b/lab/fleetproc/drain_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
 )
@@ -91,7 +92,7 @@
 	// All slots are taken now, so this one waits.
 	waiting := make(chan *http.Response)
 	go func() { waiting <- chat(t, daemon, "5") }()
-	time.Sleep(50 * time.Millisecond)
+	daemon.AwaitEvents(t, timeline.KindQueued, len(answers)+1)
 	daemon.Signal(t, syscall.SIGTERM)
 	answers = append(answers, <-waiting)
 	for i, answer := range answers {
--- a/lab/fleetproc/fleetproc.go
+++ b/lab/fleetproc/fleetproc.go
@@ -20,7 +20,9 @@
 	"github.com/pelletier/go-toml/v2"
 
 	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/demo"
 	"github.com/trefoilwell/trefoilwell/lab/platform"
@@ -29,6 +31,9 @@
 // command is the package of the daemon's command.
 const command = "github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilwell"
 
+// operatorsToken is the token of the operators' listener.
+const operatorsToken = "token"
+
 // pollPause is the pause between two looks at a daemon.
 const pollPause = 10 * time.Millisecond
 
@@ -109,7 +114,7 @@
 	s.VM, s.DataCentre = vm, dataCentre
 	s.Callers.Listen, s.Peers.Listen, s.Operators.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Callers.DrainGraceMS = 0
-	s.Peers.Secret, s.Operators.Token = "secret", "token"
+	s.Peers.Secret, s.Operators.Token = "secret", operatorsToken
 	s.Platform.URL = f.platformURL
 	if change != nil {
 		change(s)
@@ -187,6 +192,47 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// AwaitEvents waits until the daemon's time line has at least count events of
+// a kind.
+func (p *Process) AwaitEvents(t testing.TB, kind timeline.Kind, count int) {
+	t.Helper()
+	for p.events(t, kind) < count {
+		select {
+		case <-p.ended:
+			t.Fatalf("%s ended: %v", p.VM, p.err)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+func (p *Process) events(t testing.TB, kind timeline.Kind) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.Operators+operator.PathTimeline, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorsToken)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("%s: time line answered with status %d", p.VM, response.StatusCode)
+	}
+	count := 0
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var event timeline.Event
+		if err := decoder.Decode(&event); err != nil {
+			return count
+		}
+		if event.Kind == kind {
+			count++
+		}
+	}
+}
+
 // Signal sends a signal to this process alone.
 func (p *Process) Signal(t testing.TB, signal syscall.Signal) {
 	t.Helper()
