--- a/daemon/request/serve/answer.go
+++ b/daemon/request/serve/answer.go
@@ -76,8 +76,8 @@
 	return &request.Refusal{Reason: reason, Execution: request.NotRun, Detail: detail}
 }
 
-// writeRefusal answers a caller with a refusal, at once.
-func writeRefusal(w http.ResponseWriter, refusal *request.Refusal) {
+// WriteRefusal answers a caller with a refusal, at once.
+func WriteRefusal(w http.ResponseWriter, refusal *request.Refusal) {
 	reason, known := forms[refusal.Reason]
 	if !known {
 		reason = form{status: http.StatusInternalServerError}
--- a/daemon/request/serve/health.go
+++ b/daemon/request/serve/health.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if detail := h.unready(); detail != "" {
-		writeRefusal(w, refuse(request.ReasonNotReady, detail))
+		WriteRefusal(w, refuse(request.ReasonNotReady, detail))
 		return
 	}
 	writeJSON(w, http.StatusOK, healthBody{Status: "ready"})
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -149,7 +149,7 @@
 // refuse answers a caller with a refusal and counts it.
 func (h *Handler) refuse(w http.ResponseWriter, refusal *request.Refusal) {
 	h.options.Counter.Refused(refusal.Reason)
-	writeRefusal(w, refusal)
+	WriteRefusal(w, refusal)
 }
 
 // allow refuses a request whose method is not among those given.
