Make slots known before they are used

A property test of two dispatchers found that an entry's slot could be used by its new dispatcher while work that the old one had put into it still ran, also when the entry had left without a word. A slot is now used only once all that others were granted before its owner joined is known: by registrations that are later than the join, or by a load report from after it. Slots of entries that are gone are freed as far as reports leave them unexplained. The pump answers load polls late.

--- a/fleet/connection/slots/owner.go
+++ b/fleet/connection/slots/owner.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -16,28 +17,41 @@
 	settleTime = 500 * time.Millisecond
 	// evidenceDelay is how long after an event a load report surely shows it.
 	evidenceDelay = 5 * time.Second
+	// unreportedTime is how long slots of a warm upstream that does not report
+	// are left alone while some member's work may be unknown.
+	unreportedTime = 10 * time.Second
 )
 
 // Member is a VM of the data centre that may own slots.
 type Member struct {
 	VM version.VMID
-	// Live is set while the VM counts for warm upstreams. The others count
-	// for cold ones only.
+	// Live is set while the VM owns slots of warm upstreams. The others own
+	// slots of cold ones only.
 	Live bool
+	// Lapsed is set for a VM that no longer answers.
+	Lapsed bool
 }
 
-// member is what is kept per Member.
+// member is what is kept per Member. Moments count the joins, leaves and
+// renewals of all members, so that they can be told apart within one instant.
 type member struct {
-	vm   version.VMID
-	hash uint64
-	live bool
-	// registered is set while the VM's entry is registered here, since when
-	// it can be relied on that no other dispatcher uses the VM's slots.
+	vm     version.VMID
+	hash   uint64
+	live   bool
+	lapsed bool
+	// registered is set while the VM's entry is registered here.
 	registered bool
-	since      time.Time
-	// until is when the VM's entry was last registered here; what it ran up
-	// to then is known.
-	until time.Time
+	// since is from when on no other dispatcher uses the VM's slots. doubtful
+	// says that one may have used them after the VM joined.
+	since    time.Time
+	doubtful bool
+	// heardAt is the time of heard.
+	heardAt time.Time
+	// joined and left are the moments of the latest join and leave, and heard
+	// that at which all that the entry ran was last known here.
+	joined uint64
+	left   uint64
+	heard  uint64
 }
 
 // owners holds the owner of each slot of an upstream as an index of a member,
@@ -52,7 +66,8 @@
 // members decides who owns a slot: slot k of an upstream belongs to the member
 // with the highest score for (upstream, k).
 type members struct {
-	list []member
+	list   []member
+	moment uint64
 }
 
 // SetMembers replaces the members. What is known of those that stay is kept.
@@ -60,10 +75,11 @@
 	old := t.members.list
 	t.members.list = make([]member, 0, len(list))
 	for _, m := range list {
-		next := member{vm: m.VM, hash: xxhash.Sum64String(string(m.VM)), live: m.Live}
+		next := member{vm: m.VM, hash: xxhash.Sum64String(string(m.VM))}
 		if i := slices.IndexFunc(old, func(o member) bool { return o.vm == m.VM }); i >= 0 {
-			next.registered, next.since, next.until = old[i].registered, old[i].since, old[i].until
+			next = old[i]
 		}
+		next.live, next.lapsed = m.Live, m.Lapsed
 		t.members.list = append(t.members.list, next)
 	}
 	slices.SortFunc(t.members.list, func(a, b member) int { return strings.Compare(string(a.vm), string(b.vm)) })
@@ -77,26 +93,50 @@
 // other dispatcher can still use them.
 func (t *Table) Join(now time.Time, vm version.VMID, since time.Time) {
 	m := t.members.find(vm)
-	if m == nil || m.registered {
+	if m == nil {
 		return
 	}
-	m.registered = true
-	m.since = since
+	t.members.note(now, m)
+	if !m.registered {
+		m.registered = true
+		m.since = since
+		m.doubtful = since.After(now)
+		m.joined = t.members.moment
+	}
 	t.refreshAll(now)
 }
 
-// Leave ends the use of a VM's slots. What the VM's entry ran up to until is
-// known here.
-func (t *Table) Leave(now time.Time, vm version.VMID, until time.Time) {
+// Heard notes that all that a registered VM's entry runs is known at present.
+func (t *Table) Heard(now time.Time, vm version.VMID) {
+	if m := t.members.find(vm); m != nil && m.registered {
+		t.members.note(now, m)
+	}
+}
+
+// Leave ends the use of a VM's slots. silent says that the entry was not heard
+// of for a while, rather than that it said goodbye.
+func (t *Table) Leave(now time.Time, vm version.VMID, silent bool) {
 	m := t.members.find(vm)
 	if m == nil || !m.registered {
 		return
 	}
+	if silent {
+		t.members.moment++
+	} else {
+		t.members.note(now, m)
+	}
 	m.registered = false
-	m.until = until
+	m.left = t.members.moment
 	t.refreshAll(now)
 }
 
+// note makes the present the moment up to which what a member runs is known.
+func (m *members) note(now time.Time, o *member) {
+	m.moment++
+	o.heard = m.moment
+	o.heardAt = now
+}
+
 func (t *Table) refreshAll(now time.Time) {
 	for _, s := range t.upstreams {
 		t.refresh(now, s)
@@ -136,50 +176,52 @@
 	return into
 }
 
-// usable counts the slots within the limit whose owner is registered.
+// usable counts the slots within the limit that may be used: the owner is
+// registered here, and what others got in its slots from another dispatcher,
+// before it registered, is known.
 func (m *members) usable(now time.Time, s *state, started time.Time) int {
-	if s.cold() {
-		return m.usableCold(now, s, started)
-	}
-	count := 0
-	for _, owner := range s.owners.warm[:min(s.warmth.limit, len(s.owners.warm))] {
-		if owner != noOwner && m.list[owner].registered {
-			count++
-		}
+	cold := s.cold()
+	owners := s.owners.warm
+	if cold {
+		owners = s.owners.cold
 	}
-	return count
-}
-
-// usableCold counts the usable slots of a cold upstream. An owner's slot may
-// have been used by another dispatcher before the owner registered here. So it
-// is usable only once everybody who may run something from that time has
-// registered since, or a report from after that time shows no unknown load.
-func (m *members) usableCold(now time.Time, s *state, started time.Time) int {
-	known := m.knownUntil()
+	known, knownAt := m.knownUntil(cold)
 	count := 0
-	for _, owner := range s.owners.cold[:min(s.warmth.limit, len(s.owners.cold))] {
+	for _, owner := range owners[:min(s.warmth.limit, len(owners))] {
 		if owner == noOwner || !m.list[owner].registered {
 			continue
 		}
-		since := m.list[owner].since
-		complete := !since.After(now) && !since.After(known) && now.Sub(started) >= settleTime
-		if complete || s.report.clean.Sub(since) >= evidenceDelay {
+		o := &m.list[owner]
+		complete := o.joined <= known
+		if cold && complete {
+			complete = now.Sub(started) >= settleTime && (!o.doubtful || knownAt.After(o.since))
+		}
+		if complete || s.report.covers(now, o.since, cold) {
 			count++
 		}
 	}
 	return count
 }
 
-// knownUntil returns the time up to which everything that members ran is known
-// here. It is the far future if all are registered.
-func (m *members) knownUntil() time.Time {
-	known := time.Unix(1<<40, 0)
+// knownUntil returns the moment and the time up to which what was granted to
+// any member is known here. For cold upstreams each member counts, and only
+// what it said itself; for warm ones a member that is registered is trusted,
+// and one that lapsed is left to the reports.
+func (m *members) knownUntil(cold bool) (uint64, time.Time) {
+	known, knownAt := uint64(math.MaxUint64), time.Unix(math.MaxInt32, 0)
 	for i := range m.list {
-		if !m.list[i].registered && m.list[i].until.Before(known) {
-			known = m.list[i].until
+		o := &m.list[i]
+		switch {
+		case cold:
+			known = min(known, o.heard)
+			if o.heardAt.Before(knownAt) {
+				knownAt = o.heardAt
+			}
+		case !o.lapsed && !o.registered:
+			known = min(known, o.left)
 		}
 	}
-	return known
+	return known, knownAt
 }
 
 // mix spreads the bits of x (the finaliser of SplitMix64).
--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -15,8 +15,8 @@
 	orphanWarm = 10 * time.Second
 	// orphanMax is how long it counts at a cold one without any evidence.
 	orphanMax = 10 * time.Minute
-	// settledTime is how long the work of a process that has ended counts,
-	// until the upstream has noticed.
+	// settledTime is how long the work of a process that has ended counts at an
+	// upstream that does not report, until it has noticed.
 	settledTime = 2 * time.Second
 )
 
@@ -35,7 +35,9 @@
 	seen bool
 	// unknown is the load that no entry has registered, in requests.
 	unknown int
-	// clean is when the last report without unknown load came; zero is never.
+	// last is when the last report came, and clean the last one without unknown
+	// load; zero is never.
+	last  time.Time
 	clean time.Time
 	// peak and previousPeak are the most holds since the last report and
 	// between the two before it: a late report may still show them.
@@ -59,6 +61,7 @@
 	}
 	r := &s.report
 	r.seen = true
+	r.last = now
 	total := load.Running + load.Waiting
 	r.unknown = max(0, total-max(r.peak, r.previousPeak))
 	r.previousPeak, r.peak = r.peak, len(s.holds)
@@ -70,6 +73,16 @@
 	t.refresh(now, s)
 }
 
+// covers reports whether a report shows all work that other dispatchers gave
+// to the upstream before since. At a cold upstream there must be none; at a
+// warm one it counts as used.
+func (r *reported) covers(now, since time.Time, cold bool) bool {
+	if cold {
+		return r.clean.Sub(since) >= evidenceDelay
+	}
+	return r.last.Sub(since) >= evidenceDelay || now.Sub(since) >= unreportedTime
+}
+
 // NoReport notes that an upstream does not report its load.
 func (t *Table) NoReport(now time.Time, upstream version.UpstreamID) {
 	s, present := t.upstreams[upstream]
@@ -80,20 +93,25 @@
 	t.applyEvidence(now, s)
 }
 
-// dropOrphans frees the slots of lost entries that the report shows as idle.
+// dropOrphans frees the slots of lost entries that the report shows as idle:
+// those beyond the load that registered entries do not explain.
 func (t *Table) dropOrphans(now time.Time, s *state, total int) {
-	live := 0
-	for _, info := range s.holds {
-		if info.orphaned.IsZero() {
-			live++
+	explained := 0
+	var orphans []Hold
+	for hold, info := range s.holds {
+		switch {
+		case !info.orphaned.IsZero():
+			orphans = append(orphans, hold)
+		case now.Sub(info.began) >= evidenceDelay:
+			explained++
 		}
 	}
-	if total > live {
-		return
-	}
-	for hold, info := range s.holds {
-		if !info.orphaned.IsZero() && now.Sub(info.orphaned) >= evidenceDelay {
+	running := max(0, total-explained)
+	surplus := len(orphans) - running
+	for _, hold := range orphans {
+		if surplus > 0 && now.Sub(s.holds[hold].orphaned) >= evidenceDelay {
 			s.drop(hold)
+			surplus--
 		}
 	}
 }
@@ -154,7 +172,7 @@
 		}
 		keep := orphanMax
 		switch {
-		case info.settled:
+		case info.settled && s.report.last.IsZero():
 			keep = settledTime
 		case !s.cold():
 			keep = orphanWarm
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -78,6 +78,8 @@
 	epoch     uint32
 	ejections uint32
 	foreign   bool
+	// began is when the hold was taken.
+	began time.Time
 	// orphaned is when the holding entry was lost; zero while it is
 	// registered.
 	orphaned time.Time
@@ -142,7 +144,7 @@
 	if best == nil {
 		return 0, false
 	}
-	t.hold(best, demand.Hold, demand.Team)
+	t.hold(now, best, demand.Hold, demand.Team)
 	best.lastGrant = now
 	best.warmth.began(now)
 	t.prefixes.remember(demand.Prefix, best.upstream.ID)
@@ -188,7 +190,7 @@
 		s.holds[hold] = known
 		return
 	}
-	t.hold(s, hold, team)
+	t.hold(now, s, hold, team)
 	s.report.unknown = max(0, s.report.unknown-1)
 	t.refresh(now, s)
 }
@@ -256,11 +258,12 @@
 	return false
 }
 
-func (t *Table) hold(s *state, hold Hold, team string) {
+func (t *Table) hold(now time.Time, s *state, hold Hold, team string) {
 	info := held{
 		epoch:     s.warmth.epoch,
 		ejections: s.warmth.ejections,
 		foreign:   s.foreignTo(team),
+		began:     now,
 	}
 	s.holds[hold] = info
 	if info.foreign {
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -125,7 +125,7 @@
 // sendAway tells an entry to register elsewhere.
 func (d *Dispatcher) sendAway(now time.Time, from Entry, session wire.Session) {
 	if r, present := d.registrations[from.VM]; present && r.entry == from {
-		d.drop(now, r, false, now)
+		d.drop(now, r, false, false)
 	}
 	d.send(from.VM, wire.Reregister{Pool: d.options.Pool, Session: session, Elsewhere: true})
 }
--- a/fleet/process/dispatcher/registration.go
+++ b/fleet/process/dispatcher/registration.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	if present && r.entry.Incarnation < from.Incarnation {
-		d.drop(now, r, true, now)
+		d.drop(now, r, true, false)
 		present = false
 	}
 	if !present {
@@ -247,7 +247,7 @@
 func (d *Dispatcher) Release(now time.Time, from Entry, release wire.Release) {
 	r := d.registered(from)
 	if r != nil && r.session == release.Session {
-		d.drop(now, r, false, now)
+		d.drop(now, r, false, false)
 	}
 	d.send(from.VM, wire.Released{Pool: d.options.Pool, Session: release.Session})
 }
@@ -256,7 +256,7 @@
 // that the process has ended.
 func (d *Dispatcher) Lost(now time.Time, vm version.VMID, settled bool) {
 	if r, present := d.registrations[vm]; present {
-		d.drop(now, r, settled, now)
+		d.drop(now, r, settled, true)
 	}
 }
 
@@ -276,6 +276,8 @@
 	r.sentBefore = r.sent
 	if lost {
 		d.askAgain(from, digest.Session)
+	} else if digest.Seen == r.sent {
+		d.slots.Heard(now, from.VM)
 	}
 }
 
@@ -305,14 +307,15 @@
 func (d *Dispatcher) expireRegistrations(now time.Time) {
 	for _, r := range slices.Clone(d.order) {
 		if now.Sub(r.heard) > Lease {
-			d.drop(now, r, false, r.heard)
+			d.drop(now, r, false, true)
 		}
 	}
 }
 
-// drop ends a registration. What waits is forgotten, since the entry registers
+// drop ends a registration. settled says that its process has ended, silent
+// that the entry did not say that it leaves. What waits is forgotten, since the entry registers
 // it elsewhere; what runs keeps its slots for a while.
-func (d *Dispatcher) drop(now time.Time, r *registration, settled bool, until time.Time) {
+func (d *Dispatcher) drop(now time.Time, r *registration, settled, silent bool) {
 	for _, id := range r.ids() {
 		known := r.held[id]
 		if known.place != running || known.peer != nil {
@@ -323,6 +326,6 @@
 	d.sortRegistrations()
 	d.slots.Orphan(now, r.entry.VM, r.entry.Incarnation, settled)
 	if !r.remote {
-		d.slots.Leave(now, r.entry.VM, until)
+		d.slots.Leave(now, r.entry.VM, silent)
 	}
 }
--- a/fleet/process/membership/membership.go
+++ b/fleet/process/membership/membership.go
@@ -147,7 +147,8 @@
 			continue
 		}
 		live := r.known && r.State < Lapsed || now.Sub(r.since) < LapseTime
-		list = append(list, slots.Member{VM: r.VM, Live: live})
+		lapsed := !r.known || r.State == Lapsed
+		list = append(list, slots.Member{VM: r.VM, Live: live, Lapsed: lapsed})
 	}
 	slices.SortFunc(list, func(a, b slots.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return list
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 const (
+	// ReportLag is how late an upstream's load report is.
+	ReportLag = 500 * time.Millisecond
 	// firstToken is the first-token time of a warm upstream.
 	firstToken = 100 * time.Millisecond
 	// coldFirstToken is the first-token time of a cold upstream.
@@ -155,6 +158,13 @@
 	}})
 }
 
+// poll answers a daemon with what the upstream ran ReportLag ago.
+func (p *Pump) poll(d *Daemon, id version.UpstreamID) {
+	s := p.Stand(id)
+	load := slots.Load{Running: s.Running, Cold: p.now.Before(s.warmAfter)}
+	p.after(ReportLag, func() { p.Step(d.VM, node.Load{Upstream: id, Load: load}) })
+}
+
 func (p *Pump) refused(d *Daemon, refused node.Refused) {
 	key := jobKey{vm: d.VM, incarnation: d.Incarnation, id: refused.ID}
 	j, present := p.jobs[key]
--- a/fleet/process/pump/traffic.go
+++ b/fleet/process/pump/traffic.go
@@ -50,6 +50,8 @@
 			p.granted(d, a.Grant)
 		case node.Refused:
 			p.refused(d, a)
+		case node.Poll:
+			p.poll(d, a.Upstream)
 		}
 	}
 	for _, to := range peers {
