--- /dev/null
+++ b/fleet/process/node/fault_test.go
@@ -0,0 +1,132 @@
+package node_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/process/node"
+	"github.com/trefoilwell/trefoilwell/fleet/process/pump"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// lossy loses, doubles and delays some frames.
+func lossy(percent int) func(from, to version.VMID, random *rand.Rand) pump.Fate {
+	return func(_, _ version.VMID, random *rand.Rand) pump.Fate {
+		switch draw := random.IntN(100); {
+		case draw < percent:
+			return pump.Fate{Lose: true}
+		case draw < 2*percent:
+			return pump.Fate{Copies: 1}
+		case draw < 3*percent:
+			return pump.Fate{Extra: time.Duration(random.IntN(100)) * time.Millisecond}
+		default:
+			return pump.Fate{}
+		}
+	}
+}
+
+func TestLoadIsServedWithinTheLimits(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 1}, site{"north", "one", 4, 4})
+	f.load(f.VMs(), 200*time.Millisecond, 30*time.Second, quickCost)
+	f.Run(90 * time.Second)
+	f.checkLimits()
+	f.checkEnds(0)
+	f.checkIdle()
+	if len(f.refused) > 0 {
+		t.Errorf("%d refused, first %+v", len(f.refused), f.refusals[0])
+	}
+}
+
+func TestRestartedDispatcherLosesOnlyItsOwnRequests(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 2}, site{"north", "one", 4, 4})
+	f.Run(5 * time.Second)
+	owner := f.owner("north")
+	f.load(f.except("north", owner), 100*time.Millisecond, 30*time.Second, quickCost)
+	f.Run(10 * time.Second)
+	f.Restart(owner)
+	f.Run(100 * time.Second)
+	f.checkLimits()
+	f.checkEnds(0)
+	f.checkIdle()
+	if len(f.refused) > 0 {
+		t.Errorf("%d refused, first %+v", len(f.refused), f.refusals[0])
+	}
+}
+
+func TestPausedDispatcherDoesNoHarmWhenItResumes(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 3}, site{"north", "one", 4, 4})
+	f.Run(5 * time.Second)
+	owner := f.owner("north")
+	f.load(f.except("north", owner), 100*time.Millisecond, 40*time.Second, quickCost)
+	f.Run(10 * time.Second)
+	f.Pause(owner)
+	f.Run(10 * time.Second)
+	f.Resume(owner)
+	f.Run(120 * time.Second)
+	f.checkLimits()
+	f.checkEnds(0)
+	f.checkIdle()
+}
+
+func TestPartitionWithinADataCentreStaysWithinColdLimits(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 4}, site{"north", "one", 6, 4})
+	f.Run(5 * time.Second)
+	all := f.VMs()
+	f.load(all, 200*time.Millisecond, 40*time.Second, quickCost)
+	f.Run(5 * time.Second)
+	f.Cut(all[:3], all[3:])
+	f.Run(5 * time.Second)
+	for _, id := range f.upstreamsOf("north") {
+		f.Cool(id)
+	}
+	f.Run(10 * time.Second)
+	f.Heal(all[:3], all[3:])
+	f.Run(120 * time.Second)
+	f.checkEnds(0)
+	f.checkIdle()
+}
+
+func TestLostDoubledAndReorderedMessagesLeakNoSlot(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(t, pump.Options{Seed: seed, Fault: lossy(3)}, site{"north", "one", 4, 4})
+		f.load(f.VMs(), 200*time.Millisecond, 30*time.Second, quickCost)
+		f.Run(120 * time.Second)
+		f.checkLimits()
+		f.checkEnds(0)
+		f.checkIdle()
+	}
+}
+
+func TestPoolWithoutUpstreamsIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 5}, site{"north", "one", 2, 1})
+	f.load(f.VMs()[:1], time.Second, 2*time.Second, request.Cost(2000))
+	f.Run(3 * time.Second)
+	f.reconfigure(version.OutNames{Upstreams: []string{"north-up-0"}})
+	f.load(f.VMs(), time.Second, time.Second, quickCost)
+	f.Run(50 * time.Millisecond)
+	if len(f.refusals) != 3 {
+		t.Fatalf("%d refused at once, want the waiting one and the two new ones", len(f.refusals))
+	}
+	for _, refusal := range f.refusals {
+		if refusal.Reason != request.ReasonNoUpstream || refusal.Execution != request.NotRun || refusal.RetryAfter <= 0 {
+			t.Errorf("refusal %+v", refusal)
+		}
+	}
+}
+
+func TestEndOfAnOldLinkKeepsTheNewOne(t *testing.T) {
+	f := newFleet(t, pump.Options{Seed: 6}, site{"north", "one", 2, 1})
+	f.Run(5 * time.Second)
+	vms := f.VMs()
+	old := f.Daemon(vms[1]).Incarnation
+	f.Restart(vms[1])
+	f.Run(time.Second)
+	f.Step(vms[0], node.PeerDown{Hello: helloOf(vms[1], "north", old)})
+	f.Run(10 * time.Second)
+	members := f.stats(vms[0]).Members
+	if len(members) != 2 || members[1].State != 0 {
+		t.Errorf("members %+v, want both alive", members)
+	}
+}
--- /dev/null
+++ b/fleet/process/node/harness_test.go
@@ -0,0 +1,243 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/node"
+	"github.com/trefoilwell/trefoilwell/fleet/process/pump"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	coldLimit = 1
+	warmLimit = 4
+	// quickCost is a request of a few hundred milliseconds.
+	quickCost = request.Cost(20)
+)
+
+var (
+	poolID = version.NewPoolID("polish")
+	caller = version.NewAccountID("counters")
+)
+
+// site describes a data centre of a test.
+type site struct {
+	name      version.DataCentreID
+	region    string
+	vms       int
+	upstreams int
+}
+
+// fleet is a pump with a ledger of what happened to each request.
+type fleet struct {
+	*pump.Pump
+	t       *testing.T
+	options pump.Options
+	document
+	granted, ended, refused map[jobID]int
+	refusals                []request.Refusal
+	// at counts grants per upstream.
+	at      map[version.UpstreamID]int
+	lastAt  map[version.UpstreamID]time.Time
+	offered int
+}
+
+type jobID struct {
+	vm version.VMID
+	id request.ID
+}
+
+// document is the configuration and its next version.
+type document struct {
+	sites  []site
+	number version.Number
+	out    version.OutNames
+}
+
+func (d *document) compile(t *testing.T) *version.Config {
+	t.Helper()
+	spec := &version.Document{
+		Accounts: []version.AccountSpec{{Name: "counters", MaxWaiting: 100_000}},
+		Pools:    []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{"m"}}},
+		Presets:  []version.PresetSpec{{Name: "day"}},
+	}
+	for _, s := range d.sites {
+		spec.DataCentres = append(spec.DataCentres, version.DataCentreSpec{Name: string(s.name), Region: s.region})
+		for i := range s.upstreams {
+			spec.Upstreams = append(spec.Upstreams, version.UpstreamSpec{
+				Name: fmt.Sprintf("%s-up-%d", s.name, i), Pool: "polish", DataCentre: string(s.name),
+				Address: fmt.Sprintf("%s:%d", s.name, i), ColdLimit: coldLimit, WarmLimit: warmLimit,
+			})
+		}
+	}
+	d.number++
+	config, err := version.Compile(spec, version.Head{Number: d.number, Preset: "day", Out: d.out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+// newFleet starts the daemons of some data centres.
+func newFleet(t *testing.T, options pump.Options, sites ...site) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, document: document{sites: sites},
+		granted: make(map[jobID]int), ended: make(map[jobID]int), refused: make(map[jobID]int),
+		at: make(map[version.UpstreamID]int), lastAt: make(map[version.UpstreamID]time.Time),
+	}
+	options.Observer = f
+	options.Config = f.compile(t)
+	f.options = options
+	f.Pump = pump.New(options)
+	for _, s := range sites {
+		for i := range s.vms {
+			f.Add(version.VMID(fmt.Sprintf("%s-vm-%d", s.name, i)), s.name)
+		}
+	}
+	return f
+}
+
+func (f *fleet) Granted(now time.Time, job pump.Job, upstream version.UpstreamID) {
+	f.granted[jobID{job.VM, job.Ticket.ID}]++
+	f.at[upstream]++
+	f.lastAt[upstream] = now
+}
+
+func (f *fleet) Charged(time.Time, pump.Job, request.Cost) {}
+
+func (f *fleet) Ended(_ time.Time, job pump.Job) { f.ended[jobID{job.VM, job.Ticket.ID}]++ }
+
+func (f *fleet) Refused(_ time.Time, job pump.Job, refusal request.Refusal) {
+	f.refused[jobID{job.VM, job.Ticket.ID}]++
+	f.refusals = append(f.refusals, refusal)
+}
+
+// load submits a request at each VM every interval for a while.
+func (f *fleet) load(vms []version.VMID, interval, duration time.Duration, cost request.Cost) {
+	for at := time.Duration(0); at < duration; at += interval {
+		f.After(at, func() {
+			for _, vm := range vms {
+				f.offered++
+				f.Submit(vm, request.Ticket{Account: caller, Pool: poolID, Estimate: cost, Wait: time.Minute}, cost)
+			}
+		})
+	}
+}
+
+// reconfigure puts what is out of service in force everywhere.
+func (f *fleet) reconfigure(out version.OutNames) {
+	f.out = out
+	f.Configure(f.compile(f.t))
+}
+
+func (f *fleet) upstream(name string) version.UpstreamID { return version.NewUpstreamID(name) }
+
+// upstreamsOf returns the upstreams of a data centre.
+func (f *fleet) upstreamsOf(dataCentre version.DataCentreID) []version.UpstreamID {
+	var ids []version.UpstreamID
+	for _, s := range f.sites {
+		for i := range s.upstreams {
+			if s.name == dataCentre {
+				ids = append(ids, f.upstream(fmt.Sprintf("%s-up-%d", s.name, i)))
+			}
+		}
+	}
+	return ids
+}
+
+// checkLimits fails the test if an upstream ever got more than it bears.
+func (f *fleet) checkLimits() {
+	f.t.Helper()
+	for _, s := range f.sites {
+		for _, id := range f.upstreamsOf(s.name) {
+			stand := f.Stand(id)
+			if stand.OverCold > 0 {
+				f.t.Errorf("upstream %d of %s: %d requests above the cold limit while cold", id, s.name, stand.OverCold)
+			}
+			if stand.MaxRunning > warmLimit {
+				f.t.Errorf("upstream %d of %s ran %d at once, limit %d", id, s.name, stand.MaxRunning, warmLimit)
+			}
+		}
+	}
+}
+
+// checkEnds fails the test unless each request ended exactly once, except up
+// to lost ones whose daemon was restarted.
+func (f *fleet) checkEnds(lost int) {
+	f.t.Helper()
+	for id, n := range f.granted {
+		if n > 1 {
+			f.t.Errorf("request %v granted %d times", id, n)
+		}
+	}
+	for id := range f.ended {
+		if f.refused[id] > 0 {
+			f.t.Errorf("request %v both ended and refused", id)
+		}
+	}
+	if got := len(f.ended) + len(f.refused); got < f.offered-lost {
+		f.t.Errorf("%d of %d requests ended", got, f.offered)
+	}
+}
+
+// checkIdle fails the test if a slot is still held once all work has ended.
+func (f *fleet) checkIdle() {
+	f.t.Helper()
+	for _, vm := range f.VMs() {
+		stats := f.Daemon(vm).Node.Stats(f.Now())
+		if stats.Entry.Waiting+stats.Entry.Running > 0 {
+			f.t.Errorf("%s holds %+v", vm, stats.Entry)
+		}
+		for _, pool := range stats.Pools {
+			if pool.Waiting+pool.Offered > 0 {
+				f.t.Errorf("%s: %d waiting, %d offered", vm, pool.Waiting, pool.Offered)
+			}
+			for _, upstream := range pool.Upstreams {
+				if upstream.Used > 0 {
+					f.t.Errorf("%s: upstream %d still has %d slots used", vm, upstream.Upstream, upstream.Used)
+				}
+			}
+		}
+	}
+}
+
+// owner returns the VM that dispatches the pool in a data centre.
+func (f *fleet) owner(dataCentre version.DataCentreID) version.VMID {
+	f.t.Helper()
+	for _, vm := range f.VMs() {
+		d := f.Daemon(vm)
+		if d.DataCentre == dataCentre && len(d.Node.Stats(f.Now()).Pools) > 0 {
+			return vm
+		}
+	}
+	f.t.Fatalf("nobody dispatches in %s", dataCentre)
+	return ""
+}
+
+// except returns the VMs of a data centre but some.
+func (f *fleet) except(dataCentre version.DataCentreID, but ...version.VMID) []version.VMID {
+	var vms []version.VMID
+next:
+	for _, vm := range f.VMs() {
+		for _, b := range but {
+			if vm == b {
+				continue next
+			}
+		}
+		if f.Daemon(vm).DataCentre == dataCentre {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+func (f *fleet) stats(vm version.VMID) node.Stats { return f.Daemon(vm).Node.Stats(f.Now()) }
+
+func helloOf(vm version.VMID, dataCentre version.DataCentreID, incarnation uint64) wire.Hello {
+	return wire.Hello{VM: vm, DataCentre: dataCentre, Incarnation: incarnation}
+}
