--- a/fleet/connection/wire/dispatch.go
+++ b/fleet/connection/wire/dispatch.go
@@ -105,6 +105,8 @@
 	Cost uint32
 	// FirstTokenMillis is the time to the first token in milliseconds.
 	FirstTokenMillis uint32
+	// Session is that of a grant that is handed back unused; else 0.
+	Session Session
 }
 
 // Refuse ends a ticket without a grant.
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -162,15 +162,20 @@
 	}
 }
 
-// Finish frees a slot and passes it on.
-func (d *Dispatcher) Finish(now time.Time, from Entry, finish request.Finish) {
+// Finish frees a slot and passes it on. A grant of an earlier session that is
+// handed back is ignored: the same request may run by a later one.
+func (d *Dispatcher) Finish(now time.Time, from Entry, message wire.Finish) {
 	r := d.registered(from)
 	if r != nil {
 		r.heard = now
 	}
+	finish := message.Request()
 	if finish.Outcome == request.OutcomeUnused {
 		d.counts.HandedBack++
 		d.record(now, timeline.KindHandedBack, keyOf(from, finish.ID), timeline.Event{Upstream: finish.Upstream})
+		if r == nil || message.Session != 0 && message.Session != r.session {
+			return
+		}
 	}
 	d.finish(now, from, r, finish)
 	d.grant(now)
--- a/fleet/process/dispatcher/registration.go
+++ b/fleet/process/dispatcher/registration.go
@@ -185,6 +185,9 @@
 	for _, s := range strays {
 		d.slots.Drop(s.hold, s.upstream)
 	}
+	for _, p := range d.peers {
+		p.dropStrays(r.entry, isRunning)
+	}
 }
 
 // adopt adds what a part of a Register brings.
@@ -318,8 +321,11 @@
 func (d *Dispatcher) drop(now time.Time, r *registration, settled, silent bool) {
 	for _, id := range r.ids() {
 		known := r.held[id]
-		if known.place != running || known.peer != nil {
+		switch {
+		case known.place != running:
 			d.forget(now, r, id, known)
+		case known.peer != nil:
+			known.peer.lose(now, known.id)
 		}
 	}
 	delete(d.registrations, r.entry.VM)
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -19,6 +19,8 @@
 	needInterval = time.Second
 	// needTime is how long it is then told of free slots.
 	needTime = 3 * time.Second
+	// lostTime is how long what a lost entry runs at a peer keeps its slot.
+	lostTime = 10 * time.Second
 	// vacancyInterval is the least time between two vacancies with free slots
 	// for the same dispatcher.
 	vacancyInterval = 200 * time.Millisecond
@@ -54,8 +56,13 @@
 
 // placement is a request of this data centre at a peer.
 type placement struct {
-	key  request.Key
+	key     request.Key
+	attempt request.Attempt
+	// item is the ticket; it is empty for a request that ran already.
 	item queue.Item
+	// lost is when the entry that runs it was lost; zero while it is
+	// registered.
+	lost time.Time
 }
 
 // SetPeers sets the dispatchers of the same pool elsewhere.
@@ -242,6 +249,7 @@
 // many slots are free here.
 func (d *Dispatcher) tickPeers(now time.Time) {
 	for _, p := range d.peers {
+		p.expireLost(now)
 		p.proxy.Tick(now)
 		d.settlePeer(now, p)
 		d.tell(now, p)
@@ -277,7 +285,7 @@
 // place submits a ticket to the peer under an ID of its own.
 func (p *peer) place(now time.Time, item queue.Item) request.ID {
 	p.nextID++
-	p.placed[p.nextID] = placement{key: item.Key, item: item}
+	p.placed[p.nextID] = placement{key: item.Key, attempt: item.Ticket.Attempt, item: item}
 	ticket := item.Ticket
 	ticket.ID = p.nextID
 	ticket.Age = now.Sub(item.Arrived)
@@ -289,8 +297,15 @@
 
 // adopt takes over a request that runs at the peer already.
 func (p *peer) adopt(now time.Time, pool version.PoolID, key request.Key, run wire.Running) request.ID {
+	for id, placed := range p.placed {
+		if placed.key == key && placed.attempt == run.Attempt && !placed.lost.IsZero() {
+			placed.lost = time.Time{}
+			p.placed[id] = placed
+			return id
+		}
+	}
 	p.nextID++
-	p.placed[p.nextID] = placement{key: key}
+	p.placed[p.nextID] = placement{key: key, attempt: run.Attempt}
 	p.proxy.Adopt(now, request.Ticket{
 		ID:      p.nextID,
 		Account: run.Account,
@@ -307,6 +322,33 @@
 	p.proxy.End(now, finish, expected)
 }
 
+// lose notes that the entry of a request that runs at the peer was lost.
+func (p *peer) lose(now time.Time, id request.ID) {
+	placed := p.placed[id]
+	placed.lost = now
+	p.placed[id] = placed
+}
+
+// dropStrays frees the slots that a lost entry held at the peer and does not
+// hold any more.
+func (p *peer) dropStrays(entry Entry, isRunning map[request.ID]bool) {
+	for id, placed := range p.placed {
+		own := placed.key.Entry == entry.VM && placed.key.Incarnation == entry.Incarnation
+		if own && !placed.lost.IsZero() && !isRunning[placed.key.ID] {
+			p.abandon(id)
+		}
+	}
+}
+
+// expireLost frees the slots of requests whose entry did not come back.
+func (p *peer) expireLost(now time.Time) {
+	for id, placed := range p.placed {
+		if !placed.lost.IsZero() && now.Sub(placed.lost) >= lostTime {
+			p.abandon(id)
+		}
+	}
+}
+
 // abandon forgets a request that was placed at the peer.
 func (p *peer) abandon(id request.ID) {
 	delete(p.placed, id)
--- a/fleet/process/entry/entry.go
+++ b/fleet/process/entry/entry.go
@@ -274,6 +274,7 @@
 		Pool:     grant.Pool,
 		Upstream: grant.Upstream,
 		Outcome:  request.OutcomeUnused,
+		Session:  grant.Session,
 	})
 }
 
--- a/fleet/process/node/receive.go
+++ b/fleet/process/node/receive.go
@@ -69,7 +69,7 @@
 		}
 	case wire.Finish:
 		if d, present := n.dispatchers[m.Pool]; present {
-			d.Finish(now, from, m.Request())
+			d.Finish(now, from, m)
 		}
 	default:
 		return false
@@ -137,6 +137,7 @@
 			Pool:     grant.Pool,
 			Upstream: grant.Upstream,
 			Outcome:  request.OutcomeUnused,
+			Session:  grant.Session,
 		})
 	}
 }
