--- a/fleet/connection/slots/owner.go
+++ b/fleet/connection/slots/owner.go
@@ -68,11 +68,17 @@
 type members struct {
 	list   []member
 	moment uint64
+	// changed is when a VM last came or went.
+	changed time.Time
 }
 
 // SetMembers replaces the members. What is known of those that stay is kept.
 func (t *Table) SetMembers(now time.Time, list []Member) {
+	if t.members.same(list) {
+		return
+	}
 	old := t.members.list
+	t.members.changed = now
 	t.members.list = make([]member, 0, len(list))
 	for _, m := range list {
 		next := member{vm: m.VM, hash: xxhash.Sum64String(string(m.VM))}
@@ -89,6 +95,20 @@
 	}
 }
 
+// same reports whether the members are as they were.
+func (m *members) same(list []Member) bool {
+	if len(list) != len(m.list) {
+		return false
+	}
+	for _, n := range list {
+		o := m.find(n.VM)
+		if o == nil || o.live != n.Live || o.lapsed != n.Lapsed {
+			return false
+		}
+	}
+	return true
+}
+
 // Join makes the slots of a VM usable. Cold ones become so at since, when no
 // other dispatcher can still use them.
 func (t *Table) Join(now time.Time, vm version.VMID, since time.Time) {
--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -9,8 +9,12 @@
 const (
 	// pollQuiet is how often a warm upstream is asked for its load.
 	pollQuiet = 15 * time.Second
-	// pollBusy is how often one that is cold or has unknown load is asked.
+	// pollBusy is how often one is asked that is cold, that has unknown load or
+	// that others may give work to.
 	pollBusy = 3 * time.Second
+	// unsettledTime is how long after a change of the members another
+	// dispatcher may give work to the same upstreams.
+	unsettledTime = time.Minute
 	// orphanWarm is how long a lost entry's work counts at a warm upstream.
 	orphanWarm = 10 * time.Second
 	// orphanMax is how long it counts at a cold one without any evidence.
@@ -123,14 +127,15 @@
 		if now.Before(s.report.nextPoll) {
 			continue
 		}
-		s.report.nextPoll = now.Add(s.pollInterval())
+		s.report.nextPoll = now.Add(t.pollInterval(now, s))
 		due = append(due, s.upstream.ID)
 	}
 	return due
 }
 
-func (s *state) pollInterval() time.Duration {
-	if s.cold() || s.report.unknown > 0 || s.usable < s.warmth.limit {
+func (t *Table) pollInterval(now time.Time, s *state) time.Duration {
+	unsettled := now.Sub(t.members.changed) < unsettledTime
+	if unsettled || s.cold() || s.report.unknown > 0 || s.usable < s.warmth.limit {
 		return pollBusy
 	}
 	return pollQuiet
