--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -51,6 +51,8 @@
 	order    []*state
 	members  members
 	prefixes prefixes
+	// spare is what Spare reports.
+	spare bool
 }
 
 // state is what is kept per upstream.
@@ -159,8 +161,13 @@
 	var best, cached *state
 	var bestLoad, cachedLoad float64
 	preferred := t.prefixes.lookup(demand.Prefix)
+	t.spare = false
 	for _, s := range t.order {
-		if !s.free(now, demand.Team) {
+		if !s.room(now) {
+			continue
+		}
+		t.spare = true
+		if !s.lends(demand.Team) {
 			continue
 		}
 		load := s.load()
@@ -241,22 +248,16 @@
 func (t *Table) Free(now time.Time) int {
 	total := 0
 	for _, s := range t.order {
-		if s.free(now, "") {
+		if s.room(now) && s.lends("") {
 			total += min(s.capacity()-s.used(), s.capacity()-s.kept()-s.foreign)
 		}
 	}
 	return total
 }
 
-// Spare reports whether any account at all could take a slot now.
-func (t *Table) Spare(now time.Time) bool {
-	for _, s := range t.order {
-		if s.free(now, s.upstream.Team) {
-			return true
-		}
-	}
-	return false
-}
+// Spare reports whether the last Acquire met a free slot that a team keeps
+// back.
+func (t *Table) Spare() bool { return t.spare }
 
 func (t *Table) hold(now time.Time, s *state, hold Hold, team string) {
 	info := held{
@@ -294,14 +295,14 @@
 	}
 }
 
-// free reports whether an account of a team may take one more slot.
-func (s *state) free(now time.Time, team string) bool {
-	if s.out || s.warmth.ejected(now) {
-		return false
-	}
-	if s.used() >= s.capacity() {
-		return false
-	}
+// room reports whether an account of the owning team may take one more slot.
+func (s *state) room(now time.Time) bool {
+	return s.used() < s.capacity() && !s.out && !s.warmth.ejected(now)
+}
+
+// lends reports whether an account of a team may take one more slot, as far as
+// lending goes.
+func (s *state) lends(team string) bool {
 	return !s.foreignTo(team) || s.foreign < s.capacity()-s.kept()
 }
 
--- a/fleet/process/dispatcher/grant.go
+++ b/fleet/process/dispatcher/grant.go
@@ -35,7 +35,7 @@
 			d.granted(now, item, upstream)
 			return true
 		}
-		if !d.slots.Spare(now) {
+		if !d.slots.Spare() {
 			return false
 		}
 		without = append(without, team)
