Move tickets of accounts that are behind between data centres

Cause: a dispatcher gave work to another data centre only for free slots, so accounts at a busy one stayed behind those at a quiet one. Change: vacancies tell the lowest level that waits. A dispatcher whose lowest is behind by more than the threshold places a few tickets there, which queue by level, and takes one back when a slot falls free at home. Service that nobody else waited for is not charged. A lift that its home has not confirmed ends when the account leaves the queue.

--- a/fleet/connection/wire/spill.go
+++ b/fleet/connection/wire/spill.go
@@ -22,11 +22,15 @@
 	Pool version.PoolID
 }
 
-// Vacancy tells how many slots a dispatcher has free for others.
+// Vacancy tells how many slots a dispatcher has free for others, and how far
+// behind those are that wait there.
 type Vacancy struct {
 	_    struct{} `cbor:",toarray"`
 	Pool version.PoolID
 	Free uint32
+	// Lowest is 1 plus the lowest level of an account that waits, in weighted
+	// cost units; 0 if none does.
+	Lowest uint64
 }
 
 // Kind implements Message.
--- a/fleet/process/dispatcher/grant.go
+++ b/fleet/process/dispatcher/grant.go
@@ -7,7 +7,6 @@
 	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
-	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -19,6 +18,9 @@
 	for d.queue.Len() > 0 && d.grantNext(now) {
 		continue
 	}
+	for d.queue.Len() == 0 && d.recall(now) && d.grantNext(now) {
+		continue
+	}
 	d.offer(now)
 }
 
@@ -46,9 +48,12 @@
 // granted takes a ticket out of the queue and tells its entry.
 func (d *Dispatcher) granted(now time.Time, item queue.Item, upstream version.UpstreamID) {
 	d.queue.Take(now, item.Key)
-	d.options.Meter.Grant(now, service.Hold(demandOf(item, "").Hold), item.Ticket)
 	// The queue holds tickets of registered entries only.
 	r := d.registrationOf(item.Key)
+	if !r.remote {
+		// A remote one is charged by the dispatcher that placed it here.
+		d.charge(now, item.Key, item.Ticket)
+	}
 	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: running, upstream: upstream}
 	d.sendGrant(now, r, item.Key.ID, item.Ticket.Attempt, upstream)
 }
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -8,7 +8,6 @@
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
-	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -50,12 +49,18 @@
 	wanted   time.Time
 	told     int
 	toldTime time.Time
+	// lowest is the lowest level that waits there, and toldLowest what the
+	// peer was last told of here.
+	lowest     lowestWaiting
+	toldLowest uint64
 }
 
 // placement is a request of this data centre at a peer.
 type placement struct {
 	key  request.Key
 	item queue.Item
+	// since is when it was placed.
+	since time.Time
 }
 
 // SetPeers sets the dispatchers of the same pool elsewhere.
@@ -121,7 +126,7 @@
 	case wire.Grant:
 		p.proxy.Grant(from, m)
 	case wire.Refuse:
-		p.free = 0
+		p.free, p.lowest.refused = 0, true
 		p.proxy.Refuse(from, m)
 	case wire.Released:
 		p.proxy.Released(now, from, m)
@@ -129,6 +134,8 @@
 		p.proxy.Reregister(now, from, m)
 	case wire.Vacancy:
 		p.free = int(m.Free)
+		d.hearLowest(now, p, m.Lowest)
+		d.offer(now)
 	case wire.Need:
 		p.wanted = now.Add(needTime)
 		p.told = -1
@@ -173,24 +180,29 @@
 			p.needed = now
 			d.send(p.VM, wire.Need{Pool: d.options.Pool})
 		}
-		for p.free > 0 && d.queue.Len() > 0 {
-			d.offerNext(now, p)
+		for p.free > 0 && d.offerNext(now, p) {
+			p.free--
 		}
 	}
+	d.balance(now)
 }
 
-func (d *Dispatcher) offerNext(now time.Time, p *peer) {
-	item, waits := d.queue.Next(now)
-	if !waits {
-		return
+// offerNext offers the first ticket in fair order to a peer and reports whether
+// there was one. A ticket that came from another data centre goes no further.
+func (d *Dispatcher) offerNext(now time.Time, p *peer) bool {
+	for item := range d.queue.Candidates(now) {
+		r := d.registrationOf(item.Key)
+		if r.remote {
+			continue
+		}
+		d.queue.Remove(now, item.Key)
+		id := p.place(now, item)
+		r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
+		d.counts.Spilled++
+		d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
+		return true
 	}
-	p.free--
-	d.queue.Remove(now, item.Key)
-	id := p.place(now, item)
-	r := d.registrationOf(item.Key)
-	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
-	d.counts.Spilled++
-	d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
+	return false
 }
 
 // settlePeer acts on what the proxy was told.
@@ -215,7 +227,7 @@
 		return
 	}
 	ticket := placed.item.Ticket
-	d.options.Meter.Grant(now, service.Hold{Key: placed.key, Attempt: ticket.Attempt}, ticket)
+	d.charge(now, placed.key, ticket)
 	r.held[placed.key.ID] = held{attempt: ticket.Attempt, place: running, upstream: grant.Upstream, peer: p, id: grant.ID}
 	d.sendGrant(now, r, placed.key.ID, ticket.Attempt, grant.Upstream)
 }
@@ -257,12 +269,13 @@
 	if d.queue.Len() == 0 {
 		free = d.slots.Free(now)
 	}
-	same := free == p.told && free == 0
+	lowest := d.lowestTold()
+	same := free == p.told && free == 0 && !d.levelNews(now, p, lowest)
 	if same || (p.told >= 0 && now.Sub(p.toldTime) < vacancyInterval) {
 		return
 	}
-	p.told, p.toldTime = free, now
-	d.send(p.VM, wire.Vacancy{Pool: d.options.Pool, Free: uint32(free)})
+	p.told, p.toldLowest, p.toldTime = free, lowest, now
+	d.send(p.VM, wire.Vacancy{Pool: d.options.Pool, Free: uint32(free), Lowest: lowest})
 }
 
 // drainPeers moves the proxies' messages to the outbox.
@@ -277,7 +290,7 @@
 // place submits a ticket to the peer under an ID of its own.
 func (p *peer) place(now time.Time, item queue.Item) request.ID {
 	p.nextID++
-	p.placed[p.nextID] = placement{key: item.Key, item: item}
+	p.placed[p.nextID] = placement{key: item.Key, item: item, since: now}
 	ticket := item.Ticket
 	ticket.ID = p.nextID
 	ticket.Age = now.Sub(item.Arrived)
--- a/fleet/process/dispatcher/waiting.go
+++ b/fleet/process/dispatcher/waiting.go
@@ -11,7 +11,7 @@
 )
 
 // enqueue adds a ticket of a registered entry to the queue. One of another
-// data centre is only granted at once or refused.
+// data centre has to be behind those that wait to be queued.
 func (d *Dispatcher) enqueue(now time.Time, r *registration, ticket request.Ticket) {
 	item := queue.Item{
 		Key:     keyOf(r.entry, ticket.ID),
@@ -20,7 +20,7 @@
 		Expires: now.Add(ticket.Wait),
 	}
 	if r.remote {
-		d.grantRemote(now, r, item)
+		d.enqueueRemote(now, r, item)
 		return
 	}
 	d.push(now, r, item)
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -24,6 +24,8 @@
 	pollLag = 500 * time.Millisecond
 	// noticeTime is how long an upstream takes to notice that a daemon is gone.
 	noticeTime = 500 * time.Millisecond
+	// signTime is how long a sign of coldness takes to a dispatcher.
+	signTime = 50 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
 	warmUp = 2 * time.Second
 )
@@ -49,8 +51,11 @@
 // Stand plays one upstream.
 type Stand struct {
 	Running, MaxRunning int
-	// OverCold counts requests that began above the cold limit while cold.
-	OverCold  int
+	// OverCold counts requests that began above the cold limit while cold,
+	// BeforeSign those of them that came before anyone could know.
+	OverCold, BeforeSign int
+	// hidden is set while the upstream is cold again without any sign of it.
+	hidden    bool
 	warmAfter time.Time
 }
 
@@ -99,7 +104,18 @@
 }
 
 // Cool makes an upstream cold without telling anyone.
-func (p *Pump) Cool(id version.UpstreamID) { p.Stand(id).warmAfter = time.Time{} }
+func (p *Pump) Cool(id version.UpstreamID) {
+	s := p.Stand(id)
+	s.warmAfter, s.hidden = time.Time{}, true
+}
+
+// shows ends the time in which nobody can know that the upstream is cold, once
+// the sign has reached a dispatcher.
+func (p *Pump) shows(s *Stand) {
+	if s.hidden {
+		p.after(signTime, func() { s.hidden = false })
+	}
+}
 
 func (p *Pump) granted(d *Daemon, grant request.Grant) {
 	j, present := p.jobs[jobKey{vm: d.VM, incarnation: d.Incarnation, id: grant.ID}]
@@ -126,7 +142,11 @@
 		return FirstToken
 	}
 	if upstream := p.options.Config.Upstreams[id]; upstream != nil && s.Running > upstream.ColdLimit {
-		s.OverCold++
+		if s.hidden {
+			s.BeforeSign++
+		} else {
+			s.OverCold++
+		}
 	}
 	return coldFirstToken
 }
@@ -157,7 +177,11 @@
 }
 
 func (p *Pump) end(d *Daemon, j *job, grant request.Grant, first time.Duration) {
-	p.Stand(grant.Upstream).Running--
+	s := p.Stand(grant.Upstream)
+	s.Running--
+	if first > FirstToken {
+		p.shows(s)
+	}
 	delete(p.jobs, j.key)
 	if p.options.Observer != nil {
 		p.options.Observer.Ended(p.now, j.Job)
@@ -212,6 +236,9 @@
 	incarnation := d.Incarnation
 	p.after(pollLag, func() {
 		if d.Incarnation == incarnation {
+			if load.Cold {
+				p.shows(s)
+			}
 			p.Step(d.VM, node.Load{Upstream: id, Load: load})
 		}
 	})
--- a/fleet/process/queue/queue.go
+++ b/fleet/process/queue/queue.go
@@ -226,6 +226,14 @@
 	return q.byLevel[0].level, true
 }
 
+// OthersWait reports whether a ticket of any other account waits.
+func (q *Queue) OthersWait(id version.AccountID) bool {
+	if _, waits := q.accounts[id]; waits {
+		return len(q.accounts) > 1
+	}
+	return len(q.accounts) > 0
+}
+
 // SetElsewhere sets the lowest level that waits for the same pool in other
 // data centres, or +Inf. An account that returns from idle is lifted no higher
 // than that.
--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -57,8 +57,8 @@
 	// queues counts the queues in which the account is backlogged.
 	queues int
 	left   time.Time
-	// fresh is set once the home has spoken since the account became
-	// backlogged here.
+	// fresh is set once the home has spoken since the account began to count
+	// as backlogged here.
 	fresh bool
 	// floor and start are the lowest backlogged level and the own net count
 	// when the account became backlogged.
@@ -202,6 +202,10 @@
 	a := m.account(id)
 	a.queues--
 	a.left = now
+	if a.queues == 0 {
+		a.held = 0
+		m.note(id)
+	}
 }
 
 // Backlogged reports whether the account waits here, or did within JoinHold.
@@ -222,8 +226,9 @@
 	a.elsewhere = elsewhere
 	a.contested = contested
 	a.lift = math.Max(a.lift, lift)
-	if a.queues > 0 && !a.fresh {
-		a.fresh = true
+	first := !a.fresh
+	a.fresh = true
+	if first && a.queues > 0 {
 		a.settle()
 	}
 	m.note(id)
--- a/lab/measure/bound.go
+++ b/lab/measure/bound.go
@@ -3,14 +3,11 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/dispatcher"
 	"github.com/trefoilwell/trefoilwell/fleet/process/pump"
 	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 )
 
-// SpillThreshold is how far the lowest waiting levels of two data centres may
-// differ before a ticket moves, in weighted cost units.
-const SpillThreshold = 1000.0
-
 // recordBytes is the size of a service record on the wire.
 const recordBytes = 20
 
@@ -29,7 +26,7 @@
 	c := longMost / least
 	rate := float64(slots) * float64(time.Second/pump.Pace) / least
 	k := float64(slots)
-	b := propagation(d).Seconds()*rate + SpillThreshold + 2*k*c
+	b := propagation(d).Seconds()*rate + dispatcher.SpillThreshold + 2*k*c
 	return 2 * b
 }
 
--- a/lab/measure/run.go
+++ b/lab/measure/run.go
@@ -15,15 +15,17 @@
 
 // run is a scenario on its way.
 type run struct {
-	scenario  Scenario
-	head      version.Head
-	config    *version.Config
-	pump      *pump.Pump
-	router    router
-	callers   *callers
-	meter     *meter
-	poolOf    []string
-	usable    map[version.PoolID]int
+	scenario Scenario
+	head     version.Head
+	config   *version.Config
+	pump     *pump.Pump
+	router   router
+	callers  *callers
+	meter    *meter
+	poolOf   []string
+	usable   map[version.PoolID]int
+	// warm is the number of slots in service if all were warm.
+	warm      map[version.PoolID]int
 	outSince  map[version.DataCentreID]time.Time
 	measuring bool
 	started   time.Time
@@ -119,21 +121,36 @@
 	return pump.Fate{Lose: r.scenario.Loss > 0 && random.Float64() < r.scenario.Loss}
 }
 
-// countUsable counts the slots of upstreams in service: the warm limit of those
-// that have been warm for a while, the cold limit of the others.
+// countUsable counts the slots that upstreams in service have earned, and all
+// that they would have warm.
 func (r *run) countUsable() {
 	r.usable = make(map[version.PoolID]int)
-	now := r.pump.Now()
+	r.warm = make(map[version.PoolID]int)
+	earned := r.earned()
 	for id, upstream := range r.config.Upstreams {
-		switch {
-		case r.config.UpstreamOut(upstream):
+		if r.config.UpstreamOut(upstream) {
 			continue
-		case r.scenario.Policy != PolicyFleet || r.pump.Stand(id).WarmFor(now) >= usableAfter:
+		}
+		r.warm[upstream.Pool] += upstream.WarmLimit
+		if r.scenario.Policy != PolicyFleet {
 			r.usable[upstream.Pool] += upstream.WarmLimit
-		default:
-			r.usable[upstream.Pool] += upstream.ColdLimit
+			continue
+		}
+		r.usable[upstream.Pool] += earned[id]
+	}
+}
+
+// earned returns the limit of each upstream as its dispatcher has it.
+func (r *run) earned() map[version.UpstreamID]int {
+	earned := make(map[version.UpstreamID]int)
+	for _, vm := range r.pump.VMs() {
+		for _, pool := range r.pump.Daemon(vm).Node.Stats(r.pump.Now()).Pools {
+			for _, upstream := range pool.Upstreams {
+				earned[upstream.Upstream] = max(earned[upstream.Upstream], upstream.Limit)
+			}
 		}
 	}
+	return earned
 }
 
 // outFor returns how long an upstream's data centre has been out.
@@ -169,7 +186,7 @@
 		Daemons:         len(r.scenario.Deployment.VMs),
 		Gap:             r.meter.gap,
 		Bound:           Bound(r.scenario.Deployment),
-		Utilisation:     r.meter.utilisation(),
+		TotalGap:        r.meter.totalGap,
 		Completed:       r.meter.counts.completed,
 		Refused:         r.meter.counts.refused,
 		Broken:          r.meter.counts.broken,
@@ -179,7 +196,9 @@
 		ReturnSeconds:   r.back.seconds(),
 		Series:          r.meter.samples,
 	}
+	out.Utilisation, out.WarmUse = r.meter.utilisation()
 	for id := range r.config.Upstreams {
+		out.BeforeSign += r.pump.Stand(id).BeforeSign
 		out.OverCold += r.pump.Stand(id).OverCold
 	}
 	for _, spec := range r.scenario.Deployment.Document.Accounts {
--- a/lab/measure/scenario.go
+++ b/lab/measure/scenario.go
@@ -124,8 +124,9 @@
 	Utilisation                float64
 	Waiting, Running           int
 	Completed, Refused, Broken int
-	// Service is the weighted service of each of Result.Accounts.
-	Service []float64
+	// Service is the weighted service of each of Result.Accounts that counts
+	// for Gap, and Total all of it.
+	Service, Total []float64
 }
 
 // Traffic is control traffic per daemon, sent and received, in bytes a second.
@@ -142,13 +143,21 @@
 	Spread     Spread
 	Seed       uint64
 	Daemons    int
-	// Gap is the largest fairness gap in weighted cost units.
+	// Gap is the largest fairness gap in weighted cost units, over service of
+	// requests that were granted while other accounts waited for the pool.
 	Gap float64
+	// TotalGap is the same for all service, also such that nobody else waited
+	// for.
+	TotalGap float64
 	// Bound is 2·B of the design note for this deployment.
 	Bound float64
-	// Utilisation is the used fraction of the usable slots while work waited.
+	// Utilisation is the used fraction of the slots that upstreams had earned
+	// while work waited for their pool.
 	Utilisation float64
-	Traffic     Traffic
+	// WarmUse is the used fraction of all slots in service, earned or not,
+	// while work waited for their pool.
+	WarmUse float64
+	Traffic Traffic
 	// BytesPerRequest is the request traffic counted at one end.
 	BytesPerRequest float64
 	// CrossRegionBytes is the traffic between regions in bytes a second.
@@ -159,8 +168,12 @@
 	// NewWorkWhileOut counts grants to a data centre that had been out for
 	// longer than OutLimit.
 	NewWorkWhileOut int
-	// OverCold counts requests sent to a cold upstream over its cold limit.
+	// OverCold counts requests sent to a cold upstream over its cold limit
+	// although it had shown a sign of coldness, or never been warm.
 	OverCold int
+	// BeforeSign counts those to an upstream that had turned cold without any
+	// sign yet.
+	BeforeSign int
 	// ShortWait95 is the wait for a grant that 95 in 100 short requests stay
 	// within, in seconds; LongestWait is the longest of any.
 	ShortWait95 float64
