--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -20,10 +20,8 @@
 	Pace = 20 * time.Millisecond
 	// ChargeInterval is the time between two charges of a running request.
 	ChargeInterval = 250 * time.Millisecond
-	// pollLag is how old an upstream's report is when it arrives.
-	pollLag = 500 * time.Millisecond
-	// noticeTime is how long an upstream takes to notice that a daemon is gone.
-	noticeTime = 500 * time.Millisecond
+	// ReportLag is how old an upstream's report is when it arrives.
+	ReportLag = 500 * time.Millisecond
 	// signTime is how long a sign of coldness takes to a dispatcher.
 	signTime = 50 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
@@ -103,8 +101,12 @@
 	return now.Sub(s.warmAfter)
 }
 
-// Cool makes an upstream cold without telling anyone.
-func (p *Pump) Cool(id version.UpstreamID) {
+// Cool makes an upstream cold, such that no dispatcher may be surprised by it:
+// it was out, or is new.
+func (p *Pump) Cool(id version.UpstreamID) { p.Stand(id).warmAfter = time.Time{} }
+
+// CoolSilently makes an upstream cold without telling anyone.
+func (p *Pump) CoolSilently(id version.UpstreamID) {
 	s := p.Stand(id)
 	s.warmAfter, s.hidden = time.Time{}, true
 }
@@ -157,9 +159,6 @@
 	rest := j.Cost - done
 	chunk := min(rest, request.Cost(ChargeInterval/Pace))
 	p.after(time.Duration(float64(chunk)*float64(Pace)), func() {
-		if p.jobs[j.key] != j {
-			return
-		}
 		p.charge(d, j, chunk)
 		if chunk < rest {
 			p.stream(d, j, grant, first, done+chunk)
@@ -170,6 +169,9 @@
 }
 
 func (p *Pump) charge(d *Daemon, j *job, cost request.Cost) {
+	if p.jobs[j.key] != j {
+		return
+	}
 	if p.options.Observer != nil {
 		p.options.Observer.Charged(p.now, j.Job, cost)
 	}
@@ -220,9 +222,6 @@
 	slices.SortFunc(lost, func(a, b *job) int { return cmp.Compare(a.key.id, b.key.id) })
 	for _, j := range lost {
 		delete(p.jobs, j.key)
-		if j.upstream != 0 {
-			p.after(noticeTime, func() { p.Stand(j.upstream).Running-- })
-		}
 		if p.options.Observer != nil {
 			p.options.Observer.Lost(p.now, j.Job, j.upstream != 0)
 		}
@@ -234,7 +233,7 @@
 	s := p.Stand(id)
 	load := slots.Load{Running: s.Running, Cold: s.WarmFor(p.now) < 0}
 	incarnation := d.Incarnation
-	p.after(pollLag, func() {
+	p.after(ReportLag, func() {
 		if d.Incarnation == incarnation {
 			if load.Cold {
 				p.shows(s)
--- a/lab/measure/actions.go
+++ b/lab/measure/actions.go
@@ -83,7 +83,7 @@
 func (r *run) cool(dataCentre string) {
 	for id, upstream := range r.config.Upstreams {
 		if string(upstream.DataCentre) == dataCentre {
-			r.pump.Cool(id)
+			r.pump.CoolSilently(id)
 		}
 	}
 }
