--- a/fleet/process/node/admission.go
+++ b/fleet/process/node/admission.go
@@ -40,6 +40,7 @@
 		Account: ticket.Account,
 		Pool:    ticket.Pool,
 	})
+	n.streamSubmitted(ticket)
 	n.entry.Submit(now, ticket)
 }
 
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -147,11 +147,11 @@
 		continue
 	}
 	for _, grant := range n.entry.Granted() {
-		n.streamStarted(grant)
 		n.countCrossRegion(grant)
 		n.act(Granted{Grant: grant})
 	}
 	for _, refused := range n.entry.Refused() {
+		n.streamDropped(refused.ID)
 		n.act(Refused{ID: refused.ID, Refusal: refused.Refusal})
 	}
 }
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -1,6 +1,8 @@
 package pump
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
@@ -10,16 +12,18 @@
 )
 
 const (
-	// ReportLag is how late an upstream's load report is.
-	ReportLag = 500 * time.Millisecond
-	// firstToken is the first-token time of a warm upstream.
-	firstToken = 100 * time.Millisecond
+	// FirstToken is the first-token time of a warm upstream.
+	FirstToken = 100 * time.Millisecond
 	// coldFirstToken is the first-token time of a cold upstream.
 	coldFirstToken = 2 * time.Second
-	// pace is the time per cost unit.
-	pace = 20 * time.Millisecond
-	// chargeInterval is the time between two charges of a running request.
-	chargeInterval = 250 * time.Millisecond
+	// Pace is the time per cost unit.
+	Pace = 20 * time.Millisecond
+	// ChargeInterval is the time between two charges of a running request.
+	ChargeInterval = 250 * time.Millisecond
+	// ReportLag is how old an upstream's report is when it arrives.
+	ReportLag = 500 * time.Millisecond
+	// signTime is how long a sign of coldness takes to a dispatcher.
+	signTime = 50 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
 	warmUp = 2 * time.Second
 )
@@ -30,6 +34,8 @@
 	Charged(now time.Time, job Job, cost request.Cost)
 	Ended(now time.Time, job Job)
 	Refused(now time.Time, job Job, refusal request.Refusal)
+	// Lost is called for a request whose daemon restarted.
+	Lost(now time.Time, job Job, running bool)
 }
 
 // Job is a caller's request and its true cost, which only the upstream knows.
@@ -43,8 +49,11 @@
 // Stand plays one upstream.
 type Stand struct {
 	Running, MaxRunning int
-	// OverCold counts requests that began above the cold limit while cold.
-	OverCold  int
+	// OverCold counts requests that began above the cold limit while cold,
+	// BeforeSign those of them that came before anyone could know.
+	OverCold, BeforeSign int
+	// hidden is set while the upstream is cold again without any sign of it.
+	hidden    bool
 	warmAfter time.Time
 }
 
@@ -57,6 +66,8 @@
 type job struct {
 	Job
 	key jobKey
+	// upstream is where it runs; 0 is nowhere.
+	upstream version.UpstreamID
 }
 
 // Submit gives a daemon a caller's request of a true cost.
@@ -81,9 +92,33 @@
 	return s
 }
 
-// Cool makes an upstream cold without telling anyone.
+// WarmFor returns how long the upstream has been warm; a cold one has been for
+// less than 0.
+func (s *Stand) WarmFor(now time.Time) time.Duration {
+	if s.warmAfter.IsZero() {
+		return -1
+	}
+	return now.Sub(s.warmAfter)
+}
+
+// Cool makes an upstream cold, such that no dispatcher may be surprised by it:
+// it was out, or is new.
 func (p *Pump) Cool(id version.UpstreamID) { p.Stand(id).warmAfter = time.Time{} }
 
+// CoolSilently makes an upstream cold without telling anyone.
+func (p *Pump) CoolSilently(id version.UpstreamID) {
+	s := p.Stand(id)
+	s.warmAfter, s.hidden = time.Time{}, true
+}
+
+// shows ends the time in which nobody can know that the upstream is cold, once
+// the sign has reached a dispatcher.
+func (p *Pump) shows(s *Stand) {
+	if s.hidden {
+		p.after(signTime, func() { s.hidden = false })
+	}
+}
+
 func (p *Pump) granted(d *Daemon, grant request.Grant) {
 	j, present := p.jobs[jobKey{vm: d.VM, incarnation: d.Incarnation, id: grant.ID}]
 	if !present {
@@ -91,6 +126,7 @@
 	}
 	s := p.Stand(grant.Upstream)
 	s.Running++
+	j.upstream = grant.Upstream
 	s.MaxRunning = max(s.MaxRunning, s.Running)
 	first := p.firstToken(s, grant.Upstream)
 	if p.options.Observer != nil {
@@ -105,10 +141,14 @@
 		s.warmAfter = p.now.Add(warmUp)
 	}
 	if !p.now.Before(s.warmAfter) {
-		return firstToken
+		return FirstToken
 	}
 	if upstream := p.options.Config.Upstreams[id]; upstream != nil && s.Running > upstream.ColdLimit {
-		s.OverCold++
+		if s.hidden {
+			s.BeforeSign++
+		} else {
+			s.OverCold++
+		}
 	}
 	return coldFirstToken
 }
@@ -117,8 +157,8 @@
 // when all is.
 func (p *Pump) stream(d *Daemon, j *job, grant request.Grant, first time.Duration, done request.Cost) {
 	rest := j.Cost - done
-	chunk := min(rest, request.Cost(chargeInterval/pace))
-	p.after(time.Duration(float64(chunk)*float64(pace)), func() {
+	chunk := min(rest, request.Cost(ChargeInterval/Pace))
+	p.after(time.Duration(float64(chunk)*float64(Pace)), func() {
 		p.charge(d, j, chunk)
 		if chunk < rest {
 			p.stream(d, j, grant, first, done+chunk)
@@ -139,9 +179,10 @@
 }
 
 func (p *Pump) end(d *Daemon, j *job, grant request.Grant, first time.Duration) {
-	p.Stand(grant.Upstream).Running--
-	if p.jobs[j.key] != j {
-		return
+	s := p.Stand(grant.Upstream)
+	s.Running--
+	if first > FirstToken {
+		p.shows(s)
 	}
 	delete(p.jobs, j.key)
 	if p.options.Observer != nil {
@@ -158,13 +199,6 @@
 	}})
 }
 
-// poll answers a daemon with what the upstream ran ReportLag ago.
-func (p *Pump) poll(d *Daemon, id version.UpstreamID) {
-	s := p.Stand(id)
-	load := slots.Load{Running: s.Running, Cold: p.now.Before(s.warmAfter)}
-	p.after(ReportLag, func() { p.Step(d.VM, node.Load{Upstream: id, Load: load}) })
-}
-
 func (p *Pump) refused(d *Daemon, refused node.Refused) {
 	key := jobKey{vm: d.VM, incarnation: d.Incarnation, id: refused.ID}
 	j, present := p.jobs[key]
@@ -179,9 +213,32 @@
 
 // dropJobs forgets the requests of a daemon that is gone.
 func (p *Pump) dropJobs(vm version.VMID, incarnation uint64) {
-	for key := range p.jobs {
+	var lost []*job
+	for key, j := range p.jobs {
 		if key.vm == vm && key.incarnation == incarnation {
-			delete(p.jobs, key)
+			lost = append(lost, j)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *job) int { return cmp.Compare(a.key.id, b.key.id) })
+	for _, j := range lost {
+		delete(p.jobs, j.key)
+		if p.options.Observer != nil {
+			p.options.Observer.Lost(p.now, j.Job, j.upstream != 0)
 		}
 	}
 }
+
+// poll answers with an upstream's load as it was a while ago.
+func (p *Pump) poll(d *Daemon, id version.UpstreamID) {
+	s := p.Stand(id)
+	load := slots.Load{Running: s.Running, Cold: s.WarmFor(p.now) < 0}
+	incarnation := d.Incarnation
+	p.after(ReportLag, func() {
+		if d.Incarnation == incarnation {
+			if load.Cold {
+				p.shows(s)
+			}
+			p.Step(d.VM, node.Load{Upstream: id, Load: load})
+		}
+	})
+}
