--- a/daemon/request/serve/health.go
+++ b/daemon/request/serve/health.go
@@ -13,13 +13,13 @@
 }
 
 func (h *Handler) health(w http.ResponseWriter, r *http.Request) {
-	if allow(w, r, http.MethodGet, http.MethodHead) {
+	if h.allow(w, r, http.MethodGet, http.MethodHead) {
 		writeJSON(w, http.StatusOK, healthBody{Status: "alive"})
 	}
 }
 
 func (h *Handler) ready(w http.ResponseWriter, r *http.Request) {
-	if !allow(w, r, http.MethodGet, http.MethodHead) {
+	if !h.allow(w, r, http.MethodGet, http.MethodHead) {
 		return
 	}
 	if detail := h.unready(); detail != "" {
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -51,6 +51,8 @@
 	order    []*state
 	members  members
 	prefixes prefixes
+	// spare is what Spare reports.
+	spare bool
 }
 
 // state is what is kept per upstream.
@@ -78,6 +80,8 @@
 	epoch     uint32
 	ejections uint32
 	foreign   bool
+	// began is when the hold was taken.
+	began time.Time
 	// orphaned is when the holding entry was lost; zero while it is
 	// registered.
 	orphaned time.Time
@@ -142,7 +146,7 @@
 	if best == nil {
 		return 0, false
 	}
-	t.hold(best, demand.Hold, demand.Team)
+	t.hold(now, best, demand.Hold, demand.Team)
 	best.lastGrant = now
 	best.warmth.began(now)
 	t.prefixes.remember(demand.Prefix, best.upstream.ID)
@@ -157,8 +161,13 @@
 	var best, cached *state
 	var bestLoad, cachedLoad float64
 	preferred := t.prefixes.lookup(demand.Prefix)
+	t.spare = false
 	for _, s := range t.order {
-		if !s.free(now, demand.Team) {
+		if !s.room(now) {
+			continue
+		}
+		t.spare = true
+		if !s.lends(demand.Team) {
 			continue
 		}
 		load := s.load()
@@ -188,7 +197,7 @@
 		s.holds[hold] = known
 		return
 	}
-	t.hold(s, hold, team)
+	t.hold(now, s, hold, team)
 	s.report.unknown = max(0, s.report.unknown-1)
 	t.refresh(now, s)
 }
@@ -239,28 +248,23 @@
 func (t *Table) Free(now time.Time) int {
 	total := 0
 	for _, s := range t.order {
-		if s.free(now, "") {
+		if s.room(now) && s.lends("") {
 			total += min(s.capacity()-s.used(), s.capacity()-s.kept()-s.foreign)
 		}
 	}
 	return total
 }
 
-// Spare reports whether any account at all could take a slot now.
-func (t *Table) Spare(now time.Time) bool {
-	for _, s := range t.order {
-		if s.free(now, s.upstream.Team) {
-			return true
-		}
-	}
-	return false
-}
+// Spare reports whether the last Acquire met a free slot that a team keeps
+// back.
+func (t *Table) Spare() bool { return t.spare }
 
-func (t *Table) hold(s *state, hold Hold, team string) {
+func (t *Table) hold(now time.Time, s *state, hold Hold, team string) {
 	info := held{
 		epoch:     s.warmth.epoch,
 		ejections: s.warmth.ejections,
 		foreign:   s.foreignTo(team),
+		began:     now,
 	}
 	s.holds[hold] = info
 	if info.foreign {
@@ -291,14 +295,14 @@
 	}
 }
 
-// free reports whether an account of a team may take one more slot.
-func (s *state) free(now time.Time, team string) bool {
-	if s.out || s.warmth.ejected(now) {
-		return false
-	}
-	if s.used() >= s.capacity() {
-		return false
-	}
+// room reports whether an account of the owning team may take one more slot.
+func (s *state) room(now time.Time) bool {
+	return s.used() < s.capacity() && !s.out && !s.warmth.ejected(now)
+}
+
+// lends reports whether an account of a team may take one more slot, as far as
+// lending goes.
+func (s *state) lends(team string) bool {
 	return !s.foreignTo(team) || s.foreign < s.capacity()-s.kept()
 }
 
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -20,10 +20,10 @@
 	Pace = 20 * time.Millisecond
 	// ChargeInterval is the time between two charges of a running request.
 	ChargeInterval = 250 * time.Millisecond
-	// pollLag is how old an upstream's report is when it arrives.
-	pollLag = 500 * time.Millisecond
-	// noticeTime is how long an upstream takes to notice that a daemon is gone.
-	noticeTime = 500 * time.Millisecond
+	// ReportLag is how old an upstream's report is when it arrives.
+	ReportLag = 500 * time.Millisecond
+	// signTime is how long a sign of coldness takes to a dispatcher.
+	signTime = 50 * time.Millisecond
 	// warmUp is how long after its first request an upstream stays cold.
 	warmUp = 2 * time.Second
 )
@@ -49,8 +49,11 @@
 // Stand plays one upstream.
 type Stand struct {
 	Running, MaxRunning int
-	// OverCold counts requests that began above the cold limit while cold.
-	OverCold  int
+	// OverCold counts requests that began above the cold limit while cold,
+	// BeforeSign those of them that came before anyone could know.
+	OverCold, BeforeSign int
+	// hidden is set while the upstream is cold again without any sign of it.
+	hidden    bool
 	warmAfter time.Time
 }
 
@@ -98,9 +101,24 @@
 	return now.Sub(s.warmAfter)
 }
 
-// Cool makes an upstream cold without telling anyone.
+// Cool makes an upstream cold, such that no dispatcher may be surprised by it:
+// it was out, or is new.
 func (p *Pump) Cool(id version.UpstreamID) { p.Stand(id).warmAfter = time.Time{} }
 
+// CoolSilently makes an upstream cold without telling anyone.
+func (p *Pump) CoolSilently(id version.UpstreamID) {
+	s := p.Stand(id)
+	s.warmAfter, s.hidden = time.Time{}, true
+}
+
+// shows ends the time in which nobody can know that the upstream is cold, once
+// the sign has reached a dispatcher.
+func (p *Pump) shows(s *Stand) {
+	if s.hidden {
+		p.after(signTime, func() { s.hidden = false })
+	}
+}
+
 func (p *Pump) granted(d *Daemon, grant request.Grant) {
 	j, present := p.jobs[jobKey{vm: d.VM, incarnation: d.Incarnation, id: grant.ID}]
 	if !present {
@@ -126,7 +144,11 @@
 		return FirstToken
 	}
 	if upstream := p.options.Config.Upstreams[id]; upstream != nil && s.Running > upstream.ColdLimit {
-		s.OverCold++
+		if s.hidden {
+			s.BeforeSign++
+		} else {
+			s.OverCold++
+		}
 	}
 	return coldFirstToken
 }
@@ -137,9 +159,6 @@
 	rest := j.Cost - done
 	chunk := min(rest, request.Cost(ChargeInterval/Pace))
 	p.after(time.Duration(float64(chunk)*float64(Pace)), func() {
-		if p.jobs[j.key] != j {
-			return
-		}
 		p.charge(d, j, chunk)
 		if chunk < rest {
 			p.stream(d, j, grant, first, done+chunk)
@@ -150,6 +169,9 @@
 }
 
 func (p *Pump) charge(d *Daemon, j *job, cost request.Cost) {
+	if p.jobs[j.key] != j {
+		return
+	}
 	if p.options.Observer != nil {
 		p.options.Observer.Charged(p.now, j.Job, cost)
 	}
@@ -157,7 +179,11 @@
 }
 
 func (p *Pump) end(d *Daemon, j *job, grant request.Grant, first time.Duration) {
-	p.Stand(grant.Upstream).Running--
+	s := p.Stand(grant.Upstream)
+	s.Running--
+	if first > FirstToken {
+		p.shows(s)
+	}
 	delete(p.jobs, j.key)
 	if p.options.Observer != nil {
 		p.options.Observer.Ended(p.now, j.Job)
@@ -196,9 +222,6 @@
 	slices.SortFunc(lost, func(a, b *job) int { return cmp.Compare(a.key.id, b.key.id) })
 	for _, j := range lost {
 		delete(p.jobs, j.key)
-		if j.upstream != 0 {
-			p.after(noticeTime, func() { p.Stand(j.upstream).Running-- })
-		}
 		if p.options.Observer != nil {
 			p.options.Observer.Lost(p.now, j.Job, j.upstream != 0)
 		}
@@ -210,8 +233,11 @@
 	s := p.Stand(id)
 	load := slots.Load{Running: s.Running, Cold: s.WarmFor(p.now) < 0}
 	incarnation := d.Incarnation
-	p.after(pollLag, func() {
+	p.after(ReportLag, func() {
 		if d.Incarnation == incarnation {
+			if load.Cold {
+				p.shows(s)
+			}
 			p.Step(d.VM, node.Load{Upstream: id, Load: load})
 		}
 	})
