--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +16,9 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
+	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
@@ -29,8 +32,6 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's headers.
 	readHeaderTimeout = 5 * time.Second
-	// directoryInterval is how often the platform's list of VMs is read.
-	directoryInterval = 2 * time.Second
 )
 
 // App is one daemon.
@@ -41,13 +42,18 @@
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
+	poller   *upstream.Poller
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
+	handler  *serve.Handler
 	callers  *http.Server
 	links    *http.Server
 	// operators serves the operators' interface.
 	operators   *http.Server
+	metrics     *metrics.Metrics
 	incarnation uint64
+	// leaving is set once the daemon drains.
+	leaving atomic.Bool
 
 	callersListener   net.Listener
 	peersListener     net.Listener
@@ -62,7 +68,12 @@
 	}
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
-	a.client = platform.New(platform.Options{URL: s.Platform.URL, Token: s.Platform.Token})
+	var calls atomic.Uint64
+	a.client = platform.New(platform.Options{
+		URL:     s.Platform.URL,
+		Token:   s.Platform.Token,
+		Observe: func(platform.Call, error) { calls.Add(1) },
+	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
 	a.peers = peer.New(peer.Options{
@@ -73,9 +84,17 @@
 		Log:     log,
 	})
 	a.loop.SetSender(a.peers)
+	a.loop.SetLinker(a.peers)
+	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
+	a.loop.SetPoller(a.poller)
 	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
+	a.metrics = metrics.New(a.loop, metrics.Counters{
+		PeerBytesSent:     a.peers.BytesSent,
+		PeerBytesReceived: a.peers.BytesReceived,
+		PlatformCalls:     calls.Load,
+	})
 	a.operators = newServer(a.newOperator())
 	return a, nil
 }
@@ -89,17 +108,23 @@
 // OperatorsAddress returns the bound address of the operators' listener.
 func (a *App) OperatorsAddress() string { return a.operatorsListener.Addr().String() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and every request has then ended.
 func (a *App) Run(ctx context.Context) error {
+	a.log.Info("serving",
+		"callers", a.CallersAddress(), "peers", a.PeersAddress(), "operators", a.OperatorsAddress())
 	var group run.Group
-	addServer(&group, a.callers, a.callersListener)
+	a.addDrain(&group, ctx)
+	// What serves requests outlasts ctx until the drain is done.
+	ctx = context.WithoutCancel(ctx)
+	addCallers(&group, a.callers, a.callersListener)
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
 	addLoop(&group, ctx, a.watcher.Run)
 	addLoop(&group, ctx, a.followDirectory)
+	addLoop(&group, ctx, a.poller.Run)
 	err := group.Run()
-	if errors.Is(err, context.Canceled) {
+	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
 	}
 	return err
@@ -130,11 +155,14 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	}})
-	return newServer(serve.New(serve.Options{Fleet: a.loop, Relay: relayer, Log: a.log}))
+	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	a.handler = serve.New(serve.Options{
+		Fleet:      a.loop,
+		Relay:      relayer,
+		VM:         a.settings.VM,
+		DataCentre: a.settings.DataCentre,
+	})
+	return serve.NewServer(a.handler)
 }
 
 func (a *App) hello(incarnation uint64) func() wire.Hello {
@@ -143,6 +171,7 @@
 			VM:          a.settings.VM,
 			DataCentre:  a.settings.DataCentre,
 			Incarnation: incarnation,
+			Leaving:     a.leaving.Load(),
 		}
 		if config := a.loop.Config(); config != nil {
 			hello.Version = config.Number
@@ -156,26 +185,6 @@
 	a.loop.Post(node.Configure{Config: config})
 }
 
-// followDirectory links to the VMs of the platform's list.
-func (a *App) followDirectory(ctx context.Context) error {
-	ticker := time.NewTicker(directoryInterval)
-	defer ticker.Stop()
-	for {
-		vms, err := a.client.VMs(ctx)
-		if err != nil {
-			a.log.Warn("platform list of VMs", "error", err)
-		}
-		for _, vm := range vms {
-			a.peers.Connect(ctx, vm.ID, vm.PeerAddress)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 }
