Follow the configuration through peers

Each daemon read the platform itself. The follower runs the distribution's decisions: it watches the platform only where they say so, takes heads and parts from peers otherwise, and writes orders that came past the platform into it once it answers.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -22,7 +22,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
-	"github.com/trefoilwell/trefoilwell/daemon/version/watch"
+	"github.com/trefoilwell/trefoilwell/daemon/version/follow"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
@@ -43,7 +43,7 @@
 	inbox    *inbox
 	peers    *peer.Manager
 	poller   *upstream.Poller
-	watcher  *watch.Watcher
+	follower *follow.Follower
 	timeline *timeline.Ring
 	handler  *serve.Handler
 	callers  *http.Server
@@ -70,12 +70,15 @@
 	a.incarnation = incarnation
 	var calls atomic.Uint64
 	a.client = platform.New(platform.Options{
-		URL:     s.Platform.URL,
-		Token:   s.Platform.Token,
-		Observe: func(platform.Call, error) { calls.Add(1) },
+		URL:   s.Platform.URL,
+		Token: s.Platform.Token,
+		Observe: func(_ platform.Call, err error) {
+			calls.Add(1)
+			a.follower.Observe(err)
+		},
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
-	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
+	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]linkedVM)}
 	a.peers = peer.New(peer.Options{
 		Secret:  s.Peers.Secret,
 		Scheme:  "ws",
@@ -87,7 +90,17 @@
 	a.loop.SetLinker(a.peers)
 	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
 	a.loop.SetPoller(a.poller)
-	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
+	a.follower = follow.New(follow.Options{
+		VM:         s.VM,
+		DataCentre: s.DataCentre,
+		Seed:       rand.Uint64(),
+		Store:      a.client,
+		Sender:     a.peers,
+		Apply:      a.apply,
+		Timeline:   a.timeline,
+		Log:        log,
+	})
+	a.inbox.follower = a.follower
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
 	a.metrics = metrics.New(a.loop, metrics.Counters{
@@ -120,7 +133,7 @@
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
-	addLoop(&group, ctx, a.watcher.Run)
+	addLoop(&group, ctx, a.follower.Run)
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
 	err := group.Run()
--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -8,50 +8,86 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
+	"github.com/trefoilwell/trefoilwell/daemon/version/follow"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 // inbox hands the messages of peer links to the parts that handle them.
 type inbox struct {
-	loop *loop.Loop
+	loop     *loop.Loop
+	follower *follow.Follower
 
 	mu     sync.Mutex
-	linked map[version.VMID]wire.Hello
+	linked map[version.VMID]linkedVM
+}
+
+// linkedVM is a daemon with its open links; there are two for a moment while
+// one replaces the other.
+type linkedVM struct {
+	hello wire.Hello
+	links int
 }
 
 // LinkUp implements peer.Handler.
 func (i *inbox) LinkUp(hello wire.Hello) {
 	i.mu.Lock()
-	i.linked[hello.VM] = hello
+	i.linked[hello.VM] = linkedVM{hello: hello, links: i.linked[hello.VM].links + 1}
 	i.mu.Unlock()
+	i.follower.LinkUp(hello)
 	i.loop.LinkUp(hello)
 }
 
 // Receive implements peer.Handler.
-func (i *inbox) Receive(from wire.Hello, messages []wire.Message) { i.loop.Receive(from, messages) }
+func (i *inbox) Receive(from wire.Hello, messages []wire.Message) {
+	others := make([]wire.Message, 0, len(messages))
+	for _, message := range messages {
+		switch message.(type) {
+		case wire.Announce, wire.HeadRequest, wire.HeadOffer, wire.PartRequest, wire.PartChunk:
+			i.follower.Receive(from.VM, message)
+		default:
+			others = append(others, message)
+		}
+	}
+	if len(others) > 0 {
+		i.loop.Receive(from, others)
+	}
+}
 
 // LinkDown implements peer.Handler.
 func (i *inbox) LinkDown(hello wire.Hello) {
-	i.mu.Lock()
-	if i.linked[hello.VM].Incarnation == hello.Incarnation {
-		delete(i.linked, hello.VM)
+	if i.unlink(hello.VM) {
+		i.follower.LinkDown(hello.VM)
 	}
-	i.mu.Unlock()
 	i.loop.LinkDown(hello)
 }
 
+// unlink counts a link that went down and reports whether it was the last one.
+func (i *inbox) unlink(vm version.VMID) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	left := i.linked[vm]
+	left.links--
+	if left.links > 0 {
+		i.linked[vm] = left
+		return false
+	}
+	delete(i.linked, vm)
+	return true
+}
+
 // members returns the daemons that are linked, by VM.
 func (i *inbox) members() []operator.Member {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	members := make([]operator.Member, 0, len(i.linked))
-	for hello := range maps.Values(i.linked) {
+	for linked := range maps.Values(i.linked) {
+		hello := linked.hello
 		members = append(members, operator.Member{
 			VM:          hello.VM,
 			DataCentre:  hello.DataCentre,
 			Incarnation: hello.Incarnation,
-			Confirmed:   hello.Version,
+			Confirmed:   i.follower.Peer(hello.VM),
 			Leaving:     hello.Leaving,
 		})
 	}
--- a/daemon/process/app/operators.go
+++ b/daemon/process/app/operators.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
-	"github.com/trefoilwell/trefoilwell/daemon/version/watch"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/distribute"
 )
 
 // newOperator returns the operators' interface.
@@ -31,27 +31,44 @@
 		Members:     a.inbox.members(),
 	}
 	config := a.loop.Config()
+	status.NotReadyReason = a.notReadyReason(config)
+	status.Ready = status.NotReadyReason == ""
 	if config == nil {
-		status.NotReadyReason = "no configuration yet"
 		return status
 	}
-	status.Ready = true
-	confirmed, orders := a.watcher.Orders()
+	held := a.follower.Status()
 	status.Configuration = operator.Configuration{
 		Number:    config.Number,
-		Confirmed: confirmed,
+		Confirmed: held.Confirmed,
 		Preset:    config.Preset,
 		Out:       config.OutNames(),
-		Orders:    orders,
+		Orders:    held.Orders,
+		Watching:  held.Watching,
 	}
 	return status
 }
 
+// notReadyReason tells why the daemon takes no callers' requests, or "".
+func (a *App) notReadyReason(config *version.Config) string {
+	switch {
+	case config == nil:
+		return "no configuration yet"
+	case a.leaving.Load():
+		return "draining"
+	case config.DataCentreOut(a.settings.DataCentre):
+		return "data centre out of service"
+	case config.VMOut(a.settings.VM):
+		return "VM out of service"
+	default:
+		return ""
+	}
+}
+
 // order takes an operator's order that came past the platform.
 func (a *App) order(_ context.Context, order version.Order) (version.Number, error) {
-	number, err := a.watcher.Order(order)
+	number, err := a.follower.Order(order)
 	switch {
-	case errors.Is(err, watch.ErrNoHead):
+	case errors.IsAny(err, distribute.ErrNoHead, distribute.ErrTooManyOrders):
 		return 0, errors.Mark(err, operator.ErrNotReady)
 	case errors.Is(err, version.ErrInvalid):
 		return 0, errors.Mark(err, operator.ErrBadOrder)
--- a/daemon/version/change/change.go
+++ b/daemon/version/change/change.go
@@ -126,6 +126,26 @@
 	return next, c.writeHead(ctx, next, expected)
 }
 
+// Absorb confirms orders that daemons took past the platform, as one change.
+// Nothing is written if the head has absorbed them all.
+func (c *Changer) Absorb(ctx context.Context, orders []version.Order) (version.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	object, err := c.options.Store.Get(ctx, objects.HeadKey)
+	if err != nil {
+		return version.Head{}, unavailable(err)
+	}
+	head, err := part.DecodeHead(object.Value)
+	if err != nil {
+		return version.Head{}, err
+	}
+	if len(head.Pending(orders)) == 0 {
+		return head, nil
+	}
+	next := head.Absorb(orders).By(uuid.NewString())
+	return next, c.writeHead(ctx, next, object.Version)
+}
+
 // check validates a state and cuts its document into parts.
 func check(state *State) ([]part.Part, error) {
 	if problems := state.Document.Validate(); len(problems) > 0 {
@@ -164,7 +184,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, platform.ErrConflict):
-		return errors.Mark(errors.Newf("version %d is no longer the newest", head.Number-1), ErrConflict)
+		return errors.Mark(errors.Newf("version %d was not made, the configuration has changed meanwhile", head.Number), ErrConflict)
 	case errors.Is(err, platform.ErrUnconfirmed):
 		return errors.Mark(errors.Wrapf(err, "operation %s", head.Operation), ErrUnconfirmed)
 	default:
--- /dev/null
+++ b/daemon/version/follow/watch.go
@@ -0,0 +1,132 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/version/change"
+	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
+	"github.com/trefoilwell/trefoilwell/fleet/version/distribute"
+	"github.com/trefoilwell/trefoilwell/fleet/version/part"
+)
+
+const (
+	// retryMin and retryMax bound the pause after a head that could not be
+	// read.
+	retryMin = 200 * time.Millisecond
+	retryMax = 5 * time.Second
+	// absorbInterval is the longest time between two attempts to write orders
+	// into the platform.
+	absorbInterval = 4 * time.Second
+)
+
+// watching runs the watch of the head while it is wanted.
+type watching struct {
+	follower *Follower
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// set starts or stops the watch.
+func (w *watching) set(ctx context.Context, wanted bool) {
+	switch {
+	case wanted && w.cancel == nil:
+		ctx, cancel := context.WithCancel(ctx)
+		w.cancel = cancel
+		w.running.Go(func() { w.follower.watch(ctx) })
+	case !wanted:
+		w.stop()
+	}
+}
+
+func (w *watching) stop() {
+	if w.cancel != nil {
+		w.cancel()
+		w.cancel = nil
+		w.running.Wait()
+	}
+}
+
+// watch hands each new head of the platform to the core until ctx ends.
+func (f *Follower) watch(ctx context.Context) {
+	var known platform.ObjectVersion
+	pause := retryMin
+	for ctx.Err() == nil {
+		object, err := f.options.Store.Watch(ctx, objects.HeadKey, known)
+		if err == nil {
+			err = f.read(ctx, object)
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				f.options.Log.Warn("configuration watch", "error", err)
+			}
+			sleep(ctx, rand.N(pause))
+			pause = min(2*pause, retryMax)
+			continue
+		}
+		known, pause = object.Version, retryMin
+	}
+}
+
+// read reads the parts that are not held yet.
+func (f *Follower) read(ctx context.Context, object platform.Object) error {
+	head, err := part.DecodeHead(object.Value)
+	if err != nil {
+		return err
+	}
+	parts := make(map[string][]byte)
+	for _, ref := range head.Parts {
+		if f.holds(ref.SHA256) {
+			continue
+		}
+		data, err := objects.Part(ctx, f.options.Store, ref.SHA256)
+		if err != nil {
+			return err
+		}
+		parts[ref.SHA256] = data
+	}
+	f.step(distribute.PlatformHead{Encoded: object.Value, Parts: parts})
+	return nil
+}
+
+func (f *Follower) holds(digest string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, held := f.core.Part(digest)
+	return held
+}
+
+// absorb writes orders that came past the platform into it, once it answers.
+// Only daemons that watch do so; those who race get a conflict, which is
+// harmless.
+func (f *Follower) absorb(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, absorbInterval/2+rand.N(absorbInterval/2))
+		status := f.Status()
+		if !status.Watching || len(status.Orders) == 0 {
+			continue
+		}
+		head, err := f.changer.Absorb(ctx, status.Orders)
+		switch {
+		case err == nil:
+			f.options.Log.Info("orders written into the platform", "orders", len(status.Orders), "version", head.Number)
+		case errors.Is(err, change.ErrConflict):
+		default:
+			f.options.Log.Warn("orders wait for the platform", "orders", len(status.Orders), "error", err)
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/fleet/version/distribute/core.go
+++ b/fleet/version/distribute/core.go
@@ -118,7 +118,6 @@
 // Step handles one event.
 func (c *Core) Step(now time.Time, event Event) {
 	event.apply(c, now)
-	c.updateWatching(now)
 }
 
 // Tick advances time. It is called every TickInterval.
--- a/fleet/version/distribute/event.go
+++ b/fleet/version/distribute/event.go
@@ -41,11 +41,13 @@
 
 func (e PeerUp) apply(c *Core, now time.Time) {
 	c.peers[e.VM] = &peer{dataCentre: e.DataCentre, leaving: e.Leaving}
+	c.updateWatching(now)
 	c.announce(now, e.VM)
 }
 
 func (e PeerDown) apply(c *Core, now time.Time) {
 	delete(c.peers, e.VM)
+	c.updateWatching(now)
 	if c.fetch != nil && c.fetch.source == e.VM {
 		c.changeSource(now)
 	}
--- a/fleet/version/distribute/serve.go
+++ b/fleet/version/distribute/serve.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/hex"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -53,14 +54,33 @@
 	c.send(to, chunk)
 }
 
+// writers keeps compressors without a dictionary, which are large, for reuse.
+var writers = sync.Pool{New: func() any {
+	// The level is valid.
+	writer, _ := flate.NewWriter(nil, flate.DefaultCompression)
+	return writer
+}}
+
 // deflate compresses data against a dictionary, which may be empty.
 func deflate(data, dictionary []byte) []byte {
 	var compressed bytes.Buffer
-	// The level is valid and a Buffer never fails to write.
-	writer, _ := flate.NewWriterDict(&compressed, flate.DefaultCompression, dictionary)
+	if len(dictionary) > 0 {
+		// The level is valid.
+		writer, _ := flate.NewWriterDict(&compressed, flate.DefaultCompression, dictionary)
+		compress(writer, data)
+		return compressed.Bytes()
+	}
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&compressed)
+	compress(writer, data)
+	return compressed.Bytes()
+}
+
+// compress writes data through a writer to a buffer, which never fails.
+func compress(writer *flate.Writer, data []byte) {
 	_, _ = writer.Write(data)
 	_ = writer.Close()
-	return compressed.Bytes()
 }
 
 // inflate reverses deflate for at most limit bytes.
