trefoilctl: configurations, presets, accounts, out of service, status, time line

Operators had no commands. Each change is confirmed only when the platform has confirmed it; exit codes tell conflicts and unconfirmed changes from failures, and errors say what to do. Taking something out while the platform is away hands the order to daemons, which pass it on and write it into the platform later. status and timeline ask the operators' listeners and say when some did not answer.

The tests run the command functions against the platform stand-in and real daemons over loopback.

--- /dev/null
+++ b/daemon/cmd/trefoilctl/command/config.go
@@ -0,0 +1,200 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/trefoilwell/trefoilwell/daemon/version/change"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/source"
+)
+
+// pathArgument is a configuration file or a directory of *.toml.
+type pathArgument struct {
+	Path string `positional-arg-name:"PATH" required:"yes" description:"configuration file, or a directory of *.toml files"`
+}
+
+// load reads and checks the configuration at the path.
+func (p pathArgument) load() (*version.Document, error) {
+	paths := []string{p.Path}
+	info, err := os.Stat(p.Path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration")
+	}
+	if info.IsDir() {
+		if paths, err = filepath.Glob(filepath.Join(p.Path, "*.toml")); err != nil || len(paths) == 0 {
+			return nil, errors.Newf("no *.toml file in %s", p.Path)
+		}
+		slices.Sort(paths)
+	}
+	var files []source.File
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "read configuration")
+		}
+		if len(text) > source.MaxFileBytes {
+			return nil, errors.Newf("%s has more than %d bytes", path, source.MaxFileBytes)
+		}
+		files = append(files, source.File{Name: path, Text: text})
+	}
+	return source.Parse(files)
+}
+
+type configCheck struct {
+	*session `no-flag:"true"`
+	Args     pathArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configCheck) Execute([]string) error {
+	document, err := c.Args.load()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.stdout, "valid: %d client accounts, %d pools, %d upstreams, %d presets\n",
+		len(document.Accounts), len(document.Pools), len(document.Upstreams), len(document.Presets))
+	return nil
+}
+
+type configDiff struct {
+	*session `no-flag:"true"`
+	Args     pathArgument `positional-args:"yes" required:"yes"`
+}
+
+// diffResult is what `config diff --json` prints.
+type diffResult struct {
+	// Version is what the files were compared with.
+	Version version.Number `json:"version"`
+	Changes []difference   `json:"changes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configDiff) Execute([]string) error {
+	document, err := c.Args.load()
+	if err != nil {
+		return err
+	}
+	state, err := c.read()
+	if err != nil && !errors.Is(err, change.ErrNone) {
+		return err
+	}
+	changes := differences(state.Document, document)
+	if c.JSON {
+		return c.printJSON(diffResult{Version: state.Head.Number, Changes: changes})
+	}
+	for _, d := range changes {
+		fmt.Fprintln(c.stdout, d)
+	}
+	fmt.Fprintf(c.stdout, "%d changes against version %d; put them in force with --expect %d\n",
+		len(changes), state.Head.Number, state.Head.Number)
+	return nil
+}
+
+// read returns the configuration in the platform.
+func (s *session) read() (change.State, error) {
+	changer, err := s.changer()
+	if err != nil {
+		return change.State{}, err
+	}
+	ctx, cancel := s.deadline()
+	defer cancel()
+	return changer.Read(ctx)
+}
+
+// change makes one change of the configuration.
+func (s *session) change(edit func(*change.State) error) (version.Head, error) {
+	changer, err := s.changer()
+	if err != nil {
+		return version.Head{}, err
+	}
+	ctx, cancel := s.deadline()
+	defer cancel()
+	head, err := changer.Change(ctx, edit)
+	if err == nil && head.Number%change.SweepEvery == 0 {
+		if _, err := changer.Sweep(ctx); err != nil {
+			s.warn("unused parts were not removed: %v; the next sweep will try again", err)
+		}
+	}
+	return head, err
+}
+
+type configApply struct {
+	*session `no-flag:"true"`
+	Args     pathArgument `positional-args:"yes" required:"yes"`
+	Expect   uint64       `long:"expect" required:"yes" description:"version that the files were compared with (see config diff); 0 if there is none yet"`
+	Preset   string       `long:"preset" description:"preset to put in force; default the present one"`
+}
+
+// Execute implements flags.Commander.
+func (c *configApply) Execute([]string) error {
+	document, err := c.Args.load()
+	if err != nil {
+		return err
+	}
+	head, err := c.change(func(state *change.State) error {
+		if err := state.Expect(version.Number(c.Expect)); err != nil {
+			return err
+		}
+		state.Document = document
+		switch {
+		case c.Preset != "":
+			state.Head.Preset = c.Preset
+		case state.Head.Preset == "":
+			state.Head.Preset = document.Presets[0].Name
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return c.confirm(head, "")
+}
+
+type configShow struct {
+	*session `no-flag:"true"`
+}
+
+// shown is what `config show --json` prints.
+type shown struct {
+	Head     version.Head    `json:"head"`
+	Document json.RawMessage `json:"document"`
+}
+
+// Execute implements flags.Commander.
+func (c *configShow) Execute([]string) error {
+	state, err := c.read()
+	if err != nil {
+		return err
+	}
+	text, err := toml.Marshal(state.Document)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	if !c.JSON {
+		fmt.Fprintf(c.stdout, "# version %d, preset %s in force\n", state.Head.Number, state.Head.Preset)
+		fmt.Fprintf(c.stdout, "# out of service: %s\n%s", dash(outText(state.Head.Out)), text)
+		return nil
+	}
+	document, err := jsonOf(text)
+	if err != nil {
+		return err
+	}
+	return c.printJSON(shown{Head: state.Head, Document: document})
+}
+
+// jsonOf returns TOML text as JSON with the same keys.
+func jsonOf(text []byte) (json.RawMessage, error) {
+	var tree any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+	encoded, err := json.Marshal(tree)
+	return encoded, errors.Wrap(err, "encode configuration")
+}
--- /dev/null
+++ b/daemon/cmd/trefoilctl/command/output.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// table prints rows under a heading, or body as JSON if that was asked for.
+func (s *session) table(body any, heading []string, rows [][]string) error {
+	if s.JSON {
+		return s.printJSON(body)
+	}
+	writer := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(heading, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	return errors.Wrap(writer.Flush(), "print")
+}
+
+func (s *session) printJSON(body any) error {
+	encoder := json.NewEncoder(s.stdout)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(body), "print")
+}
+
+// confirmation tells of a change that the platform confirmed.
+type confirmation struct {
+	Version   version.Number `json:"version"`
+	Operation string         `json:"operation"`
+	Confirmed bool           `json:"confirmed"`
+	// APIKey is a new key; it is shown here only.
+	APIKey string `json:"api_key,omitempty"`
+}
+
+// confirm prints that the platform confirmed a change.
+func (s *session) confirm(head version.Head, key string) error {
+	if s.JSON {
+		return s.printJSON(confirmation{Version: head.Number, Operation: head.Operation, Confirmed: true, APIKey: key})
+	}
+	if key != "" {
+		fmt.Fprintf(s.stdout, "API key (shown once): %s\n", key)
+	}
+	fmt.Fprintf(s.stdout, "version %d confirmed by the platform\n", head.Number)
+	return nil
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+// dash shows an empty list or text.
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/daemon/cmd/trefoilctl/main.go
+++ b/daemon/cmd/trefoilctl/main.go
@@ -2,33 +2,17 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
-	"runtime/debug"
+	"os/signal"
+	"syscall"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilctl/command"
 )
 
-// versionCommand prints the build's version.
-type versionCommand struct{}
-
-// Execute implements flags.Commander.
-func (versionCommand) Execute([]string) error {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		fmt.Println("unknown")
-		return nil
-	}
-	fmt.Println(info.Main.Version)
-	return nil
-}
-
 func main() {
-	parser := flags.NewParser(&struct{}{}, flags.Default)
-	if _, err := parser.AddCommand("version", "Print the version", "Print the version", &versionCommand{}); err != nil {
-		panic(err)
-	}
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
