TLS by certificate files, and settings checked with their place

Settings errors named no line and bounds were not checked; links, operators and upstreams were reached in plain only. Every listener and dialler now takes certificate files; a ca_file on a listener demands a client's certificate, so that peer links are mutual.

--- a/daemon/connection/upstream/poll.go
+++ b/daemon/connection/upstream/poll.go
@@ -40,7 +40,9 @@
 	Handler LoadHandler
 	// Transport carries the polls; default http.DefaultTransport.
 	Transport http.RoundTripper
-	Log       *slog.Logger
+	// Scheme is how upstreams are reached, "http" or "https"; default "http".
+	Scheme string
+	Log    *slog.Logger
 }
 
 // Poller asks upstreams for their load. It is safe for concurrent use.
@@ -57,6 +59,9 @@
 
 // NewPoller returns a poller that does not run yet.
 func NewPoller(options PollerOptions) *Poller {
+	if options.Scheme == "" {
+		options.Scheme = "http"
+	}
 	return &Poller{
 		options: options,
 		client:  &http.Client{Transport: options.Transport, Timeout: pollTimeout},
@@ -117,7 +122,7 @@
 }
 
 func (p *Poller) fetch(ctx context.Context, address string) (Load, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.options.Scheme+"://"+address+PathLoad, nil)
 	if err != nil {
 		return Load{}, errors.Wrap(err, "build poll")
 	}
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -55,6 +55,7 @@
 	// leaving is set once the daemon drains.
 	leaving atomic.Bool
 
+	dialling          *dialling
 	callersListener   net.Listener
 	peersListener     net.Listener
 	operatorsListener net.Listener
@@ -63,6 +64,10 @@
 // New binds the listeners and wires the daemon.
 func New(s *settings.Settings, log *slog.Logger) (*App, error) {
 	a := &App{settings: s, log: log, timeline: timeline.New(s.VM, timeline.DefaultRingEvents)}
+	var err error
+	if a.dialling, err = newDialling(s); err != nil {
+		return nil, err
+	}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -70,8 +75,11 @@
 	a.incarnation = incarnation
 	var calls atomic.Uint64
 	a.client = platform.New(platform.Options{
-		URL:   s.Platform.URL,
-		Token: s.Platform.Token,
+		URL:            s.Platform.URL,
+		Token:          s.Platform.Token,
+		Transport:      a.dialling.platform,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+		CallsBurst:     s.Platform.CallsBurst,
 		Observe: func(_ platform.Call, err error) {
 			calls.Add(1)
 			a.follower.Observe(err)
@@ -81,14 +89,20 @@
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]linkedVM)}
 	a.peers = peer.New(peer.Options{
 		Secret:  s.Peers.Secret,
-		Scheme:  "ws",
+		Scheme:  a.dialling.peerScheme,
+		HTTP:    a.dialling.peers,
 		Handler: a.inbox,
 		Hello:   a.hello(incarnation),
 		Log:     log,
 	})
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
-	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
+	a.poller = upstream.NewPoller(upstream.PollerOptions{
+		Handler:   a.loop,
+		Transport: a.dialling.polls,
+		Scheme:    a.dialling.upstreamScheme,
+		Log:       log,
+	})
 	a.loop.SetPoller(a.poller)
 	a.follower = follow.New(follow.Options{
 		VM:         s.VM,
@@ -143,20 +157,6 @@
 	return err
 }
 
-func (a *App) listen() error {
-	var err error
-	if a.callersListener, err = net.Listen("tcp", a.settings.Callers.Listen); err != nil {
-		return errors.Wrap(err, "callers listener")
-	}
-	if a.peersListener, err = net.Listen("tcp", a.settings.Peers.Listen); err != nil {
-		return errors.Wrap(err, "peer listener")
-	}
-	if a.operatorsListener, err = net.Listen("tcp", a.settings.Operators.Listen); err != nil {
-		return errors.Wrap(err, "operators' listener")
-	}
-	return nil
-}
-
 func (a *App) newNode(incarnation uint64) *node.Node {
 	return node.New(node.Options{
 		VM:          a.settings.VM,
@@ -168,7 +168,11 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	relayer := relay.New(relay.Options{
+		Accounting: a.loop,
+		Transport:  a.dialling.upstreams,
+		Scheme:     a.dialling.upstreamScheme,
+	})
 	a.handler = serve.New(serve.Options{
 		Fleet:      a.loop,
 		Relay:      relayer,
--- /dev/null
+++ b/daemon/process/settings/check.go
@@ -0,0 +1,151 @@
+package settings
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/tlsfiles"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// maxDrainGraceMS bounds Callers.DrainGraceMS, in milliseconds.
+	maxDrainGraceMS = 600_000
+	// maxCalls bounds Platform.CallsPerSecond and Platform.CallsBurst.
+	maxCalls = 10_000
+	// maxSecretBytes bounds secrets and tokens, which travel in headers.
+	maxSecretBytes = 1_024
+)
+
+// problem is something wrong with one setting.
+type problem struct {
+	path []string
+	text string
+}
+
+// Check returns everything that is wrong with settings.
+func (s *Settings) Check() error {
+	var texts []string
+	for _, problem := range s.problems() {
+		texts = append(texts, problem.text)
+	}
+	if len(texts) == 0 {
+		return nil
+	}
+	return errors.Wrap(ErrInvalid, strings.Join(texts, "; "))
+}
+
+func (s *Settings) problems() []problem {
+	c := &checker{}
+	c.name(string(s.VM), "vm")
+	c.name(string(s.DataCentre), "datacentre")
+	c.listen(s.Callers.Listen, "callers", "listen")
+	c.listen(s.Peers.Listen, "peers", "listen")
+	c.listen(s.Operators.Listen, "operators", "listen")
+	c.distinct(s)
+	c.between(float64(s.Callers.DrainGraceMS), 0, maxDrainGraceMS, "callers", "drain_grace_ms")
+	c.secret(s.Peers.Secret, "peers", "secret")
+	c.secret(s.Operators.Token, "operators", "token")
+	c.url(s.Platform.URL, "platform", "url")
+	if s.Platform.Token != "" {
+		c.secret(s.Platform.Token, "platform", "token")
+	}
+	c.between(s.Platform.CallsPerSecond, 1, maxCalls, "platform", "calls_per_second")
+	c.between(float64(s.Platform.CallsBurst), 1, maxCalls, "platform", "calls_burst")
+	c.serverTLS(s.Callers.TLS, "callers", "tls")
+	c.serverTLS(s.Peers.TLS, "peers", "tls")
+	c.serverTLS(s.Operators.TLS, "operators", "tls")
+	c.clientTLS(s.Platform.TLS, "platform", "tls")
+	c.clientTLS(s.Upstreams.TLS, "upstreams", "tls")
+	if s.Upstreams.TLS.Enabled() && !s.Upstreams.HTTPS {
+		c.add("upstreams.tls needs https = true", "upstreams", "tls")
+	}
+	return c.found
+}
+
+// checker gathers problems.
+type checker struct{ found []problem }
+
+func (c *checker) add(text string, path ...string) {
+	c.found = append(c.found, problem{path: path, text: text})
+}
+
+func (c *checker) name(value string, path ...string) {
+	if err := version.CheckName(value); err != nil {
+		c.add(strings.Join(path, ".")+" "+err.Error(), path...)
+	}
+}
+
+func (c *checker) listen(address string, path ...string) {
+	_, port, err := net.SplitHostPort(address)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		c.add(strings.Join(path, ".")+" "+strconv.Quote(address)+" is not host:port", path...)
+	}
+}
+
+// distinct refuses two listeners at one address, unless the system chooses the
+// port.
+func (c *checker) distinct(s *Settings) {
+	taken := make(map[string]string)
+	for _, listener := range []struct{ name, address string }{
+		{"callers", s.Callers.Listen}, {"peers", s.Peers.Listen}, {"operators", s.Operators.Listen},
+	} {
+		other, twice := taken[listener.address]
+		if twice && !strings.HasSuffix(listener.address, ":0") {
+			c.add(listener.name+".listen is the address of "+other+".listen", listener.name, "listen")
+		}
+		taken[listener.address] = listener.name
+	}
+}
+
+func (c *checker) between(value, least, most float64, path ...string) {
+	if value >= least && value <= most {
+		return
+	}
+	c.add(strings.Join(path, ".")+" must be from "+number(least)+" to "+number(most), path...)
+}
+
+func number(value float64) string { return strconv.FormatFloat(value, 'f', -1, 64) }
+
+// secret never repeats the value in its text.
+func (c *checker) secret(value string, path ...string) {
+	name := strings.Join(path, ".")
+	switch {
+	case value == "":
+		c.add(name+" is required", path...)
+	case len(value) > maxSecretBytes:
+		c.add(name+" is longer than "+strconv.Itoa(maxSecretBytes)+" bytes", path...)
+	case strings.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
+		c.add(name+" may hold only printable ASCII without blanks", path...)
+	}
+}
+
+func (c *checker) url(value string, path ...string) {
+	if value == "" {
+		c.add(strings.Join(path, ".")+" is required", path...)
+		return
+	}
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.RawQuery != "" {
+		c.add(strings.Join(path, ".")+" is not an http or https URL", path...)
+	}
+}
+
+func (c *checker) serverTLS(files tlsfiles.Files, path ...string) {
+	if _, err := files.Server(); err != nil {
+		c.add(strings.Join(path, ".")+": "+err.Error(), path...)
+	}
+}
+
+func (c *checker) clientTLS(files tlsfiles.Files, path ...string) {
+	if _, err := files.Client(); err != nil {
+		c.add(strings.Join(path, ".")+": "+err.Error(), path...)
+	}
+}
--- a/daemon/process/settings/settings.go
+++ b/daemon/process/settings/settings.go
@@ -2,13 +2,14 @@
 package settings
 
 import (
-	"bytes"
 	"os"
 
 	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/tlsfiles"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/tomlfile"
 )
 
 // ErrInvalid is returned for a settings file that cannot be used.
@@ -24,6 +25,7 @@
 	Peers      Peers                `toml:"peers"`
 	Operators  Operators            `toml:"operators"`
 	Platform   Platform             `toml:"platform"`
+	Upstreams  Upstreams            `toml:"upstreams"`
 }
 
 // Callers set up the callers' listener.
@@ -33,6 +35,8 @@
 	// DrainGraceMS is how long, in milliseconds, a daemon that shuts down
 	// still takes requests, so that the balancer notices; default 5000.
 	DrainGraceMS int `toml:"drain_grace_ms"`
+	// TLS serves callers by TLS; default none.
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
 // Peers set up the links between daemons.
@@ -41,6 +45,9 @@
 	Listen string `toml:"listen"`
 	// Secret is the fleet's own secret; required.
 	Secret string `toml:"secret"`
+	// TLS is used for the listener and for dialling; with a ca_file both sides
+	// check each other. Default none.
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
 // Operators set up the operators' listener.
@@ -49,32 +56,30 @@
 	Listen string `toml:"listen"`
 	// Token authorises operators; required.
 	Token string `toml:"token"`
+	// TLS serves operators by TLS; default none.
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
 // Platform tells where the platform's object API is.
 type Platform struct {
-	// URL is the base URL; required.
+	// URL is the base URL, http or https; required.
 	URL string `toml:"url"`
 	// Token is sent as a bearer token; default none.
 	Token string `toml:"token"`
+	// CallsPerSecond and CallsBurst bound this daemon's calls; default 50 and
+	// 100.
+	CallsPerSecond float64 `toml:"calls_per_second"`
+	CallsBurst     int     `toml:"calls_burst"`
+	// TLS is used with an https URL; default the system's authorities.
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
-// Load reads, completes and checks a settings file.
-func Load(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
-	}
-	decoder := toml.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	settings := Default()
-	if err := decoder.Decode(settings); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "%s", path), ErrInvalid)
-	}
-	if err := settings.Check(); err != nil {
-		return nil, errors.Wrapf(err, "%s", path)
-	}
-	return settings, nil
+// Upstreams tell how upstreams are reached.
+type Upstreams struct {
+	// HTTPS reaches all upstreams by TLS; default false.
+	HTTPS bool `toml:"https"`
+	// TLS is used with HTTPS; default the system's authorities.
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
 // defaultDrainGraceMS is the default of Callers.DrainGraceMS.
@@ -86,25 +91,30 @@
 		Callers:   Callers{Listen: ":8080", DrainGraceMS: defaultDrainGraceMS},
 		Peers:     Peers{Listen: ":7070"},
 		Operators: Operators{Listen: "127.0.0.1:7071"},
+		Platform: Platform{
+			CallsPerSecond: platform.DefaultCallsPerSecond,
+			CallsBurst:     platform.DefaultCallsBurst,
+		},
 	}
 }
 
-// Check reports the first required setting that is missing.
-func (s *Settings) Check() error {
-	required := []struct{ name, value string }{
-		{"vm", string(s.VM)},
-		{"datacentre", string(s.DataCentre)},
-		{"peers.secret", s.Peers.Secret},
-		{"operators.token", s.Operators.Token},
-		{"platform.url", s.Platform.URL},
+// Load reads, completes and checks a settings file. Its error names file, line
+// and column of everything that is wrong.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
 	}
-	for _, setting := range required {
-		if setting.value == "" {
-			return errors.Wrapf(ErrInvalid, "%s is required", setting.name)
+	settings := Default()
+	index, problems := tomlfile.Decode(path, text, settings)
+	if len(problems) == 0 {
+		for _, problem := range settings.problems() {
+			problems = append(problems, tomlfile.Problem{Position: index.At(problem.path...), Text: problem.text})
 		}
 	}
-	if s.Callers.DrainGraceMS < 0 {
-		return errors.Wrap(ErrInvalid, "callers.drain_grace_ms is negative")
+	if len(problems) > 0 {
+		problems.Sort()
+		return nil, errors.Mark(problems, ErrInvalid)
 	}
-	return nil
+	return settings, nil
 }
--- a/fleet/version/name.go
+++ b/fleet/version/name.go
@@ -1,5 +1,7 @@
 package version
 
+import "github.com/cockroachdb/errors"
+
 // maxNameBytes bounds a name.
 const maxNameBytes = 64
 
@@ -27,3 +29,11 @@
 		return c == '.' || c == '_' || c == '-'
 	}
 }
+
+// CheckName reports why a text cannot be a name.
+func CheckName(name string) error {
+	if problem := nameProblem(name); problem != "" {
+		return errors.Newf("%q %s", name, problem)
+	}
+	return nil
+}
--- a/lab/operations/operations_test.go
+++ b/lab/operations/operations_test.go
@@ -58,6 +58,11 @@
 	url       string
 	path      string
 	operators []string
+	callers   []string
+	// globals come before each command, and change alters each daemon's
+	// settings; both may be empty.
+	globals []string
+	change  func(*settings.Settings)
 }
 
 func newBench(t *testing.T) *bench {
@@ -83,7 +88,7 @@
 // run runs a command and returns its exit code and output.
 func (b *bench) run(args ...string) (code int, stdout, stderr string) {
 	b.t.Helper()
-	globals := []string{"--platform-url", b.url, "--operator-token", operatorToken, "--timeout", "5s"}
+	globals := append([]string{"--platform-url", b.url, "--operator-token", operatorToken, "--timeout", "5s"}, b.globals...)
 	for _, address := range b.operators {
 		globals = append(globals, "--operator", address)
 	}
@@ -194,7 +199,7 @@
 	b.contains(out, "peak      yes")
 }
 
-// startDaemons starts daemons and returns a function that ends them.
+// startDaemons starts a daemon in each data centre; they end with the test.
 func (b *bench) startDaemons(dataCentres ...version.DataCentreID) {
 	b.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
@@ -207,11 +212,15 @@
 		s.Callers.DrainGraceMS = 1
 		s.Peers.Secret, s.Operators.Token = "fleet", operatorToken
 		s.Platform.URL = b.url
+		if b.change != nil {
+			b.change(s)
+		}
 		daemon, err := app.New(s, slog.New(slog.DiscardHandler))
 		if err != nil {
 			b.t.Fatal(err)
 		}
 		b.operators = append(b.operators, daemon.OperatorsAddress())
+		b.callers = append(b.callers, daemon.CallersAddress())
 		vms = append(vms, client.VM{ID: s.VM, DataCentre: dataCentre, PeerAddress: daemon.PeersAddress(), State: client.VMLive})
 		running.Go(func() {
 			if err := daemon.Run(ctx); err != nil {
