Bound the links and test mixed faults

A daemon that had just started took itself for the owner of every pool and wanted links to every peer dispatcher: 257 links a daemon at 336 VMs. It now waits until it knows the others of its data centre. Owner no longer sorts.

--- a/fleet/process/membership/view.go
+++ b/fleet/process/membership/view.go
@@ -62,45 +62,60 @@
 // gives for key. A leaving one is taken only if no other is left. It reports
 // false if the data centre has none.
 func (v View) Owner(dataCentre version.DataCentreID, key string) (version.VMID, bool) {
-	ranked := v.Ranked(dataCentre, key)
-	if len(ranked) == 0 {
-		return "", false
+	var best candidate
+	found := false
+	for _, member := range v.Members {
+		if member.State > Leaving || member.DataCentre != dataCentre {
+			continue
+		}
+		c := candidateOf(member, key)
+		if !found || c.before(best) {
+			best, found = c, true
+		}
+	}
+	return best.vm, found
+}
+
+// candidate is a member that may own a key.
+type candidate struct {
+	vm      version.VMID
+	leaving bool
+	score   uint64
+}
+
+func candidateOf(member Member, key string) candidate {
+	return candidate{
+		vm:      member.VM,
+		leaving: member.State == Leaving,
+		score:   xxhash.Sum64String(key + "\x00" + string(member.VM)),
 	}
-	return ranked[0], true
+}
+
+// before reports whether c owns the key rather than other.
+func (c candidate) before(other candidate) bool {
+	if c.leaving != other.leaving {
+		return other.leaving
+	}
+	if c.score != other.score {
+		return c.score > other.score
+	}
+	return c.vm < other.vm
 }
 
 // Ranked returns the members of a data centre that may own key, the owner
 // first. Leaving ones come last.
 func (v View) Ranked(dataCentre version.DataCentreID, key string) []version.VMID {
-	type candidate struct {
-		vm      version.VMID
-		leaving bool
-		score   uint64
-	}
 	var candidates []candidate
 	for _, member := range v.Members {
-		if member.State > Leaving || member.DataCentre != dataCentre {
-			continue
+		if member.State <= Leaving && member.DataCentre == dataCentre {
+			candidates = append(candidates, candidateOf(member, key))
 		}
-		candidates = append(candidates, candidate{
-			vm:      member.VM,
-			leaving: member.State == Leaving,
-			score:   score(key, member.VM),
-		})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		switch {
-		case a.leaving != b.leaving && a.leaving:
-			return 1
-		case a.leaving != b.leaving:
-			return -1
-		case a.score > b.score:
+		if a.before(b) {
 			return -1
-		case a.score < b.score:
-			return 1
-		default:
-			return strings.Compare(string(a.vm), string(b.vm))
 		}
+		return 1
 	})
 	ranked := make([]version.VMID, 0, len(candidates))
 	for _, c := range candidates {
@@ -109,10 +124,6 @@
 	return ranked
 }
 
-func score(key string, vm version.VMID) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(vm))
-}
-
 // Member returns the member of a VM.
 func (v View) Member(vm version.VMID) (Member, bool) {
 	i, found := slices.BinarySearchFunc(v.Members, vm, func(m Member, vm version.VMID) int {
--- a/fleet/process/node/roles.go
+++ b/fleet/process/node/roles.go
@@ -15,7 +15,10 @@
 
 const (
 	// rolesInterval is how often the roles are worked out without any change.
-	rolesInterval = 250 * time.Millisecond
+	rolesInterval = 500 * time.Millisecond
+	// settleTime is how long after its start a daemon may take to find the
+	// others of its data centre.
+	settleTime = 3 * time.Second
 	// failoverTime is how long an owner that is said to live but cannot be
 	// reached from here is waited for, before another daemon is asked.
 	failoverTime = 2 * time.Second
@@ -26,6 +29,10 @@
 	// stale is set when the members or the configuration changed.
 	stale bool
 	next  time.Time
+	// started is when the roles were first worked out, and settled is set once
+	// the others of the data centre are known.
+	started time.Time
+	settled bool
 	// unreached is since when a pool's owner could not be reached.
 	unreached map[version.PoolID]time.Time
 }
@@ -51,6 +58,7 @@
 	n.roles.stale = false
 	n.roles.next = now.Add(rolesInterval)
 	n.updateView(now)
+	n.updateSettled(now)
 	members := n.tracker.SlotMembers(now)
 	for _, pool := range n.pools() {
 		ranked := n.view.Ranked(n.options.DataCentre, dispatcherKey(pool))
@@ -84,6 +92,21 @@
 	n.serviceViewChanged(now)
 }
 
+// updateSettled notes when the others of the data centre are known. Before
+// that, this daemon may seem to own what others do.
+func (n *Node) updateSettled(now time.Time) {
+	if n.roles.started.IsZero() {
+		n.roles.started = now
+	}
+	found := !slices.ContainsFunc(n.view.Members, func(m membership.Member) bool {
+		return m.State == membership.Listed
+	})
+	known := found && len(n.view.Members) > 1
+	if known || now.Sub(n.roles.started) >= settleTime {
+		n.roles.settled = true
+	}
+}
+
 // recordChanges puts the members whose state changed on the time line.
 func (n *Node) recordChanges(now time.Time, before, after membership.View) {
 	for _, member := range after.Members {
@@ -176,7 +199,9 @@
 		}
 		peer := dispatcher.Peer{DataCentre: dataCentre.ID, Distance: n.distance(dataCentre.ID)}
 		if vm, found := n.view.Owner(dataCentre.ID, dispatcherKey(pool)); found {
-			n.links.want(now, vm)
+			if n.roles.settled {
+				n.links.want(now, vm)
+			}
 			if n.tracker.Linked(vm) {
 				peer.VM = vm
 			}
--- a/fleet/process/node/spill_test.go
+++ b/fleet/process/node/spill_test.go
@@ -187,3 +187,50 @@
 		f.checkIdle()
 	}
 }
+
+// fault does one of several things to a running fleet and undoes it. It
+// reports whether the fleet is parted meanwhile and whether requests are lost.
+func (f *fleet) fault(kind, pick int) (parted, lost bool) {
+	vms := f.VMs()
+	vm := vms[pick%len(vms)]
+	some, rest := vms[:1+pick%(len(vms)-1)], vms[1+pick%(len(vms)-1):]
+	switch kind {
+	case 0:
+		f.Restart(vm)
+		return false, true
+	case 1:
+		f.Pause(vm)
+		f.After(6*time.Second, func() { f.Resume(vm) })
+	case 2:
+		f.Cut(some, rest)
+		f.After(9*time.Second, func() { f.Heal(some, rest) })
+		return true, false
+	}
+	return false, false
+}
+
+func TestInvariantsHoldUnderMixedFaults(t *testing.T) {
+	for seed := range uint64(9) {
+		options, sites := twoSites(100 + seed)
+		options.Fault = lossy(1 + int(seed%4))
+		f := newFleet(t, options, sites...)
+		f.load(f.except("north"), 100*time.Millisecond, 25*time.Second, quickCost)
+		f.load(f.except("south"), 400*time.Millisecond, 25*time.Second, quickCost)
+		f.Run(8 * time.Second)
+		parted, lost := f.fault(int(seed%3), int(seed))
+		f.Run(130 * time.Second)
+		f.checkIdle()
+		f.checkColdLimits()
+		if !parted {
+			f.checkLimits()
+		}
+		allowed := 0
+		if lost {
+			allowed = f.offered
+		}
+		f.checkEnds(allowed)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
