Retry a failed send later, and leave a lost role without a pause

A failed send made the entry register at once, over the same broken link, again and again within one step. It now waits 200 ms. An entry whose own daemon stopped being the owner was sent away by its dispatcher and waited out a backoff, although it knew where to go.

--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -19,6 +19,8 @@
 	needInterval = time.Second
 	// needTime is how long it is then told of free slots.
 	needTime = 3 * time.Second
+	// peerRetry is how long after a lost link a peer is registered with again.
+	peerRetry = 100 * time.Millisecond
 	// lostTime is how long what a lost entry runs at a peer keeps its slot.
 	lostTime = 10 * time.Second
 	// vacancyInterval is the least time between two vacancies with free slots
@@ -150,7 +152,7 @@
 			continue
 		}
 		p.free = 0
-		p.proxy.Lost(now, vm)
+		p.proxy.Lost(vm, now.Add(peerRetry))
 		d.takeBack(now, p)
 	}
 }
--- a/fleet/process/entry/registration.go
+++ b/fleet/process/entry/registration.go
@@ -103,13 +103,14 @@
 	return r.dispatcher
 }
 
-// Lost ends the registrations with a VM that the link to went down.
-func (e *Entry) Lost(now time.Time, vm version.VMID) {
+// Lost ends the registrations with a VM that the link to went down. They are
+// not tried again before again.
+func (e *Entry) Lost(vm version.VMID, again time.Time) {
 	for _, r := range e.registrations {
 		if r.progress != absent && r.dispatcher == vm {
 			r.progress = absent
 			r.clean = false
-			r.due = now
+			r.due = again
 		}
 	}
 }
@@ -134,10 +135,9 @@
 	}
 	r.progress = absent
 	r.due = now
-	if message.Elsewhere {
+	if message.Elsewhere && r.target.VM == from {
 		r.backoff = min(max(2*r.backoff, backoffMin), backoffMax)
 		r.due = now.Add(r.backoff)
-		r.clean = true
 	}
 	e.tryRegister(now, message.Pool, r)
 }
--- a/fleet/process/node/links.go
+++ b/fleet/process/node/links.go
@@ -14,6 +14,10 @@
 // wants it any more.
 const linkTime = 30 * time.Second
 
+// unreachableRetry is how long after a failed send a daemon is registered with
+// again.
+const unreachableRetry = 200 * time.Millisecond
+
 // links decides which daemons are dialled: all of the own data centre, of
 // which the one with the lower name dials, the dispatchers of the same pools
 // elsewhere, and one contact in each other data centre.
@@ -111,7 +115,7 @@
 		return
 	}
 	restarted := present && hello.Incarnation > known.Incarnation
-	n.lost(now, hello.VM, restarted)
+	n.lost(now, hello.VM, restarted, now)
 	n.tracker.LinkUp(now, hello)
 	n.servicePeerChanged(hello.VM)
 }
@@ -124,14 +128,14 @@
 		return
 	}
 	n.tracker.LinkDown(now, hello)
-	n.lost(now, hello.VM, known.State == membership.Leaving)
+	n.lost(now, hello.VM, known.State == membership.Leaving, now)
 	n.servicePeerChanged(hello.VM)
 }
 
 // lost ends what was registered with a daemon, and what it registered here.
-// settled says that its process has ended.
-func (n *Node) lost(now time.Time, vm version.VMID, settled bool) {
-	n.entry.Lost(now, vm)
+// settled says that its process has ended, again when to register with it again.
+func (n *Node) lost(now time.Time, vm version.VMID, settled bool, again time.Time) {
+	n.entry.Lost(vm, again)
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].Lost(now, vm, settled)
 		n.dispatchers[pool].PeerLost(now, vm)
@@ -139,8 +143,11 @@
 	n.roles.stale = true
 }
 
-// unreachable notes that messages to a daemon were not sent.
-func (n *Node) unreachable(now time.Time, vm version.VMID) { n.lost(now, vm, false) }
+// unreachable notes that messages to a daemon were not sent. The link may be
+// about to end, so nothing is sent again at once.
+func (n *Node) unreachable(now time.Time, vm version.VMID) {
+	n.lost(now, vm, false, now.Add(unreachableRetry))
+}
 
 // list takes the platform's list of VMs.
 func (n *Node) list(now time.Time, vms []membership.VM) { n.tracker.List(now, vms) }
--- a/fleet/process/node/roles.go
+++ b/fleet/process/node/roles.go
@@ -63,8 +63,8 @@
 	for _, pool := range n.pools() {
 		ranked := n.view.Ranked(n.options.DataCentre, dispatcherKey(pool))
 		owner := len(ranked) > 0 && ranked[0] == n.options.VM
-		n.setOwner(now, pool, owner)
 		n.entry.SetTarget(now, pool, n.target(now, pool, ranked))
+		n.setOwner(now, pool, owner)
 	}
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].SetMembers(now, members)
