--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
+	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
@@ -48,7 +50,10 @@
 	links    *http.Server
 	// operators serves the operators' interface.
 	operators   *http.Server
+	metrics     *metrics.Metrics
 	incarnation uint64
+	// leaving is set once the daemon drains.
+	leaving atomic.Bool
 
 	callersListener   net.Listener
 	peersListener     net.Listener
@@ -63,7 +68,12 @@
 	}
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
-	a.client = platform.New(platform.Options{URL: s.Platform.URL, Token: s.Platform.Token})
+	var calls atomic.Uint64
+	a.client = platform.New(platform.Options{
+		URL:     s.Platform.URL,
+		Token:   s.Platform.Token,
+		Observe: func(platform.Call, error) { calls.Add(1) },
+	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
 	a.peers = peer.New(peer.Options{
@@ -80,6 +90,11 @@
 	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
+	a.metrics = metrics.New(a.loop, metrics.Counters{
+		PeerBytesSent:     a.peers.BytesSent,
+		PeerBytesReceived: a.peers.BytesReceived,
+		PlatformCalls:     calls.Load,
+	})
 	a.operators = newServer(a.newOperator())
 	return a, nil
 }
@@ -93,10 +108,15 @@
 // OperatorsAddress returns the bound address of the operators' listener.
 func (a *App) OperatorsAddress() string { return a.operatorsListener.Addr().String() }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and every request has then ended.
 func (a *App) Run(ctx context.Context) error {
+	a.log.Info("serving",
+		"callers", a.CallersAddress(), "peers", a.PeersAddress(), "operators", a.OperatorsAddress())
 	var group run.Group
-	addServer(&group, a.callers, a.callersListener)
+	a.addDrain(&group, ctx)
+	// What serves requests outlasts ctx until the drain is done.
+	ctx = context.WithoutCancel(ctx)
+	addCallers(&group, a.callers, a.callersListener)
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
@@ -104,7 +124,7 @@
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
 	err := group.Run()
-	if errors.Is(err, context.Canceled) {
+	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
 	}
 	return err
@@ -151,6 +171,7 @@
 			VM:          a.settings.VM,
 			DataCentre:  a.settings.DataCentre,
 			Incarnation: incarnation,
+			Leaving:     a.leaving.Load(),
 		}
 		if config := a.loop.Config(); config != nil {
 			hello.Version = config.Number
--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -72,7 +72,6 @@
 type PeerDown struct{ Hello wire.Hello }
 
 func (e Submit) apply(n *Node, now time.Time)    { n.submit(now, e.Ticket) }
-func (e Withdraw) apply(n *Node, _ time.Time)    { n.entry.Withdraw(e.ID) }
 func (e Charge) apply(n *Node, now time.Time)    { n.charge(now, e) }
 func (e Configure) apply(n *Node, now time.Time) { n.configure(now, e.Config) }
 func (e Directory) apply(n *Node, now time.Time) { n.list(now, e.VMs) }
@@ -80,6 +79,11 @@
 func (e PeerUp) apply(n *Node, now time.Time)    { n.peerUp(now, e.Hello) }
 func (e PeerDown) apply(n *Node, now time.Time)  { n.peerDown(now, e.Hello) }
 
+func (e Withdraw) apply(n *Node, _ time.Time) {
+	n.streamDropped(e.ID)
+	n.entry.Withdraw(e.ID)
+}
+
 func (e Unreachable) apply(n *Node, now time.Time) { n.unreachable(now, e.VM) }
 
 func (e Load) apply(n *Node, now time.Time) {
@@ -95,7 +99,7 @@
 }
 
 func (e End) apply(n *Node, now time.Time) {
-	n.streamEnded(e.Finish.ID)
+	n.streamEnded(e.Finish)
 	n.entry.End(now, e.Finish, n.expectedFirstToken(e.Finish.Pool))
 	n.options.Timeline.Record(now, timeline.Event{
 		Kind:     timeline.KindFinished,
--- a/fleet/process/node/harness_test.go
+++ b/fleet/process/node/harness_test.go
@@ -117,6 +117,9 @@
 	f.refusals = append(f.refusals, refusal)
 }
 
+// Lost does nothing: the requests of a restarted daemon end with it.
+func (f *fleet) Lost(time.Time, pump.Job, bool) {}
+
 // load submits a request at each VM every interval for a while.
 func (f *fleet) load(vms []version.VMID, interval, duration time.Duration, cost request.Cost) {
 	for at := time.Duration(0); at < duration; at += interval {
