Parse a completion apart from the request's own stack

A waiting request kept the 8 KB stack that decoding its body had grown, though 4 KB hold what waits. Decoding now has a goroutine of its own.

--- a/daemon/request/serve/completion.go
+++ b/daemon/request/serve/completion.go
@@ -29,6 +29,24 @@
 	prefix uint64
 }
 
+// parsedCompletion is what parseCompletion returns.
+type parsedCompletion struct {
+	completion *completion
+	refusal    *request.Refusal
+}
+
+// parseApart calls parseCompletion on a goroutine of its own: decoding needs a
+// deep stack, which the request's own goroutine would keep while it waits.
+func parseApart(body []byte) (*completion, *request.Refusal) {
+	parsed := make(chan parsedCompletion)
+	go func() {
+		completion, refusal := parseCompletion(body)
+		parsed <- parsedCompletion{completion, refusal}
+	}()
+	result := <-parsed
+	return result.completion, result.refusal
+}
+
 // parseCompletion reads the body of a completion request.
 func parseCompletion(body []byte) (*completion, *request.Refusal) {
 	var parsed completionBody
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -182,7 +182,7 @@
 		return
 	}
 	h.hold(w, r, func(admitted *admission, body []byte) (*call, *request.Refusal) {
-		parsed, refusal := parseCompletion(body)
+		parsed, refusal := parseApart(body)
 		if refusal != nil {
 			return nil, refusal
 		}
--- a/lab/fleetproc/drain_test.go
+++ b/lab/fleetproc/drain_test.go
@@ -26,16 +26,21 @@
 	e := engine.New(engine.Options{TokenInterval: 5 * time.Millisecond, ColdLimit: 100})
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
-	return New(t, &version.Document{
+	return New(t, oneUpstream(server.Listener.Addr().String(), 10)), e
+}
+
+// oneUpstream describes a fleet with one model engine of so many slots.
+func oneUpstream(address string, slots int) *version.Document {
+	return &version.Document{
 		DataCentres: []version.DataCentreSpec{{Name: "north", Region: "one"}},
-		Accounts:    []version.AccountSpec{{Name: "counters", KeyDigests: []string{version.KeyDigest(key)}}},
+		Accounts:    []version.AccountSpec{{Name: "counters", KeyDigests: []string{version.KeyDigest(key)}, MaxWaiting: 10_000}},
 		Pools:       []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{model}}},
 		Upstreams: []version.UpstreamSpec{{
-			Name: "north-1", Pool: "polish", DataCentre: "north",
-			Address: server.Listener.Addr().String(), Team: "advice", ColdLimit: 10, WarmLimit: 10,
+			Name: "north-1", Pool: "polish", DataCentre: "north", Address: address, Team: "advice",
+			ColdLimit: slots, WarmLimit: slots,
 		}},
 		Presets: []version.PresetSpec{{Name: "ordinary"}},
-	}), e
+	}
 }
 
 func chat(t *testing.T, p *Process, tokens string) *http.Response {
