--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -8,7 +8,6 @@
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
-	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -19,6 +18,8 @@
 	needInterval = time.Second
 	// needTime is how long it is then told of free slots.
 	needTime = 3 * time.Second
+	// lostTime is how long what a lost entry runs at a peer keeps its slot.
+	lostTime = 10 * time.Second
 	// vacancyInterval is the least time between two vacancies with free slots
 	// for the same dispatcher.
 	vacancyInterval = 200 * time.Millisecond
@@ -50,12 +51,23 @@
 	wanted   time.Time
 	told     int
 	toldTime time.Time
+	// lowest is the lowest level that waits there, and toldLowest what the
+	// peer was last told of here.
+	lowest     lowestWaiting
+	toldLowest uint64
 }
 
 // placement is a request of this data centre at a peer.
 type placement struct {
-	key  request.Key
+	key     request.Key
+	attempt request.Attempt
+	// item is the ticket; it is empty for a request that ran already.
 	item queue.Item
+	// since is when it was placed.
+	since time.Time
+	// lost is when the entry that runs it was lost; zero while it is
+	// registered.
+	lost time.Time
 }
 
 // SetPeers sets the dispatchers of the same pool elsewhere.
@@ -121,7 +133,7 @@
 	case wire.Grant:
 		p.proxy.Grant(from, m)
 	case wire.Refuse:
-		p.free = 0
+		p.free, p.lowest.refused = 0, true
 		p.proxy.Refuse(from, m)
 	case wire.Released:
 		p.proxy.Released(now, from, m)
@@ -129,6 +141,8 @@
 		p.proxy.Reregister(now, from, m)
 	case wire.Vacancy:
 		p.free = int(m.Free)
+		d.hearLowest(now, p, m.Lowest)
+		d.offer(now)
 	case wire.Need:
 		p.wanted = now.Add(needTime)
 		p.told = -1
@@ -173,24 +187,29 @@
 			p.needed = now
 			d.send(p.VM, wire.Need{Pool: d.options.Pool})
 		}
-		for p.free > 0 && d.queue.Len() > 0 {
-			d.offerNext(now, p)
+		for p.free > 0 && d.offerNext(now, p) {
+			p.free--
 		}
 	}
+	d.balance(now)
 }
 
-func (d *Dispatcher) offerNext(now time.Time, p *peer) {
-	item, waits := d.queue.Next(now)
-	if !waits {
-		return
+// offerNext offers the first ticket in fair order to a peer and reports whether
+// there was one. A ticket that came from another data centre goes no further.
+func (d *Dispatcher) offerNext(now time.Time, p *peer) bool {
+	for item := range d.queue.Candidates(now) {
+		r := d.registrationOf(item.Key)
+		if r.remote {
+			continue
+		}
+		d.queue.Remove(now, item.Key)
+		id := p.place(now, item)
+		r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
+		d.counts.Spilled++
+		d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
+		return true
 	}
-	p.free--
-	d.queue.Remove(now, item.Key)
-	id := p.place(now, item)
-	r := d.registrationOf(item.Key)
-	r.held[item.Key.ID] = held{attempt: item.Ticket.Attempt, place: offered, peer: p, id: id}
-	d.counts.Spilled++
-	d.record(now, timeline.KindSpilled, item.Key, timeline.Event{Peer: p.VM})
+	return false
 }
 
 // settlePeer acts on what the proxy was told.
@@ -215,7 +234,7 @@
 		return
 	}
 	ticket := placed.item.Ticket
-	d.options.Meter.Grant(now, service.Hold{Key: placed.key, Attempt: ticket.Attempt}, ticket)
+	d.charge(now, placed.key, ticket)
 	r.held[placed.key.ID] = held{attempt: ticket.Attempt, place: running, upstream: grant.Upstream, peer: p, id: grant.ID}
 	d.sendGrant(now, r, placed.key.ID, ticket.Attempt, grant.Upstream)
 }
@@ -242,6 +261,7 @@
 // many slots are free here.
 func (d *Dispatcher) tickPeers(now time.Time) {
 	for _, p := range d.peers {
+		p.expireLost(now)
 		p.proxy.Tick(now)
 		d.settlePeer(now, p)
 		d.tell(now, p)
@@ -257,12 +277,13 @@
 	if d.queue.Len() == 0 {
 		free = d.slots.Free(now)
 	}
-	same := free == p.told && free == 0
+	lowest := d.lowestTold()
+	same := free == p.told && free == 0 && !d.levelNews(now, p, lowest)
 	if same || (p.told >= 0 && now.Sub(p.toldTime) < vacancyInterval) {
 		return
 	}
-	p.told, p.toldTime = free, now
-	d.send(p.VM, wire.Vacancy{Pool: d.options.Pool, Free: uint32(free)})
+	p.told, p.toldLowest, p.toldTime = free, lowest, now
+	d.send(p.VM, wire.Vacancy{Pool: d.options.Pool, Free: uint32(free), Lowest: lowest})
 }
 
 // drainPeers moves the proxies' messages to the outbox.
@@ -277,7 +298,7 @@
 // place submits a ticket to the peer under an ID of its own.
 func (p *peer) place(now time.Time, item queue.Item) request.ID {
 	p.nextID++
-	p.placed[p.nextID] = placement{key: item.Key, item: item}
+	p.placed[p.nextID] = placement{key: item.Key, attempt: item.Ticket.Attempt, item: item, since: now}
 	ticket := item.Ticket
 	ticket.ID = p.nextID
 	ticket.Age = now.Sub(item.Arrived)
@@ -289,8 +310,15 @@
 
 // adopt takes over a request that runs at the peer already.
 func (p *peer) adopt(now time.Time, pool version.PoolID, key request.Key, run wire.Running) request.ID {
+	for id, placed := range p.placed {
+		if placed.key == key && placed.attempt == run.Attempt && !placed.lost.IsZero() {
+			placed.lost = time.Time{}
+			p.placed[id] = placed
+			return id
+		}
+	}
 	p.nextID++
-	p.placed[p.nextID] = placement{key: key}
+	p.placed[p.nextID] = placement{key: key, attempt: run.Attempt}
 	p.proxy.Adopt(now, request.Ticket{
 		ID:      p.nextID,
 		Account: run.Account,
@@ -307,6 +335,33 @@
 	p.proxy.End(now, finish, expected)
 }
 
+// lose notes that the entry of a request that runs at the peer was lost.
+func (p *peer) lose(now time.Time, id request.ID) {
+	placed := p.placed[id]
+	placed.lost = now
+	p.placed[id] = placed
+}
+
+// dropStrays frees the slots that a lost entry held at the peer and does not
+// hold any more.
+func (p *peer) dropStrays(entry Entry, isRunning map[request.ID]bool) {
+	for id, placed := range p.placed {
+		own := placed.key.Entry == entry.VM && placed.key.Incarnation == entry.Incarnation
+		if own && !placed.lost.IsZero() && !isRunning[placed.key.ID] {
+			p.abandon(id)
+		}
+	}
+}
+
+// expireLost frees the slots of requests whose entry did not come back.
+func (p *peer) expireLost(now time.Time) {
+	for id, placed := range p.placed {
+		if !placed.lost.IsZero() && now.Sub(placed.lost) >= lostTime {
+			p.abandon(id)
+		}
+	}
+}
+
 // abandon forgets a request that was placed at the peer.
 func (p *peer) abandon(id request.ID) {
 	delete(p.placed, id)
--- a/fleet/process/pump/pump.go
+++ b/fleet/process/pump/pump.go
@@ -10,7 +10,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -21,8 +21,8 @@
 	SameRegionDelay = time.Millisecond
 	// CrossRegionDelay is the one-way delay between regions.
 	CrossRegionDelay = 8 * time.Millisecond
-	// LinkTimeout is how long both ends of a cut link take to notice.
-	LinkTimeout = time.Second
+	// directoryInterval is how often each daemon reads the platform's list.
+	directoryInterval = 2 * time.Second
 	// timelineEvents is the ring of each node.
 	timelineEvents = 64
 )
@@ -58,14 +58,13 @@
 	order   uint64
 	daemons map[version.VMID]*Daemon
 	vms     []version.VMID
-	cut     map[link]bool
+	links   links
+	// listing is set while a new list of VMs is on its way.
+	listing bool
 	stands  map[version.UpstreamID]*Stand
 	jobs    map[jobKey]*job
 }
 
-// link is an ordered pair of VMs.
-type link struct{ from, to version.VMID }
-
 // Daemon is one node and what it sent.
 type Daemon struct {
 	VM          version.VMID
@@ -85,7 +84,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, 0)),
 		now:     time.UnixMilli(0),
 		daemons: make(map[version.VMID]*Daemon),
-		cut:     make(map[link]bool),
+		links:   newLinks(),
 		stands:  make(map[version.UpstreamID]*Stand),
 		jobs:    make(map[jobKey]*job),
 	}
@@ -103,23 +102,45 @@
 // Random returns the seeded source.
 func (p *Pump) Random() *rand.Rand { return p.random }
 
-// Add starts a daemon and links it to the others.
+// Add starts a daemon, which the platform's list has from then on.
 func (p *Pump) Add(vm version.VMID, dataCentre version.DataCentreID) *Daemon {
 	d := &Daemon{VM: vm, DataCentre: dataCentre}
 	p.daemons[vm] = d
 	p.vms = append(p.vms, vm)
 	p.start(d)
 	p.after(time.Duration(p.random.Int64N(int64(node.TickInterval))), func() { p.tick(d) })
+	if !p.listing {
+		p.listing = true
+		p.after(0, p.list)
+	}
 	return d
 }
 
+// list tells every daemon which VMs the platform has, again and again.
+func (p *Pump) list() {
+	for _, vm := range p.vms {
+		p.listTo(p.daemons[vm])
+	}
+	p.after(directoryInterval, p.list)
+}
+
+func (p *Pump) listTo(d *Daemon) {
+	all := make([]membership.VM, 0, len(p.vms))
+	for _, vm := range p.vms {
+		all = append(all, membership.VM{ID: vm, DataCentre: p.daemons[vm].DataCentre, Address: string(vm)})
+	}
+	p.Step(d.VM, node.Directory{VMs: all})
+}
+
 // Restart replaces a daemon's node by an empty one of a new incarnation. Its
 // requests are gone and their upstreams end them unseen.
 func (p *Pump) Restart(vm version.VMID) {
 	d := p.daemons[vm]
-	p.linkAll(d, false)
+	p.unlinkAll(d)
 	p.dropJobs(vm, d.Incarnation)
 	p.start(d)
+	p.listTo(d)
+	p.redial(d)
 }
 
 // Pause holds back everything that a daemon would handle until Resume.
@@ -136,12 +157,6 @@
 	}
 }
 
-// Cut parts two groups of VMs; both ends notice after LinkTimeout.
-func (p *Pump) Cut(a, b []version.VMID) { p.setCut(a, b, true) }
-
-// Heal joins two groups of VMs again.
-func (p *Pump) Heal(a, b []version.VMID) { p.setCut(a, b, false) }
-
 // Step hands an event to a daemon at once.
 func (p *Pump) Step(vm version.VMID, event node.Event) {
 	d := p.daemons[vm]
@@ -179,7 +194,6 @@
 	if p.options.Config != nil {
 		p.Step(d.VM, node.Configure{Config: p.options.Config})
 	}
-	p.linkAll(d, true)
 }
 
 // Configure hands a configuration to every daemon, and to those that start
@@ -191,39 +205,6 @@
 	}
 }
 
-func (p *Pump) linkAll(d *Daemon, up bool) {
-	for _, vm := range p.vms {
-		if vm != d.VM && !p.cut[link{d.VM, vm}] {
-			p.setLink(d, p.daemons[vm], up)
-			p.setLink(p.daemons[vm], d, up)
-		}
-	}
-}
-
-// setLink tells a daemon that its link to a peer came up or went down.
-func (p *Pump) setLink(d, peer *Daemon, up bool) {
-	hello := wire.Hello{VM: peer.VM, DataCentre: peer.DataCentre, Incarnation: peer.Incarnation}
-	if up {
-		p.Step(d.VM, node.PeerUp{Hello: hello})
-		return
-	}
-	p.Step(d.VM, node.PeerDown{Hello: hello})
-}
-
-func (p *Pump) setCut(a, b []version.VMID, cut bool) {
-	for _, from := range a {
-		for _, to := range b {
-			p.cut[link{from, to}], p.cut[link{to, from}] = cut, cut
-			p.after(LinkTimeout, func() {
-				if p.cut[link{from, to}] == cut {
-					p.setLink(p.daemons[from], p.daemons[to], !cut)
-					p.setLink(p.daemons[to], p.daemons[from], !cut)
-				}
-			})
-		}
-	}
-}
-
 func (p *Pump) tick(d *Daemon) {
 	if !d.paused {
 		p.handle(d, func() { d.Node.Tick(p.now) })
