--- a/fleet/connection/wire/ledger.go
+++ b/fleet/connection/wire/ledger.go
@@ -1,4 +1,166 @@
 package wire
 
+import (
+	"github.com/google/uuid"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// KindLedgerClaim tags LedgerClaim.
+	KindLedgerClaim Kind = 60
+	// KindLedgerVerdict tags LedgerVerdict.
+	KindLedgerVerdict Kind = 61
+	// KindLedgerClose tags LedgerClose.
+	KindLedgerClose Kind = 62
+	// KindLedgerOutcome tags LedgerOutcome.
+	KindLedgerOutcome Kind = 63
+	// KindLedgerAck tags LedgerAck.
+	KindLedgerAck Kind = 64
+	// KindLedgerProbe tags LedgerProbe.
+	KindLedgerProbe Kind = 65
+	// KindLedgerRunning tags LedgerRunning.
+	KindLedgerRunning Kind = 66
+	// KindLedgerGone tags LedgerGone.
+	KindLedgerGone Kind = 67
+)
+
 // ledgerDecoders decodes the messages about claims of non-idempotent requests.
-var ledgerDecoders = map[Kind]decoder{}
+var ledgerDecoders = map[Kind]decoder{
+	KindLedgerClaim:   decodeAs[LedgerClaim],
+	KindLedgerVerdict: decodeAs[LedgerVerdict],
+	KindLedgerClose:   decodeAs[LedgerClose],
+	KindLedgerOutcome: decodeAs[LedgerOutcome],
+	KindLedgerAck:     decodeAs[LedgerAck],
+	KindLedgerProbe:   decodeAs[LedgerProbe],
+	KindLedgerRunning: decodeAs[LedgerRunning],
+	KindLedgerGone:    decodeAs[LedgerGone],
+}
+
+// LedgerSubject names one attempt under one idempotency key.
+type LedgerSubject struct {
+	_       struct{} `cbor:",toarray"`
+	Account version.AccountID
+	Key     claim.Key
+	Attempt uuid.UUID
+}
+
+// LedgerClaim asks the writer of a shard to record a claim. It may be sent
+// again; the attempt makes it idempotent.
+type LedgerClaim struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+	// Request is the head of the request's digest.
+	Request [16]byte
+	// Stamp is the sender's clock at sending; the verdict echoes it.
+	Stamp uint64
+}
+
+// LedgerResult is what a writer decided on a claim.
+type LedgerResult uint8
+
+const (
+	// LedgerWaiting is no decision yet.
+	LedgerWaiting LedgerResult = iota
+	// LedgerClaimed is a claim that the attempt holds.
+	LedgerClaimed
+	// LedgerReplay is a key whose outcome is recorded.
+	LedgerReplay
+	// LedgerReused is a key that was used for another request.
+	LedgerReused
+	// LedgerUnknown is a key held by an attempt whose outcome is not known.
+	LedgerUnknown
+	// LedgerClosed is an attempt that was closed.
+	LedgerClosed
+)
+
+// LedgerVerdict answers a LedgerClaim.
+type LedgerVerdict struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt uuid.UUID
+	Stamp   uint64
+	Result  LedgerResult
+	// Held is set while another attempt holds the key (LedgerWaiting).
+	Held bool
+	// Looked is set if the store was read for this claim and no attempt held
+	// the key (LedgerWaiting).
+	Looked bool
+	// Answer is the recorded outcome (LedgerReplay).
+	Answer *LedgerAnswer
+}
+
+// LedgerAnswer is a recorded outcome.
+type LedgerAnswer struct {
+	_           struct{} `cbor:",toarray"`
+	Status      int
+	ContentType string
+	// Body is nil if it was over the size that is kept.
+	Body       []byte
+	BodyDigest claim.Digest
+}
+
+// LedgerClose says that an attempt was not sent and never will be.
+type LedgerClose struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+	// Sole is set if no other writer was asked to record the claim.
+	Sole bool
+}
+
+// LedgerOutcome tells how a claimed attempt ended.
+type LedgerOutcome struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+	// Answer is nil if the attempt ended without a whole answer.
+	Answer *LedgerAnswer
+}
+
+// LedgerAck confirms that a LedgerClose or LedgerOutcome is in the store.
+type LedgerAck struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt uuid.UUID
+}
+
+// LedgerProbe asks the entry of an attempt what became of it. The answer is a
+// LedgerRunning, LedgerGone, LedgerClose or LedgerOutcome.
+type LedgerProbe struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+}
+
+// LedgerRunning says that an attempt may still run or end.
+type LedgerRunning struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+}
+
+// LedgerGone says that the entry does not know the attempt.
+type LedgerGone struct {
+	_       struct{} `cbor:",toarray"`
+	Subject LedgerSubject
+}
+
+// Kind implements Message.
+func (LedgerClaim) Kind() Kind { return KindLedgerClaim }
+
+// Kind implements Message.
+func (LedgerVerdict) Kind() Kind { return KindLedgerVerdict }
+
+// Kind implements Message.
+func (LedgerClose) Kind() Kind { return KindLedgerClose }
+
+// Kind implements Message.
+func (LedgerOutcome) Kind() Kind { return KindLedgerOutcome }
+
+// Kind implements Message.
+func (LedgerAck) Kind() Kind { return KindLedgerAck }
+
+// Kind implements Message.
+func (LedgerProbe) Kind() Kind { return KindLedgerProbe }
+
+// Kind implements Message.
+func (LedgerRunning) Kind() Kind { return KindLedgerRunning }
+
+// Kind implements Message.
+func (LedgerGone) Kind() Kind { return KindLedgerGone }
