--- a/fleet/connection/wire/ledger.go
+++ b/fleet/connection/wire/ledger.go
@@ -71,8 +71,12 @@
 	LedgerReused
 	// LedgerUnknown is a key held by an attempt whose outcome is not known.
 	LedgerUnknown
+	// LedgerBroken is a key whose attempt ended without a whole answer.
+	LedgerBroken
 	// LedgerClosed is an attempt that was closed.
 	LedgerClosed
+	// LedgerBusy is a claim that the writer has no room for.
+	LedgerBusy
 )
 
 // LedgerVerdict answers a LedgerClaim.
--- /dev/null
+++ b/fleet/process/ledger/refusal.go
@@ -0,0 +1,86 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
+)
+
+const (
+	// retryAfterMin and retryAfterSpread give when a caller may come back.
+	retryAfterMin    = 2 * time.Second
+	retryAfterSpread = 3 * time.Second
+)
+
+func (l *Ledger) decide(id uuid.UUID, verdict claim.Verdict) {
+	l.act(Decide{Attempt: id, Verdict: verdict})
+}
+
+func (l *Ledger) refuse(id uuid.UUID, refusal *request.Refusal) {
+	l.decide(id, claim.Verdict{Refusal: refusal})
+}
+
+// drop refuses a claim whose key another attempt holds for good.
+func (l *Ledger) drop(id uuid.UUID, refusal *request.Refusal) {
+	delete(l.attempts, id)
+	l.refuse(id, refusal)
+}
+
+func badKey(err error) *request.Refusal {
+	return &request.Refusal{
+		Reason:    request.ReasonBadIdempotencyKey,
+		Execution: request.NotRun,
+		Detail:    err.Error(),
+	}
+}
+
+func keyReuse() *request.Refusal {
+	return &request.Refusal{
+		Reason:    request.ReasonKeyReuse,
+		Execution: request.NotRun,
+		Detail:    "this idempotency key was used for another request; this request was not run",
+	}
+}
+
+// unavailable says "not run" only if the store was read during this call and no
+// other attempt held the key. Otherwise an earlier call may have run.
+func (l *Ledger) unavailable(looked bool) *request.Refusal {
+	refusal := &request.Refusal{
+		Reason:     request.ReasonLedgerUnavailable,
+		Execution:  request.Unknown,
+		RetryAfter: l.retryAfter(),
+		Detail: "this call was not run, but the ledger could not be read, " +
+			"so an earlier call with this idempotency key may have run; come back with the same key",
+	}
+	if looked {
+		refusal.Execution = request.NotRun
+		refusal.Detail = "the ledger could not record this call, so it was not run; come back with the same key"
+	}
+	return refusal
+}
+
+func (l *Ledger) outcomeUnknown() *request.Refusal {
+	return &request.Refusal{
+		Reason:     request.ReasonOutcomeUnknown,
+		Execution:  request.Unknown,
+		RetryAfter: l.retryAfter(),
+		Detail:     "another call with this idempotency key may have run; come back with the same key for its outcome",
+	}
+}
+
+// outcomeBroken gives no advice to come back: the outcome will not become known
+// here.
+func outcomeBroken() *request.Refusal {
+	return &request.Refusal{
+		Reason:    request.ReasonOutcomeUnknown,
+		Execution: request.Unknown,
+		Detail:    "another call with this idempotency key was sent and ended without a whole answer; ask the service itself",
+	}
+}
+
+func (l *Ledger) retryAfter() time.Duration {
+	return retryAfterMin + time.Duration(l.random.Int64N(int64(retryAfterSpread)))
+}
