--- a/fleet/process/ledger/ledger.go
+++ b/fleet/process/ledger/ledger.go
@@ -47,6 +47,7 @@
 	options Options
 	random  *rand.Rand
 	owners  Owners
+	// writers are made at their first use.
 	writers [Shards]*writer
 	// writeInterval spaces the writes of a shard.
 	writeInterval time.Duration
@@ -84,17 +85,13 @@
 	if options.WritesPerSecond <= 0 {
 		options.WritesPerSecond = DefaultWritesPerSecond
 	}
-	l := &Ledger{
+	return &Ledger{
 		options:       options,
 		random:        rand.New(rand.NewPCG(options.Seed, 0)),
 		writeInterval: Shards * time.Second / time.Duration(options.WritesPerSecond),
 		operations:    operations{under: make(map[Operation]*writer)},
 		attempts:      make(map[uuid.UUID]*attempt),
 	}
-	for shard := range l.writers {
-		l.writers[shard] = newWriter(l, Shard(shard))
-	}
-	return l
 }
 
 // Step handles one event.
@@ -107,7 +104,9 @@
 func (l *Ledger) Tick(now time.Time) {
 	l.tickAttempts(now)
 	for _, w := range l.writers {
-		w.tick(now)
+		if w != nil {
+			w.tick(now)
+		}
 	}
 	l.advance(now)
 }
@@ -136,7 +135,7 @@
 // Busy reports whether Tick may have something to do.
 func (l *Ledger) Busy() bool {
 	for _, w := range l.writers {
-		if w.busy() {
+		if w != nil && w.busy() {
 			return true
 		}
 	}
@@ -156,7 +155,9 @@
 		l.receive(now, l.options.VM, message)
 	}
 	for _, w := range l.writers {
-		w.advance(now)
+		if w != nil {
+			w.advance(now)
+		}
 	}
 }
 
@@ -194,7 +195,11 @@
 }
 
 func (l *Ledger) writer(subject wire.LedgerSubject) *writer {
-	return l.writers[placeOf(subject).Shard]
+	shard := placeOf(subject).Shard
+	if l.writers[shard] == nil {
+		l.writers[shard] = &writer{ledger: l}
+	}
+	return l.writers[shard]
 }
 
 // send sends a message, or keeps it for advance if it is for this daemon.
--- a/fleet/process/ledger/writer.go
+++ b/fleet/process/ledger/writer.go
@@ -41,7 +41,6 @@
 // Invariant: at most one call of the store is under way.
 type writer struct {
 	ledger *Ledger
-	shard  Shard
 	// books are ordered by their places.
 	books []*book
 	call  *call
@@ -61,10 +60,6 @@
 	written segment
 }
 
-func newWriter(l *Ledger, shard Shard) *writer {
-	return &writer{ledger: l, shard: shard}
-}
-
 // find returns where the book of a bucket is or belongs.
 func (w *writer) find(bucket Bucket) (int, bool) {
 	return slices.BinarySearchFunc(w.books, bucket, func(b *book, bucket Bucket) int {
--- a/lab/ledgercheck/agenda.go
+++ b/lab/ledgercheck/agenda.go
@@ -13,12 +13,13 @@
 }
 
 type item struct {
-	at  time.Time
+	// at is in nanoseconds of Unix time.
+	at  int64
 	seq uint64
 	run func()
 }
 
-type items []item
+type items []*item
 
 // at runs f at a time, or now if that has passed.
 func (a *agenda) at(t time.Time, f func()) {
@@ -26,16 +27,16 @@
 		t = a.now
 	}
 	a.next++
-	heap.Push(&a.items, item{at: t, seq: a.next, run: f})
+	heap.Push(&a.items, &item{at: t.UnixNano(), seq: a.next, run: f})
 }
 
 func (a *agenda) after(d time.Duration, f func()) { a.at(a.now.Add(d), f) }
 
 // until runs everything up to a time.
 func (a *agenda) until(end time.Time) {
-	for len(a.items) > 0 && !a.items[0].at.After(end) {
-		i := heap.Pop(&a.items).(item)
-		a.now = i.at
+	for len(a.items) > 0 && a.items[0].at <= end.UnixNano() {
+		i := heap.Pop(&a.items).(*item)
+		a.now = time.Unix(0, i.at)
 		i.run()
 	}
 	a.now = end
@@ -44,20 +45,20 @@
 func (h items) Len() int { return len(h) }
 
 func (h items) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
 	}
 	return h[i].seq < h[j].seq
 }
 
 func (h items) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-func (h *items) Push(x any) { *h = append(*h, x.(item)) }
+func (h *items) Push(x any) { *h = append(*h, x.(*item)) }
 
 func (h *items) Pop() any {
 	old := *h
 	last := old[len(old)-1]
-	old[len(old)-1] = item{}
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
 	return last
 }
--- a/lab/ledgercheck/sim.go
+++ b/lab/ledgercheck/sim.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -53,7 +54,9 @@
 	BodyBytes int
 	// TickInterval is how often cores tick; default ledger.TickInterval.
 	TickInterval time.Duration
-	Break        Break
+	// CountBytes counts messages and their bytes, which takes time.
+	CountBytes bool
+	Break      Break
 }
 
 const (
@@ -73,8 +76,10 @@
 	centres  []version.DataCentreID
 	// isolated are the data centres cut off from the others.
 	isolated map[version.DataCentreID]bool
-	calls    []*call
-	keys     uint64
+	// tables holds the writers for each set of VMs that a daemon sees.
+	tables map[string]ledger.Owners
+	calls  []*call
+	keys   uint64
 
 	hooks      map[Step]func()
 	reached    map[Step]int
@@ -96,6 +101,7 @@
 		random:   rand.New(rand.NewPCG(options.Seed, 1)),
 		byName:   make(map[version.VMID]*daemon),
 		isolated: make(map[version.DataCentreID]bool),
+		tables:   make(map[string]ledger.Owners),
 		hooks:    make(map[Step]func()),
 		reached:  make(map[Step]int),
 	}
@@ -168,12 +174,19 @@
 // owners returns the writers as a daemon sees the fleet now.
 func (s *Sim) owners(d *daemon) ledger.Owners {
 	var members []membership.Member
+	var seen strings.Builder
 	for _, other := range s.daemons {
 		if other.up && !s.cut(d, other) {
 			members = append(members, membership.Member{VM: other.vm, DataCentre: other.dataCentre})
+			seen.WriteString(string(other.vm) + " ")
 		}
 	}
-	return ledger.NewOwners(s.centres, membership.NewView(members))
+	owners, known := s.tables[seen.String()]
+	if !known {
+		owners = ledger.NewOwners(s.centres, membership.NewView(members))
+		s.tables[seen.String()] = owners
+	}
+	return owners
 }
 
 // cut reports whether no message gets from one daemon to another.
@@ -190,6 +203,9 @@
 
 // count adds a message's bytes as the codec encodes it.
 func (s *Sim) count(message wire.Message) {
+	if !s.options.CountBytes {
+		return
+	}
 	frame, err := wire.Encode([]wire.Message{message})
 	if err != nil {
 		s.violate("a message cannot be encoded: %v", err)
--- a/lab/ledgercheck/store.go
+++ b/lab/ledgercheck/store.go
@@ -73,11 +73,11 @@
 }
 
 func (s *store) write(d *daemon, a ledger.Write) {
+	s.sim.reach(StepWrite)
 	faults := s.faults
 	if !s.admit() {
 		faults.Limited = true
 	}
-	s.sim.reach(StepWrite)
 	s.call(faults, func() {
 		if faults.LateWrites {
 			s.sim.agenda.after(lateBy, func() { s.apply(a) })
@@ -89,7 +89,7 @@
 			result.Result = ledger.Done
 			result.Version = s.version
 		}
-		if s.faults.LoseAnswers || faults.LoseAnswers {
+		if s.faults.LoseAnswers || s.faults.Down {
 			result = ledger.WriteDone{Operation: a.Operation, Result: ledger.Unresolved}
 		}
 		s.answer(d, faults, result)
