--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -1,9 +1,10 @@
 // Package peer keeps one WebSocket link to each other daemon that this one
 // talks to, and carries frames of messages over it.
 //
-// Of a pair of daemons, the one with the lower VM name dials. A full ring or a
-// broken link drops the link as a whole; the decision core then registers its
-// state anew, so nothing is lost silently.
+// Who dials is decided by the caller. If both ends of a pair do, the link that
+// the one with the lower VM name dialled stays. A full ring or a broken link
+// drops the link as a whole; the decision core then registers its state anew,
+// so nothing is lost silently.
 package peer
 
 import (
@@ -33,6 +34,10 @@
 	// redialMin and redialMax bound the pause before a link is dialled again.
 	redialMin = 100 * time.Millisecond
 	redialMax = 2 * time.Second
+	// aliveInterval is how often an open link is tried, and aliveTimeout how
+	// long the other end has to answer.
+	aliveInterval = 4 * time.Second
+	aliveTimeout  = 3 * time.Second
 )
 
 // ErrUnauthorised is returned for a link without the fleet's secret.
@@ -41,7 +46,8 @@
 // Handler is told what happens on links. Its methods are called from the
 // links' goroutines.
 type Handler interface {
-	// LinkUp is called before the first Receive of a link.
+	// LinkUp is called before the first Receive of a link, and after the
+	// LinkDown of any earlier link to the same VM.
 	LinkUp(hello wire.Hello)
 	// Receive handles the messages of one frame.
 	Receive(from wire.Hello, messages []wire.Message)
@@ -70,14 +76,22 @@
 	mu      sync.Mutex
 	links   map[version.VMID]*link
 	dialled map[version.VMID]context.CancelFunc
+
+	traffic traffic
 }
 
 // link is one open connection.
 type link struct {
 	conn  *websocket.Conn
 	hello wire.Hello
-	ring  chan wire.Message
-	close context.CancelFunc
+	// dialled is set if this end dialled.
+	dialled bool
+	ring    chan wire.Message
+	close   context.CancelFunc
+	// done is closed after LinkDown.
+	done chan struct{}
+	// traffic counts the frames of all links of the manager.
+	traffic *traffic
 }
 
 // New returns a manager without links.
@@ -90,12 +104,8 @@
 }
 
 // Connect keeps a link to the VM at address open until ctx ends or Disconnect
-// is called. It does nothing if the other end dials.
+// is called.
 func (m *Manager) Connect(ctx context.Context, vm version.VMID, address string) {
-	self := m.options.Hello().VM
-	if vm <= self {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, present := m.dialled[vm]; present {
@@ -103,10 +113,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	m.dialled[vm] = cancel
-	go m.keep(ctx, address)
+	go m.keep(ctx, vm, address)
 }
 
-// Disconnect stops dialling a VM.
+// Disconnect stops dialling a VM and ends a link that was dialled.
 func (m *Manager) Disconnect(vm version.VMID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -146,13 +156,14 @@
 		m.options.Log.Warn("accept peer link", "error", err)
 		return
 	}
-	m.serve(r.Context(), conn)
+	m.serve(r.Context(), conn, false)
 }
 
-// keep dials again whenever the link ends.
-func (m *Manager) keep(ctx context.Context, address string) {
+// keep dials whenever there is no link.
+func (m *Manager) keep(ctx context.Context, vm version.VMID, address string) {
 	pause := redialMin
 	for ctx.Err() == nil {
+		m.waitForEnd(ctx, vm)
 		started := time.Now()
 		if err := m.dial(ctx, address); err != nil {
 			m.options.Log.Debug("peer link", "address", address, "error", err)
@@ -181,12 +192,28 @@
 	if err != nil {
 		return errors.Wrap(err, "dial peer")
 	}
-	m.serve(ctx, conn)
+	m.serve(ctx, conn, true)
 	return nil
 }
 
+// waitForEnd waits until there is no link to a VM.
+func (m *Manager) waitForEnd(ctx context.Context, vm version.VMID) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		l, present := m.links[vm]
+		m.mu.Unlock()
+		if !present {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.done:
+		}
+	}
+}
+
 // serve runs a link until it ends.
-func (m *Manager) serve(ctx context.Context, conn *websocket.Conn) {
+func (m *Manager) serve(ctx context.Context, conn *websocket.Conn, dialled bool) {
 	defer conn.CloseNow()
 	conn.SetReadLimit(wire.MaxFrameBytes)
 	hello, err := m.greet(ctx, conn)
@@ -196,12 +223,23 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l := &link{conn: conn, hello: hello, ring: make(chan wire.Message, ringMessages), close: cancel}
-	m.add(l)
+	l := &link{
+		conn:    conn,
+		hello:   hello,
+		dialled: dialled,
+		ring:    make(chan wire.Message, ringMessages),
+		close:   cancel,
+		done:    make(chan struct{}),
+		traffic: &m.traffic,
+	}
+	if !m.add(l) {
+		return
+	}
 	defer m.remove(l)
 	m.options.Handler.LinkUp(hello)
 	defer m.options.Handler.LinkDown(hello)
 	go l.write(ctx)
+	go l.keepAlive(ctx)
 	l.read(ctx, m.options.Handler)
 }
 
@@ -209,10 +247,10 @@
 func (m *Manager) greet(ctx context.Context, conn *websocket.Conn) (wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	if err := writeFrame(ctx, conn, []wire.Message{m.options.Hello()}); err != nil {
+	if _, err := writeFrame(ctx, conn, []wire.Message{m.options.Hello()}); err != nil {
 		return wire.Hello{}, err
 	}
-	messages, err := readFrame(ctx, conn)
+	messages, _, err := readFrame(ctx, conn)
 	if err != nil {
 		return wire.Hello{}, err
 	}
@@ -226,23 +264,67 @@
 	return hello, nil
 }
 
-func (m *Manager) add(l *link) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if old, present := m.links[l.hello.VM]; present {
+// add makes l the link to its VM and reports whether it is. A link that it
+// replaces ends first, so that the Handler hears of their ends in order.
+func (m *Manager) add(l *link) bool {
+	for {
+		m.mu.Lock()
+		old, present := m.links[l.hello.VM]
+		if !present {
+			m.links[l.hello.VM] = l
+			m.mu.Unlock()
+			return true
+		}
+		m.mu.Unlock()
+		if !m.replaces(l, old) {
+			return false
+		}
 		old.close()
+		<-old.done
 	}
-	m.links[l.hello.VM] = l
 }
 
+// replaces reports whether l takes the place of old: if the other process is a
+// later one, if the same end dialled again, or if the lower VM dialled l.
+func (m *Manager) replaces(l, old *link) bool {
+	if l.hello.Incarnation != old.hello.Incarnation {
+		return l.hello.Incarnation > old.hello.Incarnation
+	}
+	lowerDials := m.options.Hello().VM < l.hello.VM
+	return l.dialled == old.dialled || l.dialled == lowerDials
+}
+
+// remove forgets a link after its LinkDown.
 func (m *Manager) remove(l *link) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[l.hello.VM] == l {
-		delete(m.links, l.hello.VM)
+	delete(m.links, l.hello.VM)
+	m.mu.Unlock()
+	close(l.done)
+}
+
+// keepAlive ends the link when the other end does not answer.
+func (l *link) keepAlive(ctx context.Context) {
+	ticker := time.NewTicker(aliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := l.ping(ctx); err != nil {
+			l.close()
+			return
+		}
 	}
 }
 
+func (l *link) ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	return errors.Wrap(l.conn.Ping(ctx), "ping peer")
+}
+
 // write sends all that waits in the ring as one frame, again and again.
 func (l *link) write(ctx context.Context) {
 	defer l.close()
@@ -251,9 +333,11 @@
 		case <-ctx.Done():
 			return
 		case first := <-l.ring:
-			if err := writeFrame(ctx, l.conn, l.batch(first)); err != nil {
+			bytes, err := writeFrame(ctx, l.conn, l.batch(first))
+			if err != nil {
 				return
 			}
+			l.traffic.sent.Add(uint64(bytes))
 		}
 	}
 }
@@ -276,28 +360,32 @@
 
 func (l *link) read(ctx context.Context, handler Handler) {
 	for {
-		messages, err := readFrame(ctx, l.conn)
+		messages, bytes, err := readFrame(ctx, l.conn)
 		if err != nil {
 			return
 		}
+		l.traffic.received.Add(uint64(bytes))
 		handler.Receive(l.hello, messages)
 	}
 }
 
-func writeFrame(ctx context.Context, conn *websocket.Conn, messages []wire.Message) error {
+// writeFrame sends messages as one frame and returns the frame's size in bytes.
+func writeFrame(ctx context.Context, conn *websocket.Conn, messages []wire.Message) (int, error) {
 	frame, err := wire.Encode(messages)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return errors.Wrap(conn.Write(ctx, websocket.MessageBinary, frame), "write frame")
+	return len(frame), errors.Wrap(conn.Write(ctx, websocket.MessageBinary, frame), "write frame")
 }
 
-func readFrame(ctx context.Context, conn *websocket.Conn) ([]wire.Message, error) {
+// readFrame returns the messages of the next frame and its size in bytes.
+func readFrame(ctx context.Context, conn *websocket.Conn) ([]wire.Message, int, error) {
 	_, frame, err := conn.Read(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "read frame")
+		return nil, 0, errors.Wrap(err, "read frame")
 	}
-	return wire.Decode(frame)
+	messages, err := wire.Decode(frame)
+	return messages, len(frame), err
 }
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -10,7 +10,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -18,12 +17,14 @@
 	"github.com/trefoilwell/trefoilwell/fleet/process/entry"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/process/queue"
-	"github.com/trefoilwell/trefoilwell/fleet/process/service"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
-	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
+// pauseTime is how long a node may go without a step before what it believes
+// of others is checked ahead of anything else.
+const pauseTime = time.Second
+
 // Options set up a Node.
 type Options struct {
 	VM          version.VMID
@@ -40,14 +41,21 @@
 type Node struct {
 	options     Options
 	config      *version.Config
+	tracker     *membership.Tracker
 	view        membership.View
 	entry       *entry.Entry
-	counters    *service.Counters
+	sums        *sums
 	dispatchers map[version.PoolID]*dispatcher.Dispatcher
-	// registered is the dispatcher that each pool's requests are registered
-	// with.
-	registered map[version.PoolID]version.VMID
-	actions    []Action
+	roles       roles
+	links       links
+	out         outOfService
+	actions     []Action
+	lastStep    time.Time
+	lastSession wire.Session
+
+	crossRegionBytes uint64
+	sent             uint64
+	received         uint64
 }
 
 // New returns a node that knows no configuration and no peers.
@@ -57,14 +65,16 @@
 		DataCentre:  options.DataCentre,
 		Incarnation: options.Incarnation,
 	}
-	return &Node{
+	n := &Node{
 		options:     options,
+		tracker:     membership.New(membership.Options{Self: self, Seed: options.Seed}),
 		view:        membership.NewView([]membership.Member{self}),
-		entry:       entry.New(),
-		counters:    service.NewCounters(),
+		sums:        newSums(),
 		dispatchers: make(map[version.PoolID]*dispatcher.Dispatcher),
-		registered:  make(map[version.PoolID]version.VMID),
+		links:       newLinks(),
 	}
+	n.entry = entry.New(entry.Options{NextSession: n.nextSession})
+	return n
 }
 
 // Config returns the configuration version in force, or nil.
@@ -75,16 +85,24 @@
 
 // Step handles one event.
 func (n *Node) Step(now time.Time, event Event) {
+	n.wake(now)
 	event.apply(n, now)
+	n.follow(now)
 	n.settle(now)
 }
 
 // Tick advances time. It is called every TickInterval.
 func (n *Node) Tick(now time.Time) {
+	n.lastStep = now
+	n.tracker.Tick(now)
 	n.entry.Tick(now)
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].Tick(now)
 	}
+	n.tickService(now)
+	n.tickOutOfService(now)
+	n.tickRoles(now)
+	n.poll(now)
 	n.settle(now)
 }
 
@@ -95,15 +113,17 @@
 	return actions
 }
 
-// Level implements service.Levels.
-func (n *Node) Level(account version.AccountID) float64 {
-	weight := 1.0
-	if n.config != nil {
-		if a, present := n.config.Accounts[account]; present {
-			weight = a.Weight
-		}
+// wake checks what is believed of others after a pause: registrations that
+// nobody renewed meanwhile must not be used for a grant.
+func (n *Node) wake(now time.Time) {
+	paused := !n.lastStep.IsZero() && now.Sub(n.lastStep) >= pauseTime
+	n.lastStep = now
+	if !paused {
+		return
+	}
+	for _, pool := range n.ownedPools() {
+		n.dispatchers[pool].Tick(now)
 	}
-	return float64(n.counters.Served(account)) / weight
 }
 
 // configure applies a higher version and ignores any other.
@@ -112,80 +132,42 @@
 		return
 	}
 	n.config = config
+	n.sums.meter.Configure(config)
 	n.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindConfigured, Version: config.Number})
+	n.noteOutOfService(now)
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].Configure(now, config)
 	}
-	n.register(now)
-}
-
-// setView applies a new picture of the members.
-func (n *Node) setView(now time.Time, view membership.View) {
-	n.view = view
-	n.register(now)
-}
-
-// peerUp adds a daemon to the view and registers with it if it dispatches.
-func (n *Node) peerUp(now time.Time, hello wire.Hello) {
-	member := membership.Member{
-		VM:          hello.VM,
-		DataCentre:  hello.DataCentre,
-		Incarnation: hello.Incarnation,
-	}
-	if hello.Leaving {
-		member.State = membership.Leaving
-	}
-	n.forgetRegistrations(hello.VM)
-	n.setView(now, n.view.With(member))
-}
-
-// peerDown takes a daemon out of the view.
-func (n *Node) peerDown(now time.Time, hello wire.Hello) {
-	n.forgetRegistrations(hello.VM)
-	n.setView(now, n.view.Without(hello.VM))
-}
-
-// forgetRegistrations makes the next register send everything to vm again.
-func (n *Node) forgetRegistrations(vm version.VMID) {
-	for pool, owner := range n.registered {
-		if owner == vm {
-			delete(n.registered, pool)
-		}
-	}
-}
-
-// register registers each pool's requests with its dispatcher if that changed.
-func (n *Node) register(now time.Time) {
-	if n.config == nil {
-		return
-	}
-	for _, pool := range n.pools() {
-		owner, found := n.view.Owner(n.options.DataCentre, dispatcherKey(pool))
-		if !found || n.registered[pool] == owner {
-			continue
-		}
-		n.registered[pool] = owner
-		n.entry.Register(now, pool)
-	}
+	n.roles.stale = true
 }
 
 // settle moves messages between the parts until none is left.
 func (n *Node) settle(now time.Time) {
-	for n.drainEntry(now) || n.drainDispatchers(now) {
+	for n.drainTracker() || n.drainEntry(now) || n.drainDispatchers(now) {
 		continue
 	}
 	for _, grant := range n.entry.Granted() {
+		n.countCrossRegion(grant)
 		n.act(Granted{Grant: grant})
 	}
 	for _, refused := range n.entry.Refused() {
+		n.streamDropped(refused.ID)
 		n.act(Refused{ID: refused.ID, Refusal: refused.Refusal})
 	}
 }
 
+func (n *Node) drainTracker() bool {
+	outbox := n.tracker.Outbox()
+	for _, send := range outbox {
+		n.transmit(send.To, send.Message)
+	}
+	return len(outbox) > 0
+}
+
 func (n *Node) drainEntry(now time.Time) bool {
 	outbox := n.entry.Outbox()
 	for _, send := range outbox {
-		n.deliver(now, n.registered[send.Pool], send.Message)
+		n.deliver(now, send.To, send.Message)
 	}
 	return len(outbox) > 0
 }
@@ -195,7 +177,7 @@
 	for _, pool := range n.ownedPools() {
 		for _, send := range n.dispatchers[pool].Outbox() {
 			moved = true
-			n.deliver(now, send.To.VM, send.Message)
+			n.deliver(now, send.To, send.Message)
 		}
 	}
 	return moved
@@ -204,54 +186,41 @@
 // deliver sends a message, or handles it at once if it is for this daemon.
 func (n *Node) deliver(now time.Time, to version.VMID, message wire.Message) {
 	if to != n.options.VM {
-		n.act(Send{To: to, Message: message})
+		n.transmit(to, message)
 		return
 	}
 	from := dispatcher.Entry{VM: n.options.VM, Incarnation: n.options.Incarnation}
 	n.receive(now, from, message)
 }
 
-// receive handles one message.
-func (n *Node) receive(now time.Time, from dispatcher.Entry, message wire.Message) {
-	switch m := message.(type) {
-	case wire.Ticket:
-		n.dispatcher(now, m.Pool).Ticket(now, from, m.Request())
-	case wire.Withdraw:
-		n.dispatcher(now, m.Pool).Withdraw(from, m.ID)
-	case wire.Finish:
-		n.dispatcher(now, m.Pool).Finish(now, from, m.Request())
-	case wire.Register:
-		n.dispatcher(now, m.Pool).Register(now, from, m)
-	case wire.Grant:
-		n.entry.Grant(m)
-	case wire.Refuse:
-		n.entry.Refuse(m)
-	}
-}
-
-// dispatcher returns the pool's dispatcher and starts it if needed.
-func (n *Node) dispatcher(now time.Time, pool version.PoolID) *dispatcher.Dispatcher {
-	d, present := n.dispatchers[pool]
-	if present {
-		return d
-	}
-	d = dispatcher.New(dispatcher.Options{
-		Pool:       pool,
-		DataCentre: n.options.DataCentre,
-		Queue:      n.options.Queue,
-		Levels:     n,
-	})
-	if n.config != nil {
-		d.Configure(now, n.config)
+// transmit sends a message over the link to its receiver. One about service
+// sums for a daemon in another data centre that is not linked goes to one that
+// is, which passes it on. Without any link it is dropped; what it says is said
+// again once there is one.
+func (n *Node) transmit(to version.VMID, message wire.Message) {
+	if !n.tracker.Linked(to) {
+		contact, found := n.contactFor(to, message)
+		if !found {
+			return
+		}
+		to = contact
 	}
-	n.dispatchers[pool] = d
-	return d
+	n.sent++
+	n.act(Send{To: to, Message: message})
 }
 
 func (n *Node) act(action Action) { n.actions = append(n.actions, action) }
 
+func (n *Node) nextSession() wire.Session {
+	n.lastSession++
+	return n.lastSession
+}
+
 // pools returns the configured pools in order.
 func (n *Node) pools() []version.PoolID {
+	if n.config == nil {
+		return nil
+	}
 	pools := make([]version.PoolID, 0, len(n.config.Pools))
 	for id := range n.config.Pools {
 		pools = append(pools, id)
@@ -269,19 +238,3 @@
 	slices.Sort(pools)
 	return pools
 }
-
-func dispatcherKey(pool version.PoolID) string {
-	return "dispatcher/" + strconv.FormatUint(uint64(pool), 10)
-}
-
-// submit admits a request of a caller.
-func (n *Node) submit(now time.Time, ticket request.Ticket) {
-	if n.config == nil {
-		n.act(Refused{ID: ticket.ID, Refusal: request.Refusal{
-			Reason:    request.ReasonNotReady,
-			Execution: request.NotRun,
-		}})
-		return
-	}
-	n.entry.Submit(now, ticket)
-}
--- /dev/null
+++ b/fleet/process/node/receive.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/dispatcher"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// receive handles one message. A message of a process that is known to have
+// ended is ignored.
+func (n *Node) receive(now time.Time, from dispatcher.Entry, message wire.Message) {
+	member, known := n.tracker.Known(from.VM)
+	if known && from.Incarnation < member.Incarnation {
+		return
+	}
+	if n.receiveService(now, from, message) || n.receiveMembership(now, from.VM, message) {
+		return
+	}
+	if !known {
+		return
+	}
+	remote := member.DataCentre != n.options.DataCentre
+	if n.receiveAsDispatcher(now, from, remote, message) {
+		return
+	}
+	if remote {
+		n.receiveFromPeer(now, from.VM, message)
+		return
+	}
+	n.receiveAsEntry(now, from.VM, message)
+}
+
+func (n *Node) receiveMembership(now time.Time, from version.VMID, message wire.Message) bool {
+	switch m := message.(type) {
+	case wire.Ping:
+		n.tracker.Ping(now, from, m)
+	case wire.PingRequest:
+		n.tracker.PingRequest(now, from, m)
+	case wire.Ack:
+		n.tracker.Ack(now, from, m)
+	default:
+		return false
+	}
+	return true
+}
+
+// receiveAsDispatcher handles a message of an entry, or of a dispatcher in
+// another data centre that acts as one, and reports whether it was one.
+func (n *Node) receiveAsDispatcher(now time.Time, from dispatcher.Entry, remote bool, message wire.Message) bool {
+	switch m := message.(type) {
+	case wire.Register:
+		if d := n.dispatcherFor(now, from, m); d != nil {
+			d.Register(now, from, remote, m)
+		}
+	case wire.Release:
+		n.release(now, from, m)
+	case wire.Digest:
+		n.digest(now, from, m)
+	case wire.Ticket:
+		if d, present := n.dispatchers[m.Pool]; present {
+			d.Ticket(now, from, m.Request())
+		}
+	case wire.Withdraw:
+		if d, present := n.dispatchers[m.Pool]; present {
+			d.Withdraw(now, from, m.ID)
+		}
+	case wire.Finish:
+		if d, present := n.dispatchers[m.Pool]; present {
+			d.Finish(now, from, m)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// dispatcherFor returns the dispatcher that a Register is for. It sends the
+// entry away if this daemon does not own the pool.
+func (n *Node) dispatcherFor(now time.Time, from dispatcher.Entry, register wire.Register) *dispatcher.Dispatcher {
+	if d, present := n.dispatchers[register.Pool]; present {
+		return d
+	}
+	if !register.Insist {
+		n.deliver(now, from.VM, wire.Reregister{Pool: register.Pool, Session: register.Session, Elsewhere: true})
+		return nil
+	}
+	return n.startDispatcher(now, register.Pool)
+}
+
+func (n *Node) release(now time.Time, from dispatcher.Entry, release wire.Release) {
+	if d, present := n.dispatchers[release.Pool]; present {
+		d.Release(now, from, release)
+		return
+	}
+	n.deliver(now, from.VM, wire.Released{Pool: release.Pool, Session: release.Session})
+}
+
+func (n *Node) digest(now time.Time, from dispatcher.Entry, digest wire.Digest) {
+	if d, present := n.dispatchers[digest.Pool]; present {
+		d.Digest(now, from, digest)
+		return
+	}
+	n.deliver(now, from.VM, wire.Reregister{Pool: digest.Pool, Session: digest.Session, Elsewhere: true})
+}
+
+// receiveAsEntry handles a message of a dispatcher in this data centre.
+func (n *Node) receiveAsEntry(now time.Time, from version.VMID, message wire.Message) {
+	switch m := message.(type) {
+	case wire.Grant:
+		n.entry.Grant(from, m)
+	case wire.Refuse:
+		n.entry.Refuse(from, m)
+	case wire.Released:
+		n.entry.Released(now, from, m)
+	case wire.Reregister:
+		n.entry.Reregister(now, from, m)
+	}
+}
+
+// receiveFromPeer handles a message of a dispatcher in another data centre.
+func (n *Node) receiveFromPeer(now time.Time, from version.VMID, message wire.Message) {
+	pool, addressed := poolOf(message)
+	if !addressed {
+		return
+	}
+	if d, present := n.dispatchers[pool]; present {
+		d.FromPeer(now, from, message)
+		return
+	}
+	if grant, isGrant := message.(wire.Grant); isGrant {
+		n.deliver(now, from, wire.Finish{
+			ID:       grant.ID,
+			Attempt:  grant.Attempt,
+			Pool:     grant.Pool,
+			Upstream: grant.Upstream,
+			Outcome:  request.OutcomeUnused,
+			Session:  grant.Session,
+		})
+	}
+}
+
+// poolOf returns the pool of a message between dispatchers.
+func poolOf(message wire.Message) (version.PoolID, bool) {
+	switch m := message.(type) {
+	case wire.Grant:
+		return m.Pool, true
+	case wire.Refuse:
+		return m.Pool, true
+	case wire.Released:
+		return m.Pool, true
+	case wire.Reregister:
+		return m.Pool, true
+	case wire.Need:
+		return m.Pool, true
+	case wire.Vacancy:
+		return m.Pool, true
+	default:
+		return 0, false
+	}
+}
