Run the ledger in the daemon and relay its messages between data centres

Callers' claims were refused, since no daemon kept a ledger.

daemon/process/ledger owns the core, carries its store calls with a client that never repeats a call by itself, and removes objects after their retention. A daemon has one contact in each other data centre, so a claim for a shard written elsewhere goes through it, and the verdict back the same way. A draining daemon records its last outcomes before it ends.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
@@ -42,6 +43,7 @@
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
+	ledger   *ledger.Ledger
 	poller   *upstream.Poller
 	watcher  *watch.Watcher
 	timeline *timeline.Ring
@@ -69,10 +71,11 @@
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
 	var calls atomic.Uint64
+	observe := func(platform.Call, error) { calls.Add(1) }
 	a.client = platform.New(platform.Options{
 		URL:     s.Platform.URL,
 		Token:   s.Platform.Token,
-		Observe: func(platform.Call, error) { calls.Add(1) },
+		Observe: observe,
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
@@ -83,6 +86,8 @@
 		Hello:   a.hello(incarnation),
 		Log:     log,
 	})
+	a.ledger = a.newLedger(observe)
+	a.inbox.ledger = a.ledger
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
 	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
@@ -123,6 +128,9 @@
 	addLoop(&group, ctx, a.watcher.Run)
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
+	addLoop(&group, ctx, a.ledger.Run)
+	addLoop(&group, ctx, a.ledger.Sweep)
+	addLoop(&group, ctx, a.followOwners)
 	err := group.Run()
 	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
@@ -159,6 +167,7 @@
 	a.handler = serve.New(serve.Options{
 		Fleet:      a.loop,
 		Relay:      relayer,
+		Ledger:     a.ledger,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
--- a/daemon/process/app/drain.go
+++ b/daemon/process/app/drain.go
@@ -56,6 +56,7 @@
 	if err := d.app.handler.Wait(d.group); err != nil {
 		return errors.Wrap(err, "wait for the last request")
 	}
+	d.recordOutcomes()
 	d.shutdown()
 	d.pause(farewellTime)
 	d.app.log.Info("drained")
@@ -80,6 +81,14 @@
 	}
 }
 
+// recordOutcomes waits until the outcomes of claimed requests are in the store,
+// so that their callers can still ask for them.
+func (d *drainer) recordOutcomes() {
+	ctx, cancel := context.WithTimeout(d.group, ledgerDrainTimeout)
+	defer cancel()
+	d.app.ledger.Drain(ctx)
+}
+
 func (d *drainer) pause(pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -14,7 +15,8 @@
 
 // inbox hands the messages of peer links to the parts that handle them.
 type inbox struct {
-	loop *loop.Loop
+	loop   *loop.Loop
+	ledger *ledger.Ledger
 
 	mu     sync.Mutex
 	linked map[version.VMID]wire.Hello
@@ -29,7 +31,18 @@
 }
 
 // Receive implements peer.Handler.
-func (i *inbox) Receive(from wire.Hello, messages []wire.Message) { i.loop.Receive(from, messages) }
+func (i *inbox) Receive(from wire.Hello, messages []wire.Message) {
+	var claims, others []wire.Message
+	for _, message := range messages {
+		if wire.IsLedger(message) {
+			claims = append(claims, message)
+		} else {
+			others = append(others, message)
+		}
+	}
+	i.loop.Receive(from, others)
+	i.ledger.Receive(from.VM, claims)
+}
 
 // LinkDown implements peer.Handler.
 func (i *inbox) LinkDown(hello wire.Hello) {
--- /dev/null
+++ b/daemon/process/ledger/calls.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
+)
+
+// carryCalls makes calls of the store until ctx ends.
+func (l *Ledger) carryCalls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case action := <-l.calls:
+			event := l.call(ctx, action)
+			select {
+			case l.events <- event:
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func (l *Ledger) call(ctx context.Context, action core.Action) core.Event {
+	switch a := action.(type) {
+	case core.Write:
+		stored, err := l.options.Store.Put(ctx, a.Name, a.Value, platform.ObjectVersion(a.Expected))
+		return core.WriteDone{Operation: a.Operation, Result: resultOf(err), Version: uint64(stored)}
+	case core.Read:
+		object, err := l.options.Store.Get(ctx, a.Name)
+		return core.ReadDone{
+			Operation: a.Operation,
+			Result:    resultOf(err),
+			Version:   uint64(object.Version),
+			Value:     object.Value,
+		}
+	default:
+		panic(errors.AssertionFailedf("not a call of the store: %T", action))
+	}
+}
+
+// resultOf turns an error of the platform's client into a result. Whatever is
+// not known to be without effect is unresolved.
+func resultOf(err error) core.Result {
+	switch {
+	case err == nil:
+		return core.Done
+	case errors.Is(err, platform.ErrNotFound):
+		return core.NotFound
+	case errors.Is(err, platform.ErrConflict):
+		return core.Conflict
+	case errors.IsAny(err, platform.ErrRateLimited, platform.ErrRejected):
+		return core.Limited
+	default:
+		return core.Unresolved
+	}
+}
--- a/fleet/connection/wire/ledger.go
+++ b/fleet/connection/wire/ledger.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
@@ -24,10 +26,12 @@
 	KindLedgerRunning Kind = 66
 	// KindLedgerGone tags LedgerGone.
 	KindLedgerGone Kind = 67
+	// KindLedgerRelay tags LedgerRelay.
+	KindLedgerRelay Kind = 68
 )
 
-// ledgerDecoders decodes the messages about claims of non-idempotent requests.
-var ledgerDecoders = map[Kind]decoder{
+// ledgerInner decodes the messages about claims that may be relayed.
+var ledgerInner = map[Kind]decoder{
 	KindLedgerClaim:   decodeAs[LedgerClaim],
 	KindLedgerVerdict: decodeAs[LedgerVerdict],
 	KindLedgerClose:   decodeAs[LedgerClose],
@@ -38,6 +42,9 @@
 	KindLedgerGone:    decodeAs[LedgerGone],
 }
 
+// ledgerDecoders decodes the messages about claims of non-idempotent requests.
+var ledgerDecoders = merge(ledgerInner, map[Kind]decoder{KindLedgerRelay: decodeAs[LedgerRelay]})
+
 // LedgerSubject names one attempt under one idempotency key.
 type LedgerSubject struct {
 	_       struct{} `cbor:",toarray"`
@@ -145,6 +152,48 @@
 	Subject LedgerSubject
 }
 
+// LedgerRelay passes a message on between data centres, through a daemon that
+// is linked to both ends.
+type LedgerRelay struct {
+	_    struct{} `cbor:",toarray"`
+	From version.VMID
+	// To is the receiver. If it is empty, the message is for the writer of its
+	// shard in the relaying daemon's data centre.
+	To version.VMID
+	// Inner and Body are the message.
+	Inner Kind
+	Body  cbor.RawMessage
+}
+
+// NewLedgerRelay returns a relay that carries a message.
+func NewLedgerRelay(from, to version.VMID, message Message) (LedgerRelay, error) {
+	body, err := encoding.Marshal(message)
+	if err != nil {
+		return LedgerRelay{}, errors.Wrapf(err, "encode message kind %d", message.Kind())
+	}
+	return LedgerRelay{From: from, To: to, Inner: message.Kind(), Body: body}, nil
+}
+
+// Unwrap returns the message. It returns ErrMalformed for one that is not about
+// claims or is itself a relay.
+func (m LedgerRelay) Unwrap() (Message, error) {
+	decode, known := ledgerInner[m.Inner]
+	if !known {
+		return nil, errors.Wrapf(ErrMalformed, "relayed kind %d", m.Inner)
+	}
+	message, err := decode(m.Body)
+	if err != nil {
+		return nil, malformed(err)
+	}
+	return message, nil
+}
+
+// IsLedger reports whether a message is about claims.
+func IsLedger(message Message) bool {
+	kind := message.Kind()
+	return kind >= KindLedgerClaim && kind <= KindLedgerRelay
+}
+
 // Kind implements Message.
 func (LedgerClaim) Kind() Kind { return KindLedgerClaim }
 
@@ -168,3 +217,6 @@
 
 // Kind implements Message.
 func (LedgerGone) Kind() Kind { return KindLedgerGone }
+
+// Kind implements Message.
+func (LedgerRelay) Kind() Kind { return KindLedgerRelay }
--- a/fleet/process/ledger/attempt.go
+++ b/fleet/process/ledger/attempt.go
@@ -57,7 +57,7 @@
 	deadline time.Time
 	giveUp   time.Time
 	// writer was asked last. sole is set while no other was asked.
-	writer version.VMID
+	writer Owner
 	sole   bool
 	sends  int
 	// sent and heard are when the claim was sent and answered last.
@@ -98,8 +98,8 @@
 func (l *Ledger) ask(now time.Time, a *attempt) {
 	writer := l.owner(a.claim)
 	silent := a.sends >= ownerTries && a.heard.Before(a.sent)
-	if silent || a.writer == l.options.VM {
-		writer = l.options.VM
+	if silent || a.writer.VM == l.options.VM {
+		writer = l.self()
 	}
 	if a.sends > 0 && writer != a.writer {
 		a.sole = false
@@ -107,7 +107,7 @@
 	a.writer = writer
 	a.sends++
 	a.sent = now
-	l.send(writer, wire.LedgerClaim{
+	l.sendOwner(writer, wire.LedgerClaim{
 		Subject: subjectOf(a.claim),
 		Request: [16]byte(a.claim.Request[:16]),
 		Stamp:   l.stamp(now),
@@ -117,18 +117,21 @@
 // unreachable writes a claim here whose writer has no link.
 func (l *Ledger) unreachable(now time.Time, id uuid.UUID, to version.VMID) {
 	a := l.claiming(id)
-	if a == nil || a.writer != to || to == l.options.VM {
+	if a == nil || a.writer.VM != to || to == l.options.VM {
 		return
 	}
-	a.writer = l.options.VM
+	a.writer = l.self()
 	l.ask(now, a)
 }
 
-func (l *Ledger) owner(c claim.Claim) version.VMID {
-	if owner := l.owners[PlaceOf(c.Account, c.Key).Shard]; owner != "" {
+// self returns this daemon as a writer.
+func (l *Ledger) self() Owner { return Owner{VM: l.options.VM} }
+
+func (l *Ledger) owner(c claim.Claim) Owner {
+	if owner := l.owners[PlaceOf(c.Account, c.Key).Shard]; owner.VM != "" {
 		return owner
 	}
-	return l.options.VM
+	return l.self()
 }
 
 // claiming returns an attempt that waits for its verdict, or nil.
--- a/fleet/process/ledger/calls.go
+++ b/fleet/process/ledger/calls.go
@@ -40,7 +40,7 @@
 			return since, true
 		}
 	}
-	if len(b.notes) > 0 && now.Sub(b.notes[0].since) >= FlushDelay {
+	if len(b.notes) > 0 && (w.ledger.flushing || now.Sub(b.notes[0].since) >= FlushDelay) {
 		return b.notes[0].since, true
 	}
 	return time.Time{}, false
--- a/fleet/process/ledger/ending.go
+++ b/fleet/process/ledger/ending.go
@@ -26,17 +26,19 @@
 }
 
 // tell sends an ending to a writer.
-func (l *Ledger) tell(now time.Time, a *attempt, writer version.VMID) {
+func (l *Ledger) tell(now time.Time, a *attempt, writer Owner) {
 	a.next = now.Add(a.pause)
 	a.pause = min(2*a.pause, endRepeatMax)
-	l.send(writer, a.message())
+	l.sendOwner(writer, a.message())
 }
 
 // message returns the message that carries an attempt's ending.
 func (a *attempt) message() wire.Message {
 	subject := subjectOf(a.claim)
 	if a.ending.closed {
-		return wire.LedgerClose{Subject: subject, Sole: a.sole}
+		// A contact may have passed a repeated claim on to several writers.
+		sole := a.sole && (!a.writer.Relay || a.sends == 1)
+		return wire.LedgerClose{Subject: subject, Sole: sole}
 	}
 	return wire.LedgerOutcome{Subject: subject, Answer: a.ending.answer}
 }
@@ -44,7 +46,7 @@
 // repeatEnding sends an unconfirmed ending again: once to the shard's writer,
 // then to this daemon's own.
 func (l *Ledger) repeatEnding(now time.Time, a *attempt) {
-	writer := l.options.VM
+	writer := l.self()
 	if a.pause == 2*endRepeatMin {
 		writer = l.owner(a.claim)
 	}
--- a/fleet/process/ledger/event.go
+++ b/fleet/process/ledger/event.go
@@ -51,6 +51,10 @@
 // Route is a new table of the shards' writers.
 type Route struct{ Owners Owners }
 
+// Flush has endings written without waiting for claims to be written with, as
+// before the daemon ends.
+type Flush struct{}
+
 // ReadDone is the end of a Read.
 type ReadDone struct {
 	Operation Operation
@@ -93,6 +97,8 @@
 func (e Receive) apply(l *Ledger, now time.Time)  { l.receive(now, e.From, e.Message) }
 func (e Route) apply(l *Ledger, _ time.Time)      { l.owners = e.Owners }
 
+func (e Flush) apply(l *Ledger, _ time.Time) { l.flushing = true }
+
 func (e Undelivered) apply(l *Ledger, now time.Time) { l.undelivered(now, e) }
 
 func (e ReadDone) apply(l *Ledger, now time.Time) {
--- a/fleet/process/ledger/ledger.go
+++ b/fleet/process/ledger/ledger.go
@@ -47,11 +47,16 @@
 	options Options
 	random  *rand.Rand
 	owners  Owners
+	// contacts are the daemons through which those of other data centres were
+	// heard last.
+	contacts map[version.VMID]version.VMID
 	// writers are made at their first use.
 	writers [Shards]*writer
 	// writeInterval spaces the writes of a shard.
 	writeInterval time.Duration
 	operations    operations
+	// flushing is set once endings are to be written at once.
+	flushing bool
 
 	attempts map[uuid.UUID]*attempt
 	// ended are the attempts whose endings are not yet confirmed, oldest
@@ -90,6 +95,7 @@
 		random:        rand.New(rand.NewPCG(options.Seed, 0)),
 		writeInterval: Shards * time.Second / time.Duration(options.WritesPerSecond),
 		operations:    operations{under: make(map[Operation]*writer)},
+		contacts:      make(map[version.VMID]version.VMID),
 		attempts:      make(map[uuid.UUID]*attempt),
 	}
 }
@@ -132,6 +138,14 @@
 	return waiting
 }
 
+// Settled reports whether every attempt has ended and every ending is
+// confirmed.
+func (l *Ledger) Settled() bool {
+	return len(l.attempts) == 0 && !slices.ContainsFunc(l.writers[:], func(w *writer) bool {
+		return w != nil && w.busy()
+	})
+}
+
 // Busy reports whether Tick may have something to do.
 func (l *Ledger) Busy() bool {
 	for _, w := range l.writers {
@@ -180,13 +194,19 @@
 		l.confirmed(m.Attempt)
 	case wire.LedgerProbe:
 		l.probed(from, m.Subject)
+	case wire.LedgerRelay:
+		l.relayed(now, from, m)
 	}
 }
 
 // undelivered handles a message that could not be sent. Others than these are
 // repeated in time.
 func (l *Ledger) undelivered(now time.Time, e Undelivered) {
-	switch m := e.Message.(type) {
+	message := e.Message
+	if m, wrapped := message.(wire.LedgerRelay); wrapped && m.From == l.options.VM {
+		message, _ = m.Unwrap()
+	}
+	switch m := message.(type) {
 	case wire.LedgerClaim:
 		l.unreachable(now, m.Subject.Attempt, e.To)
 	case wire.LedgerProbe:
@@ -202,13 +222,4 @@
 	return l.writers[shard]
 }
 
-// send sends a message, or keeps it for advance if it is for this daemon.
-func (l *Ledger) send(to version.VMID, message wire.Message) {
-	if to == l.options.VM {
-		l.local = append(l.local, message)
-		return
-	}
-	l.act(Send{To: to, Message: message})
-}
-
 func (l *Ledger) act(action Action) { l.actions = append(l.actions, action) }
--- a/fleet/process/ledger/model_test.go
+++ b/fleet/process/ledger/model_test.go
@@ -117,7 +117,7 @@
 func newModel(owner version.VMID, left budgets, d defect, daemons ...int) *model {
 	m := &model{Now: modelStart, Objects: make(map[string]storedObject), Left: left, Defect: d}
 	for shard := range m.Owners {
-		m.Owners[shard] = owner
+		m.Owners[shard] = Owner{VM: owner}
 	}
 	for i := range m.Cores {
 		m.startCore(i)
--- a/fleet/process/ledger/refusal.go
+++ b/fleet/process/ledger/refusal.go
@@ -13,6 +13,9 @@
 	// retryAfterMin and retryAfterSpread give when a caller may come back.
 	retryAfterMin    = 2 * time.Second
 	retryAfterSpread = 3 * time.Second
+
+	unreadDetail = "this call was not run, but the ledger could not be read, " +
+		"so an earlier call with this idempotency key may have run; come back with the same key"
 )
 
 func (l *Ledger) decide(id uuid.UUID, verdict claim.Verdict) {
@@ -52,8 +55,7 @@
 		Reason:     request.ReasonLedgerUnavailable,
 		Execution:  request.Unknown,
 		RetryAfter: l.retryAfter(),
-		Detail: "this call was not run, but the ledger could not be read, " +
-			"so an earlier call with this idempotency key may have run; come back with the same key",
+		Detail:     unreadDetail,
 	}
 	if looked {
 		refusal.Execution = request.NotRun
@@ -71,6 +73,16 @@
 	}
 }
 
+// Overloaded refuses a claim that could not even be asked for.
+func Overloaded() *request.Refusal {
+	return &request.Refusal{
+		Reason:     request.ReasonLedgerUnavailable,
+		Execution:  request.Unknown,
+		RetryAfter: retryAfterMin,
+		Detail:     unreadDetail,
+	}
+}
+
 // outcomeBroken gives no advice to come back: the outcome will not become known
 // here.
 func outcomeBroken() *request.Refusal {
--- a/lab/ledgercheck/daemon.go
+++ b/lab/ledgercheck/daemon.go
@@ -7,6 +7,7 @@
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/ledger"
+	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -15,6 +16,7 @@
 // real one does for a claimed request.
 type daemon struct {
 	sim         *Sim
+	index       int
 	vm          version.VMID
 	dataCentre  version.DataCentreID
 	core        *ledger.Ledger
@@ -43,6 +45,10 @@
 	d.core.Step(d.sim.agenda.now, ledger.Route{Owners: d.sim.owners(d)})
 }
 
+func (d *daemon) member() membership.Member {
+	return membership.Member{VM: d.vm, DataCentre: d.dataCentre, Incarnation: d.incarnation}
+}
+
 // kill ends the daemon. Its memory is gone; what it sent is under way.
 func (d *daemon) kill() {
 	d.up = false
@@ -178,7 +184,7 @@
 func (s *Sim) send(from *daemon, to version.VMID, message wire.Message) {
 	target, known := s.byName[to]
 	incarnation := from.incarnation
-	if !known || !target.up || s.cut(from, target) {
+	if !known || !s.linked(from, target) {
 		s.agenda.after(0, func() { from.step(incarnation, ledger.Undelivered{To: to, Message: message}) })
 		return
 	}
--- a/lab/ledgercheck/sim.go
+++ b/lab/ledgercheck/sim.go
@@ -114,6 +114,7 @@
 	for i := range options.VMs {
 		d := &daemon{
 			sim:        s,
+			index:      i,
 			vm:         version.VMID(fmt.Sprintf("vm-%d", i)),
 			dataCentre: s.centres[i%options.DataCentres],
 			up:         true,
@@ -173,22 +174,46 @@
 
 // owners returns the writers as a daemon sees the fleet now.
 func (s *Sim) owners(d *daemon) ledger.Owners {
-	var members []membership.Member
+	var linked []membership.Member
 	var seen strings.Builder
+	seen.WriteString(string(d.vm) + ":")
 	for _, other := range s.daemons {
-		if other.up && !s.cut(d, other) {
-			members = append(members, membership.Member{VM: other.vm, DataCentre: other.dataCentre})
+		if other == d || s.linked(d, other) {
+			linked = append(linked, other.member())
 			seen.WriteString(string(other.vm) + " ")
 		}
 	}
 	owners, known := s.tables[seen.String()]
 	if !known {
-		owners = ledger.NewOwners(s.centres, membership.NewView(members))
+		owners = ledger.NewOwners(d.member(), s.centres, membership.NewView(linked))
 		s.tables[seen.String()] = owners
 	}
 	return owners
 }
 
+// linked reports whether two daemons have a link: those of a data centre do,
+// and each daemon has a link to one contact in each other data centre.
+func (s *Sim) linked(a, b *daemon) bool {
+	if !a.up || !b.up || s.cut(a, b) {
+		return false
+	}
+	return a.dataCentre == b.dataCentre || s.contact(a, b.dataCentre) == b || s.contact(b, a.dataCentre) == a
+}
+
+// contact returns a daemon's contact in another data centre, or nil.
+func (s *Sim) contact(d *daemon, dataCentre version.DataCentreID) *daemon {
+	var candidates []*daemon
+	for _, other := range s.daemons {
+		if other.dataCentre == dataCentre && other.up {
+			candidates = append(candidates, other)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[d.index%len(candidates)]
+}
+
 // cut reports whether no message gets from one daemon to another.
 func (s *Sim) cut(a, b *daemon) bool {
 	return a.dataCentre != b.dataCentre && (s.isolated[a.dataCentre] || s.isolated[b.dataCentre])
--- a/lab/ledgercheck/step.go
+++ b/lab/ledgercheck/step.go
@@ -53,6 +53,9 @@
 }
 
 func (s *Sim) reachMessage(message wire.Message) {
+	if relay, wrapped := message.(wire.LedgerRelay); wrapped {
+		message, _ = relay.Unwrap()
+	}
 	switch m := message.(type) {
 	case wire.LedgerClaim:
 		s.reach(StepClaim)
--- a/lab/ledgercheck/table_test.go
+++ b/lab/ledgercheck/table_test.go
@@ -138,7 +138,7 @@
 	for {
 		key := s.NewKey()
 		shard := ledger.PlaceOf(1, key).Shard
-		if s.owners(s.daemons[entryVM])[shard] == s.daemons[vm].vm {
+		if s.owners(s.daemons[vm])[shard] == (ledger.Owner{VM: s.daemons[vm].vm}) {
 			return key
 		}
 	}
