--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -122,7 +122,7 @@
 	switch a := action.(type) {
 	case core.Send:
 		if !l.options.Sender.Send(a.To, a.Message) {
-			l.core.Step(time.Now(), core.Undelivered{To: a.To, Message: a.Message})
+			l.core.Step(time.Now(), core.Undelivered(a))
 		}
 	case core.Decide:
 		l.resolve(a)
--- a/fleet/process/ledger/model_test.go
+++ b/fleet/process/ledger/model_test.go
@@ -266,14 +266,18 @@
 	daemons []int
 }
 
-var explorations = []exploration{
-	{"store faults", "", budgets{StoreFaults: 2, Jumps: 1}, []int{0, 1}},
+// smallExplorations take seconds also under the race detector.
+var smallExplorations = []exploration{
 	{"crashes", "", budgets{Crashes: 2, StoreFaults: 1}, []int{0, 1}},
-	{"withheld permits", "", budgets{Withheld: 1, Jumps: 1}, []int{0, 1}},
-	{"withheld permits, one writer", "a", budgets{Withheld: 1, Jumps: 1}, []int{0, 1}},
 	{"losses, one writer", "a", budgets{Losses: 2}, []int{0, 1}},
 }
 
+var explorations = append([]exploration{
+	{"store faults", "", budgets{StoreFaults: 2, Jumps: 1}, []int{0, 1}},
+	{"withheld permits", "", budgets{Withheld: 1, Jumps: 1}, []int{0, 1}},
+	{"withheld permits, one writer", "a", budgets{Withheld: 1, Jumps: 1}, []int{0, 1}},
+}, smallExplorations...)
+
 var deepExplorations = []exploration{
 	{"store faults and time", "", budgets{StoreFaults: 1, Jumps: 2}, []int{0, 1}},
 	{"store faults and time, one writer", "a", budgets{StoreFaults: 1, Jumps: 2}, []int{0, 1}},
@@ -284,7 +288,10 @@
 
 func TestModel(t *testing.T) {
 	chosen := explorations
-	if *deep {
+	switch {
+	case raceDetector:
+		chosen = smallExplorations
+	case *deep:
 		chosen = append(chosen, deepExplorations...)
 	}
 	for _, x := range chosen {
--- /dev/null
+++ b/fleet/process/ledger/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package ledger
+
+// raceDetector is set under the race detector.
+const raceDetector = false
--- /dev/null
+++ b/fleet/process/ledger/race_test.go
@@ -0,0 +1,8 @@
+//go:build race
+
+package ledger
+
+// raceDetector is set under the race detector, which slows an exploration down
+// and has nothing to find in code without goroutines. test.sh explores the whole
+// model without it.
+const raceDetector = true
--- a/lab/ledgercheck/schedule_test.go
+++ b/lab/ledgercheck/schedule_test.go
@@ -2,8 +2,6 @@
 
 import "testing"
 
-const schedules = 10_000
-
 func TestSchedules(t *testing.T) {
 	t.Parallel()
 	report := RunSchedules(1, schedules, Break{})
--- a/test.sh
+++ b/test.sh
@@ -32,6 +32,9 @@
 fi
 go test -race -count=1 "${skip[@]}" "${packages[@]}"
 
+echo "== explorations, without the race detector"
+go test -count=1 "${skip[@]}" ./fleet/process/ledger ./lab/ledgercheck
+
 if [ ${#skip[@]} -gt 0 ]; then
   echo "== known red, not run"
   cat KNOWN-RED.txt
