--- a/lab/ledgercheck/caller.go
+++ b/lab/ledgercheck/caller.go
@@ -62,11 +62,17 @@
 }
 
 // NewKey returns an unused idempotency key of the present time.
-func (s *Sim) NewKey() claim.Key {
-	s.keys++
+func (s *Sim) NewKey() claim.Key { return s.newKeyAged(0) }
+
+// newKeyAged returns an unused key that is up to an age old.
+func (s *Sim) newKeyAged(age time.Duration) claim.Key {
 	var random [10]byte
 	binary.BigEndian.PutUint64(random[2:], s.random.Uint64())
-	return claim.NewKey(s.agenda.now, random)
+	at := s.agenda.now
+	if age > 0 {
+		at = at.Add(-randomTime(s.random, age))
+	}
+	return claim.NewKey(at, random)
 }
 
 // Call makes a call through a daemon. Its end calls then.
--- a/lab/ledgercheck/sim.go
+++ b/lab/ledgercheck/sim.go
@@ -79,7 +79,6 @@
 	// tables holds the writers for each set of VMs that a daemon sees.
 	tables map[string]ledger.Owners
 	calls  []*call
-	keys   uint64
 
 	hooks      map[Step]func()
 	reached    map[Step]int
