--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
@@ -42,6 +43,7 @@
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
+	ledger   *ledger.Ledger
 	poller   *upstream.Poller
 	follower *follow.Follower
 	timeline *timeline.Ring
@@ -74,16 +76,17 @@
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
 	var calls atomic.Uint64
+	observe := func(_ platform.Call, err error) {
+		calls.Add(1)
+		a.follower.Observe(err)
+	}
 	a.client = platform.New(platform.Options{
 		URL:            s.Platform.URL,
 		Token:          s.Platform.Token,
 		Transport:      a.dialling.platform,
 		CallsPerSecond: s.Platform.CallsPerSecond,
 		CallsBurst:     s.Platform.CallsBurst,
-		Observe: func(_ platform.Call, err error) {
-			calls.Add(1)
-			a.follower.Observe(err)
-		},
+		Observe:        observe,
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]linkedVM)}
@@ -95,6 +98,8 @@
 		Hello:   a.hello(incarnation),
 		Log:     log,
 	})
+	a.ledger = a.newLedger(observe)
+	a.inbox.ledger = a.ledger
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
 	a.poller = upstream.NewPoller(upstream.PollerOptions{
@@ -150,6 +155,9 @@
 	addLoop(&group, ctx, a.follower.Run)
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
+	addLoop(&group, ctx, a.ledger.Run)
+	addLoop(&group, ctx, a.ledger.Sweep)
+	addLoop(&group, ctx, a.followOwners)
 	err := group.Run()
 	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
@@ -176,6 +184,7 @@
 	a.handler = serve.New(serve.Options{
 		Fleet:      a.loop,
 		Relay:      relayer,
+		Ledger:     a.ledger,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
