--- a/fleet/process/dispatcher/balance.go
+++ b/fleet/process/dispatcher/balance.go
@@ -13,7 +13,7 @@
 	// SpillThreshold is how far the lowest level that waits in another data
 	// centre has to be ahead of ours before a ticket moves there although it
 	// has no free slot, in weighted cost units.
-	SpillThreshold = 1000.0
+	SpillThreshold = 500.0
 	// levelInterval is the least time between two vacancies that only tell the
 	// lowest waiting level.
 	levelInterval = time.Second
