Restore a lost home's sums at once

Change: what no source has reported is added at once; a source that reports late takes its first count out of it. The pump's requests of a restarted daemon no longer end twice. Test: TestLostHomeIsRestoredByAnotherDataCentre, TestRequestsOfARestartedDaemonEndOnce.

--- a/fleet/process/pump/pump_test.go
+++ b/fleet/process/pump/pump_test.go
@@ -11,9 +11,9 @@
 
 // recorder counts how requests ended.
 type recorder struct {
-	granted, ended, refused int
-	charged                 request.Cost
-	last                    time.Time
+	granted, ended, refused, lost int
+	charged                       request.Cost
+	last                          time.Time
 }
 
 func (r *recorder) Granted(time.Time, pump.Job, version.UpstreamID) { r.granted++ }
@@ -24,7 +24,7 @@
 
 func (r *recorder) Refused(time.Time, pump.Job, request.Refusal) { r.refused++ }
 
-func (r *recorder) Lost(time.Time, pump.Job, bool) { r.refused++ }
+func (r *recorder) Lost(time.Time, pump.Job, bool) { r.lost++ }
 
 func compile(t *testing.T) *version.Config {
 	t.Helper()
@@ -86,3 +86,28 @@
 		t.Fatalf("same seed, other run: %+v %+v, %+v %+v", first, second, firstTraffic, secondTraffic)
 	}
 }
+
+// TestRequestsOfARestartedDaemonEndOnce restarts a daemon while its requests
+// wait and run; the upstreams go on with those that run.
+func TestRequestsOfARestartedDaemonEndOnce(t *testing.T) {
+	var seen recorder
+	p := pump.New(pump.Options{Seed: 1, Config: compile(t), Observer: &seen})
+	p.Add("a1", "a")
+	p.Add("b1", "b")
+	for range 20 {
+		p.Submit("a1", request.Ticket{
+			Account: version.NewAccountID("x"),
+			Pool:    version.NewPoolID("p"),
+			Wait:    time.Minute,
+		}, 100)
+	}
+	p.Run(5 * time.Second)
+	p.Restart("a1")
+	p.Run(time.Minute)
+	if seen.lost == 0 || seen.lost+seen.ended+seen.refused != 20 {
+		t.Fatalf("lost %d, ended %d, refused %d of 20", seen.lost, seen.ended, seen.refused)
+	}
+	if left := p.Stand(version.NewUpstreamID("u1")).Running; left != 0 {
+		t.Fatalf("%d still run at the end", left)
+	}
+}
--- a/fleet/process/pump/stand.go
+++ b/fleet/process/pump/stand.go
@@ -184,6 +184,9 @@
 	if first > FirstToken {
 		p.shows(s)
 	}
+	if p.jobs[j.key] != j {
+		return
+	}
 	delete(p.jobs, j.key)
 	if p.options.Observer != nil {
 		p.options.Observer.Ended(p.now, j.Job)
--- a/fleet/process/service/home.go
+++ b/fleet/process/service/home.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// homeSettleTime is how long a home gathers reports before it takes what
-	// other data centres knew beyond them for the counts of sources that are
-	// gone.
-	homeSettleTime = 10 * time.Second
 	// wordDelay is how long a new home of an account gathers counts before it
 	// tells them to dispatchers.
 	wordDelay = 2 * time.Second
@@ -33,11 +29,8 @@
 type homed struct {
 	since time.Time
 	tally *Tally
-	// restored is the last sum that another data centre knew of this one.
-	restored Count
-	// gone is the part of restored that no source reported.
-	gone    Count
-	settled bool
+	// gone is the part of a restored sum that no source has reported.
+	gone Count
 	// sum is what was last published; it only grows.
 	sum  Count
 	lift float64
@@ -67,7 +60,6 @@
 func (h *Home) Report(now time.Time, source Source, record Record) {
 	a := h.account(now, record.Account)
 	if a.tally.Of(source) == (Count{}) {
-		// A source that comes late may be one of those taken for gone.
 		a.gone = a.gone.Minus(record.Count)
 	}
 	a.tally.Add(source, record.Count)
@@ -97,22 +89,19 @@
 	return Record{Account: record.Account, Count: merged, Lift: a.lift}, true
 }
 
-// Restore merges the last sum of this data centre that another one knew.
+// Restore merges the last sum of this data centre that another one knew. What
+// no source has reported is kept apart; a source that reports late takes its
+// first count out of it.
 func (h *Home) Restore(now time.Time, record Record) {
 	a := h.account(now, record.Account)
-	a.restored = a.restored.Merge(record.Count)
+	a.gone = a.gone.Merge(record.Count.Minus(a.tally.Sum()))
 	a.lift = max(a.lift, record.Lift)
-	a.settled = false
 }
 
-// Tick folds the counts of former incarnations and settles restored sums.
+// Tick folds the counts of former incarnations.
 func (h *Home) Tick(now time.Time) {
 	for _, a := range h.accounts {
 		a.fold(now)
-		if !a.settled && now.Sub(a.since) >= homeSettleTime {
-			a.settled = true
-			a.gone = a.gone.Merge(a.restored.Minus(a.tally.Sum()))
-		}
 	}
 }
 
@@ -191,7 +180,6 @@
 		a = &homed{
 			since:   now,
 			tally:   NewTally(),
-			settled: true,
 			sources: make(map[version.VMID]homedSource),
 			remotes: make(map[version.DataCentreID]homedRemote),
 		}
@@ -202,11 +190,7 @@
 
 // publish returns the sum over the data centre, never less than before.
 func (a *homed) publish() Count {
-	sum := a.tally.Sum().Plus(a.gone)
-	if !a.settled {
-		sum = sum.Merge(a.restored)
-	}
-	a.sum = a.sum.Merge(sum)
+	a.sum = a.sum.Merge(a.tally.Sum().Plus(a.gone))
 	return a.sum
 }
 
--- a/fleet/process/service/service_test.go
+++ b/fleet/process/service/service_test.go
@@ -144,11 +144,16 @@
 		t.Fatal("other data centre did not notice the loss")
 	}
 	home.Restore(start, record)
-	home.Tick(start.Add(11 * time.Second))
 	home.Report(start, live, service.Record{Account: 1, Count: service.Count{Charged: 450, Returned: 4}})
 	if sum := home.Sum(1); sum != (service.Count{Charged: 1050, Returned: 10}) {
 		t.Fatalf("sum %+v", sum)
 	}
+	late := service.Source{VM: "c", Incarnation: 1}
+	home.Report(start, late, service.Record{Account: 1, Count: service.Count{Charged: 300}})
+	home.Report(start, late, service.Record{Account: 1, Count: service.Count{Charged: 310}})
+	if sum := home.Sum(1); sum != (service.Count{Charged: 1060, Returned: 10}) {
+		t.Fatalf("sum %+v after a late source that the restored sum had", sum)
+	}
 }
 
 func hold(id request.ID) service.Hold {
