Keep a home's word from a restarted daemon

Cause: a home's word leaves out what its receiver counted. Change: a word names the incarnation that it is for. Test: TestWordsForAnEarlierProcessAreIgnored.

--- a/fleet/connection/wire/service.go
+++ b/fleet/connection/wire/service.go
@@ -54,6 +54,9 @@
 // daemon.
 type ServiceLevels struct {
 	_ struct{} `cbor:",toarray"`
+	// Incarnation is the low 32 bits of the receiver's incarnation: the
+	// records leave out what that process counted, and no other.
+	Incarnation uint32
 	// Sequence orders the messages of one home.
 	Sequence uint64
 	Records  []ServiceRecord
--- a/fleet/process/node/harness_test.go
+++ b/fleet/process/node/harness_test.go
@@ -56,14 +56,18 @@
 	sites  []site
 	number version.Number
 	out    version.OutNames
+	// accounts is the number of accounts; 0 counts as 1.
+	accounts int
 }
 
 func (d *document) compile(t *testing.T) *version.Config {
 	t.Helper()
 	spec := &version.Document{
-		Accounts: []version.AccountSpec{{Name: "counters", MaxWaiting: 100_000}},
-		Pools:    []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{"m"}}},
-		Presets:  []version.PresetSpec{{Name: "day"}},
+		Pools:   []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{"m"}}},
+		Presets: []version.PresetSpec{{Name: "day"}},
+	}
+	for i := range max(d.accounts, 1) {
+		spec.Accounts = append(spec.Accounts, version.AccountSpec{Name: accountName(i), MaxWaiting: 100_000})
 	}
 	for _, s := range d.sites {
 		spec.DataCentres = append(spec.DataCentres, version.DataCentreSpec{Name: string(s.name), Region: s.region})
--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -137,11 +137,16 @@
 		}
 	}
 	for _, word := range n.sums.home.Words(now) {
-		if word.VM == n.options.VM {
+		if word.To == n.source() {
 			n.hear(n.source(), n.sums.home.NextSequence(), word.Record)
-			continue
+		} else if word.To.VM != n.options.VM {
+			candidates = append(candidates, service.Candidate{
+				Channel:     service.ChannelWord,
+				To:          word.To.VM,
+				Incarnation: word.To.Incarnation,
+				Record:      word.Record,
+			})
 		}
-		candidates = append(candidates, service.Candidate{Channel: service.ChannelWord, To: word.VM, Record: word.Record})
 	}
 	return append(candidates, n.exchangeCandidates()...)
 }
@@ -173,16 +178,20 @@
 			records = append(records, chosen[0].Record.Wire())
 			chosen = chosen[1:]
 		}
-		n.deliver(now, first.To, n.recordMessage(first.Channel, records))
+		n.deliver(now, first.To, n.recordMessage(first, records))
 	}
 }
 
-func (n *Node) recordMessage(channel service.Channel, records []wire.ServiceRecord) wire.Message {
-	switch channel {
+func (n *Node) recordMessage(first service.Candidate, records []wire.ServiceRecord) wire.Message {
+	switch first.Channel {
 	case service.ChannelReport:
 		return wire.ServiceReport{Records: records}
 	case service.ChannelWord:
-		return wire.ServiceLevels{Sequence: n.sums.home.NextSequence(), Records: records}
+		return wire.ServiceLevels{
+			Incarnation: uint32(first.Incarnation),
+			Sequence:    n.sums.home.NextSequence(),
+			Records:     records,
+		}
 	default:
 		return wire.ServiceExchange{DataCentre: n.options.DataCentre, Records: records}
 	}
@@ -197,9 +206,7 @@
 			n.sums.home.Report(now, service.Source(from), service.FromWire(record))
 		}
 	case wire.ServiceLevels:
-		for _, record := range m.Records {
-			n.hear(service.Source(from), m.Sequence, service.FromWire(record))
-		}
+		n.hearLevels(from, m)
 	case wire.ServiceExchange:
 		n.receiveExchange(now, from, m)
 	case wire.ServiceRestore:
@@ -216,6 +223,17 @@
 	return true
 }
 
+// hearLevels applies a home's words, unless they were meant for an earlier
+// process of this VM.
+func (n *Node) hearLevels(from dispatcher.Entry, m wire.ServiceLevels) {
+	if m.Incarnation != uint32(n.options.Incarnation) {
+		return
+	}
+	for _, record := range m.Records {
+		n.hear(service.Source(from), m.Sequence, service.FromWire(record))
+	}
+}
+
 func (n *Node) hear(home service.Source, sequence uint64, record service.Record) {
 	word := service.Word{Home: home, Sequence: sequence}
 	n.sums.meter.Hear(record.Account, word, record.Count, record.Lift, record.Backlogged)
--- a/fleet/process/service/pacer.go
+++ b/fleet/process/service/pacer.go
@@ -44,7 +44,9 @@
 type Candidate struct {
 	Channel Channel
 	To      version.VMID
-	Record  Record
+	// Incarnation is that of the receiver, for a ChannelWord.
+	Incarnation uint64
+	Record      Record
 }
 
 // Pacer chooses which records to send within BytesPerSecond: those that
--- a/fleet/process/service/record.go
+++ b/fleet/process/service/record.go
@@ -87,7 +87,7 @@
 
 // WordTo is a home's word to one daemon on one account.
 type WordTo struct {
-	VM     version.VMID
+	To     Source
 	Record Record
 }
 
@@ -105,10 +105,10 @@
 			if !source.backlogged {
 				continue
 			}
-			own := a.tally.Of(Source{VM: vm, Incarnation: source.incarnation})
-			words = append(words, WordTo{VM: vm, Record: Record{
+			to := Source{VM: vm, Incarnation: source.incarnation}
+			words = append(words, WordTo{To: to, Record: Record{
 				Account:    id,
-				Count:      total.Minus(own),
+				Count:      total.Minus(a.tally.Of(to)),
 				Lift:       a.lift,
 				Backlogged: a.backloggedBeyond(vm),
 			}.rounded()})
