Set the threshold between data centres by how old levels are

Change: the threshold is at least three seconds of the lowest level's rise; a peer that refuses is left alone for a time that doubles; levels are told every two seconds.

--- a/fleet/process/dispatcher/balance.go
+++ b/fleet/process/dispatcher/balance.go
@@ -11,16 +11,27 @@
 
 const (
 	// SpillThreshold is how far the lowest level that waits in another data
-	// centre has to be ahead of ours before a ticket moves there although it
-	// has no free slot, in weighted cost units.
+	// centre has to be ahead of ours, at least, before a ticket moves there
+	// although it has no free slot, in weighted cost units.
 	SpillThreshold = 500.0
+	// SpillTime is the same as the time in which our lowest level rises by so
+	// much: what is known of levels elsewhere is about that old.
+	SpillTime = 3 * time.Second
+	// riseInterval is the time over which that rise is measured, and riseGain
+	// the weight of the latest measurement.
+	riseInterval = time.Second
+	riseGain     = 0.3
+	// refusedMin and refusedMax bound the pause after a peer refused a ticket;
+	// it doubles until one is granted.
+	refusedMin = time.Second
+	refusedMax = 30 * time.Second
 	// levelInterval is the least time between two vacancies that only tell the
 	// lowest waiting level.
-	levelInterval = time.Second
+	levelInterval = 2 * time.Second
 	// levelChange is the least change of that level worth telling.
 	levelChange = SpillThreshold / 4
 	// levelTime is how long a told level is believed.
-	levelTime = 5 * time.Second
+	levelTime = 6 * time.Second
 	// queuedThere bounds the tickets that wait in the queue of one peer.
 	queuedThere = 4
 	// queuedHere bounds the tickets of other data centres in the own queue.
@@ -31,28 +42,71 @@
 type lowestWaiting struct {
 	level float64
 	heard time.Time
-	// refused is set once the peer has refused a ticket, or one was recalled,
-	// since it told the level.
-	refused bool
+}
+
+// refusals paces what is offered to a peer that has no free slot.
+type refusals struct {
+	pause time.Duration
+	until time.Time
+}
+
+func (r *refusals) refused(now time.Time) {
+	r.pause = min(max(2*r.pause, refusedMin), refusedMax)
+	r.until = now.Add(r.pause)
+}
+
+// rise follows how fast the lowest waiting level rises.
+type rise struct {
+	level     float64
+	at        time.Time
+	perSecond float64
+}
+
+func (r *rise) follow(now time.Time, lowest float64) {
+	age := now.Sub(r.at)
+	if age < riseInterval {
+		return
+	}
+	if !r.at.IsZero() && age < 2*riseInterval {
+		latest := max(lowest-r.level, 0) / age.Seconds()
+		r.perSecond += riseGain * (latest - r.perSecond)
+	}
+	r.level, r.at = lowest, now
+}
+
+// threshold returns how far a peer's lowest level has to be ahead of ours.
+func (r *rise) threshold() float64 {
+	return max(SpillThreshold, r.perSecond*SpillTime.Seconds())
 }
 
 // balance moves tickets of accounts that are behind to peers where those that
-// wait are ahead of them by more than SpillThreshold.
+// wait are ahead of them by more than a threshold.
 func (d *Dispatcher) balance(now time.Time) {
+	lowest, waits := d.queue.Lowest()
+	if !waits {
+		return
+	}
+	d.rise.follow(now, lowest)
 	for _, p := range d.peers {
-		linked := p.proxy.Dispatcher(d.options.Pool) != ""
-		if !linked || p.lowest.refused || now.Sub(p.lowest.heard) > levelTime {
+		if !d.mayBalance(now, p) {
 			continue
 		}
 		for p.waiting(d) < queuedThere {
-			lowest, waits := d.queue.Lowest()
-			if !waits || lowest+SpillThreshold >= p.lowest.level || !d.offerNext(now, p) {
+			lowest, waits = d.queue.Lowest()
+			if !waits || lowest+d.rise.threshold() >= p.lowest.level || !d.offerNext(now, p) {
 				break
 			}
 		}
 	}
 }
 
+// mayBalance reports whether a peer may be offered tickets for which it has no
+// free slot.
+func (d *Dispatcher) mayBalance(now time.Time, p *peer) bool {
+	linked := p.proxy.Dispatcher(d.options.Pool) != ""
+	return linked && now.Sub(p.lowest.heard) <= levelTime && !now.Before(p.refusals.until)
+}
+
 // waiting returns how many tickets are on offer to the peer.
 func (p *peer) waiting(d *Dispatcher) int {
 	total := 0
@@ -89,7 +143,7 @@
 	}
 	placed := from.placed[oldest]
 	from.abandon(oldest)
-	from.lowest.refused = true
+	from.refusals.refused(now)
 	d.push(now, d.registrationOf(placed.key), placed.item)
 	return true
 }
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -64,6 +64,7 @@
 	// order holds the registrations by VM.
 	order  []*registration
 	peers  []*peer
+	rise   rise
 	counts Counts
 	outbox []Send
 }
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -15,9 +15,9 @@
 
 const (
 	// needInterval is how often a dispatcher whose tickets wait says so.
-	needInterval = time.Second
+	needInterval = 2 * time.Second
 	// needTime is how long it is then told of free slots.
-	needTime = 3 * time.Second
+	needTime = 5 * time.Second
 	// lostTime is how long what a lost entry runs at a peer keeps its slot.
 	lostTime = 10 * time.Second
 	// vacancyInterval is the least time between two vacancies with free slots
@@ -55,6 +55,7 @@
 	// peer was last told of here.
 	lowest     lowestWaiting
 	toldLowest uint64
+	refusals   refusals
 }
 
 // placement is a request of this data centre at a peer.
@@ -131,9 +132,11 @@
 func (d *Dispatcher) fromPeer(now time.Time, p *peer, from version.VMID, message wire.Message) {
 	switch m := message.(type) {
 	case wire.Grant:
+		p.refusals = refusals{}
 		p.proxy.Grant(from, m)
 	case wire.Refuse:
-		p.free, p.lowest.refused = 0, true
+		p.free = 0
+		p.refusals.refused(now)
 		p.proxy.Refuse(from, m)
 	case wire.Released:
 		p.proxy.Released(now, from, m)
