Send the largest changes of service first

Cause: a change of the backlogged flag went before every change of counts. Accounts that wait for moments used the whole budget up, and dispatchers on 28 daemons took an account for served 15000 units that had been served 85000.

--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -12,7 +12,7 @@
 const (
 	// JoinHold is how long an account still counts as backlogged after its
 	// last ticket left the queue.
-	JoinHold = 2 * time.Second
+	JoinHold = 5 * time.Second
 	// ProgressStep is the factor by which a running attempt's cost has to grow
 	// before the entry reports it again.
 	ProgressStep = 1.25
--- a/fleet/process/service/record.go
+++ b/fleet/process/service/record.go
@@ -42,15 +42,18 @@
 // rounded returns the record as it arrives after encoding.
 func (r Record) rounded() Record { return FromWire(r.Wire()) }
 
-// change returns how much the level differs between two records; a difference
-// in Backlogged counts as infinite, since it changes who is told.
+// flagChange is the change of level that a change of Backlogged is worth.
+const flagChange = 500.0
+
+// change returns how much two records differ, in weighted cost units.
 func (r Record) change(other Record) float64 {
-	if r.Backlogged != other.Backlogged {
-		return math.Inf(1)
-	}
-	return math.Abs(r.Count.Charged-other.Count.Charged) +
+	change := math.Abs(r.Count.Charged-other.Count.Charged) +
 		math.Abs(r.Count.Returned-other.Count.Returned) +
 		math.Abs(r.Lift-other.Lift)
+	if r.Backlogged != other.Backlogged {
+		change += flagChange
+	}
+	return change
 }
 
 // Reports returns what an account's home should know of the own counts.
