Charge streamed service to its request

Cause: the daemon charged accounts without saying for which request, so a dispatcher never heard that a request cost more than expected. Change: Charge names the request.

--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -292,8 +292,8 @@
 func (l *Loop) LinkDown(hello wire.Hello) { l.Post(node.PeerDown{Hello: hello}) }
 
 // Charge counts service of a running attempt.
-func (l *Loop) Charge(account version.AccountID, cost request.Cost) {
-	l.Post(node.Charge{Account: account, Cost: cost})
+func (l *Loop) Charge(id request.ID, account version.AccountID, cost request.Cost) {
+	l.Post(node.Charge{ID: id, Account: account, Cost: cost})
 }
 
 // End reports the end of an attempt.
--- a/daemon/request/relay/meter.go
+++ b/daemon/request/relay/meter.go
@@ -22,6 +22,7 @@
 // equal.
 type meter struct {
 	accounting Accounting
+	request    request.ID
 	account    version.AccountID
 	prompt     request.Cost
 	total      request.Cost
@@ -31,7 +32,7 @@
 }
 
 func newMeter(accounting Accounting, call Call) *meter {
-	m := &meter{accounting: accounting, account: call.Account, chargedAt: time.Now()}
+	m := &meter{accounting: accounting, request: call.Grant.ID, account: call.Account, chargedAt: time.Now()}
 	if call.Kind == version.PoolModel {
 		m.prompt = request.PromptCost(request.PromptTokens(len(call.Body)))
 	}
@@ -79,7 +80,7 @@
 
 func (m *meter) charge(now time.Time) {
 	if due := m.total - m.charged; due > 0 {
-		m.accounting.Charge(m.account, due)
+		m.accounting.Charge(m.request, m.account, due)
 		m.charged = m.total
 	}
 	m.chargedAt = now
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -39,8 +39,8 @@
 // Accounting is told what an attempt used.
 type Accounting interface {
 	Config() *version.Config
-	// Charge counts service as it streams.
-	Charge(account version.AccountID, cost request.Cost)
+	// Charge counts service of a request as it streams.
+	Charge(id request.ID, account version.AccountID, cost request.Cost)
 	// End frees the attempt's slot.
 	End(finish request.Finish)
 }
--- a/lab/calls/harness_test.go
+++ b/lab/calls/harness_test.go
@@ -67,7 +67,7 @@
 	return request.Grant{ID: ticket.ID, Attempt: ticket.Attempt, Pool: ticket.Pool, Upstream: chosen}, nil
 }
 
-func (g *grants) Charge(_ version.AccountID, cost request.Cost) {
+func (g *grants) Charge(_ request.ID, _ version.AccountID, cost request.Cost) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.charged += cost
