Move only tickets that are stuck, to the data centre furthest ahead

Cause: an account that is behind gets the next slot at home anyway, yet its ticket was offered to eleven data centres; most refused. Change: a ticket moves for fairness once it has waited for two seconds, and only to the data centre whose lowest waiting level is highest. Peers that want free slots share them.

--- a/fleet/process/dispatcher/balance.go
+++ b/fleet/process/dispatcher/balance.go
@@ -32,6 +32,9 @@
 	levelChange = SpillThreshold / 4
 	// levelTime is how long a told level is believed.
 	levelTime = 6 * time.Second
+	// stuckTime is how long the first ticket in fair order waits before it may
+	// move for fairness.
+	stuckTime = 2 * time.Second
 	// queuedThere bounds the tickets that wait in the queue of one peer.
 	queuedThere = 4
 	// queuedHere bounds the tickets of other data centres in the own queue.
@@ -79,25 +82,41 @@
 	return max(SpillThreshold, r.perSecond*SpillTime.Seconds())
 }
 
-// balance moves tickets of accounts that are behind to peers where those that
-// wait are ahead of them by more than a threshold.
+// balance moves tickets of accounts that are behind to the peer where those
+// that wait are furthest ahead, if that is by more than a threshold.
 func (d *Dispatcher) balance(now time.Time) {
 	lowest, waits := d.queue.Lowest()
 	if !waits {
 		return
 	}
 	d.rise.follow(now, lowest)
-	for _, p := range d.peers {
-		if !d.mayBalance(now, p) {
-			continue
+	p := d.furthestAhead(now)
+	for p != nil && p.waiting(d) < queuedThere {
+		lowest, waits = d.queue.Lowest()
+		behind := waits && lowest+d.rise.threshold() < p.lowest.level
+		if !behind || !d.stuck(now) || !d.offerNext(now, p) {
+			return
 		}
-		for p.waiting(d) < queuedThere {
-			lowest, waits = d.queue.Lowest()
-			if !waits || lowest+d.rise.threshold() >= p.lowest.level || !d.offerNext(now, p) {
-				break
-			}
+	}
+}
+
+// stuck reports whether the first ticket in fair order has waited for longer
+// than one that soon gets a slot here.
+func (d *Dispatcher) stuck(now time.Time) bool {
+	item, waits := d.queue.Next(now)
+	return waits && now.Sub(item.Arrived) >= stuckTime
+}
+
+// furthestAhead returns the peer with the highest lowest level of those that
+// may be offered tickets, or nil.
+func (d *Dispatcher) furthestAhead(now time.Time) *peer {
+	var furthest *peer
+	for _, p := range d.peers {
+		if d.mayBalance(now, p) && (furthest == nil || p.lowest.level > furthest.lowest.level) {
+			furthest = p
 		}
 	}
+	return furthest
 }
 
 // mayBalance reports whether a peer may be offered tickets for which it has no
@@ -216,6 +235,31 @@
 	d.queue.SetElsewhere(elsewhere)
 }
 
+// shareOf returns how many of the free slots a peer is told of: those that want
+// any share them, in turns if there are fewer, so that a slot is not offered to
+// all of them at once.
+func (d *Dispatcher) shareOf(now time.Time, p *peer, free int) int {
+	wanting, place := 0, 0
+	for _, other := range d.peers {
+		if other.VM == "" || now.After(other.wanted) {
+			continue
+		}
+		if other == p {
+			place = wanting
+		}
+		wanting++
+	}
+	if wanting == 0 {
+		return 0
+	}
+	d.turn++
+	share := free / wanting
+	if (place+d.turn)%wanting < free%wanting {
+		share++
+	}
+	return share
+}
+
 // levelNews reports whether the lowest level is worth telling a peer again.
 func (d *Dispatcher) levelNews(now time.Time, p *peer, lowest uint64) bool {
 	if now.Sub(p.toldTime) < levelInterval {
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -62,9 +62,11 @@
 	owner         bool
 	registrations map[version.VMID]*registration
 	// order holds the registrations by VM.
-	order  []*registration
-	peers  []*peer
-	rise   rise
+	order []*registration
+	peers []*peer
+	rise  rise
+	// turn rotates which peers are told of the last free slots.
+	turn   int
 	counts Counts
 	outbox []Send
 }
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -278,7 +278,7 @@
 	}
 	free := 0
 	if d.queue.Len() == 0 {
-		free = d.slots.Free(now)
+		free = d.shareOf(now, p, d.slots.Free(now))
 	}
 	lowest := d.lowestTold()
 	same := free == p.told && free == 0 && !d.levelNews(now, p, lowest)
