Give each upstream of the booking test its own address

Validation refuses one address for two upstreams of a pool since it checks addresses; the test described both upstreams under the stand-in's one address. Both listeners now lead to the same counting stand-in, so the assertion that a call runs once stays as it was.

--- a/lab/fleetproc/ledger_test.go
+++ b/lab/fleetproc/ledger_test.go
@@ -15,12 +15,10 @@
 	"github.com/trefoilwell/trefoilwell/lab/service"
 )
 
-// bookings returns a fleet of two data centres whose calls go to one service,
-// and the service.
+// bookings returns a fleet of two data centres whose upstreams are one service
+// behind a listener each, so that it counts the runs of both, and the service.
 func bookings(t *testing.T, delay time.Duration) (*Fleet, *service.Service) {
 	s := service.New(service.Options{Delay: delay})
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
 	document := &version.Document{
 		DataCentres: []version.DataCentreSpec{{Name: "north", Region: "one"}, {Name: "south", Region: "two"}},
 		Accounts:    []version.AccountSpec{{Name: "counters", KeyDigests: []string{version.KeyDigest(key)}}},
@@ -30,6 +28,8 @@
 		Presets: []version.PresetSpec{{Name: "ordinary"}},
 	}
 	for _, dataCentre := range []string{"north", "south"} {
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
 		document.Upstreams = append(document.Upstreams, version.UpstreamSpec{
 			Name: dataCentre + "-1", Pool: "booking", DataCentre: dataCentre,
 			Address: server.Listener.Addr().String(), Team: "desk", ColdLimit: 10, WarmLimit: 10,
