Replaced VMs read no configuration from the platform; orders follow earlier ones

A daemon that starts now waits a second for peers before it turns to the platform; each replaced VM had read every part. An operator whose clock was ahead made an order that no later one could undo: trefoilctl now dates an order after those that wait on the same thing. A 429 counted as a platform that cannot be reached. The operators' listener has timeouts.

--- a/daemon/cmd/trefoilctl/command/account.go
+++ b/daemon/cmd/trefoilctl/command/account.go
@@ -43,6 +43,9 @@
 
 // Execute implements flags.Commander.
 func (c *accountAdd) Execute([]string) error {
+	if !(c.Weight > 0) {
+		return errors.Mark(errors.Newf("the weight is %v, it must be above 0", c.Weight), errUsage)
+	}
 	key := newKey()
 	return c.changeKey(key, func(state *change.State) error {
 		if accountIndex(state.Document, c.Args.Name) >= 0 {
--- a/daemon/cmd/trefoilctl/command/config.go
+++ b/daemon/cmd/trefoilctl/command/config.go
@@ -129,6 +129,7 @@
 	*session `no-flag:"true"`
 	Args     pathArgument `positional-args:"yes" required:"yes"`
 	Expect   uint64       `long:"expect" required:"yes" description:"version that the files were compared with (see config diff); 0 if there is none yet"`
+	Above    uint64       `long:"above" description:"let the new version be higher than this one, where the platform has lost a configuration that daemons hold"`
 	Preset   string       `long:"preset" description:"preset to put in force; default the present one"`
 }
 
@@ -143,6 +144,7 @@
 			return err
 		}
 		state.Document = document
+		state.Head.Number = max(state.Head.Number, version.Number(c.Above))
 		switch {
 		case c.Preset != "":
 			state.Head.Preset = c.Preset
--- a/daemon/cmd/trefoilctl/command/out.go
+++ b/daemon/cmd/trefoilctl/command/out.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -109,12 +110,13 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := c.deadline()
+	defer cancel()
+	order.Millis = max(order.Millis, c.latestOrder(ctx, reached)+1)
 	body, err := json.Marshal(order)
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	ctx, cancel := c.deadline()
-	defer cancel()
 	result := handedOver{Operation: order.Operation}
 	accepted := 0
 	for _, r := range reached.ask(ctx, c.Operators, http.MethodPost, operator.PathOrders, body) {
@@ -141,6 +143,24 @@
 		change.ErrUnconfirmed)
 }
 
+// latestOrder returns the time of the latest order on the same thing that waits
+// at the daemons, so that the new one comes after it whatever the clocks say.
+func (c *outCommand) latestOrder(ctx context.Context, reached *daemons) int64 {
+	var latest int64
+	for _, r := range reached.ask(ctx, c.Operators, http.MethodGet, operator.PathStatus, nil) {
+		var status operator.Status
+		if r.err != nil || json.Unmarshal(r.body, &status) != nil {
+			continue
+		}
+		for _, other := range status.Configuration.Orders {
+			if other.Target == c.target.target && other.Name == c.Args.Name {
+				latest = max(latest, other.Millis)
+			}
+		}
+	}
+	return latest
+}
+
 func (c *outCommand) printHandedOver(result handedOver) error {
 	var rows [][]string
 	for _, item := range result.Daemons {
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -32,6 +32,9 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's headers.
 	readHeaderTimeout = 5 * time.Second
+	// operatorsTimeout bounds the reading and the answering of an operator's
+	// request.
+	operatorsTimeout = 30 * time.Second
 )
 
 // App is one daemon.
@@ -123,6 +126,7 @@
 		PlatformCalls:     calls.Load,
 	})
 	a.operators = newServer(a.newOperator())
+	a.operators.ReadTimeout, a.operators.WriteTimeout = operatorsTimeout, operatorsTimeout
 	return a, nil
 }
 
--- a/daemon/version/change/change.go
+++ b/daemon/version/change/change.go
@@ -101,8 +101,8 @@
 
 // Change reads the configuration, lets edit change it and puts the result in
 // force. It returns the head that the platform confirmed. Edit is given an
-// empty state, with the number 0, if there is no configuration yet; its error
-// ends the change.
+// empty state, with the number 0, if there is no configuration yet, and may raise
+// the number, from which the next one follows; its error ends the change.
 func (c *Changer) Change(ctx context.Context, edit func(*State) error) (version.Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
@@ -121,7 +121,7 @@
 	if err := c.writeParts(ctx, before, parts); err != nil {
 		return version.Head{}, err
 	}
-	state.Head.Number = before.Number
+	state.Head.Number = max(state.Head.Number, before.Number)
 	next := state.Head.Next(uuid.NewString())
 	return next, c.writeHead(ctx, next, expected)
 }
--- a/daemon/version/follow/follow.go
+++ b/daemon/version/follow/follow.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -134,6 +136,10 @@
 
 // Observe is told the outcome of each call to the platform.
 func (f *Follower) Observe(err error) {
+	if errors.Is(err, platform.ErrRateLimited) {
+		// The platform answered.
+		err = nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/fleet/version/distribute/core.go
+++ b/fleet/version/distribute/core.go
@@ -29,6 +29,9 @@
 	// watchersPerDataCentre is how many daemons of a data centre watch the
 	// platform.
 	watchersPerDataCentre = 2
+	// startGrace is how long a daemon that holds nothing waits for peers before
+	// it turns to the platform, so that replacing VMs costs no platform calls.
+	startGrace = time.Second
 	// staleAfter is how long nobody may have heard of the platform before
 	// other daemons try it in turn.
 	staleAfter = 30 * time.Second
@@ -107,11 +110,10 @@
 // New returns a core that holds nothing and is linked to nobody.
 func New(now time.Time, options Options) *Core {
 	return &Core{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(string(options.VM)))),
-		peers:    make(map[version.VMID]*peer),
-		started:  now,
-		watching: true,
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(string(options.VM)))),
+		peers:   make(map[version.VMID]*peer),
+		started: now,
 	}
 }
 
--- a/fleet/version/distribute/core_test.go
+++ b/fleet/version/distribute/core_test.go
@@ -71,6 +71,13 @@
 	f := newFleet(t, 2, 3, 3)
 	f.publish(testDocument(1, 1), nil)
 	f.run(inForceWithin)
+	before := f.platform.reads
+	f.start(f.nodes[1])
+	f.run(inForceWithin)
+	f.wantEverywhere(1, "restarted beside its peers")
+	if reads := f.platform.reads - before; reads > 1 {
+		t.Errorf("a restart cost %d reads of the platform", reads)
+	}
 	f.platform.down = true
 	for _, n := range f.nodes[:5] {
 		f.start(n)
@@ -109,6 +116,23 @@
 	}
 }
 
+func TestOthersWatchOnceTheWatchersAreGone(t *testing.T) {
+	f := newFleet(t, 1, 6, 12)
+	f.publish(testDocument(1), nil)
+	f.run(inForceWithin)
+	for _, n := range f.nodes {
+		if n.core.Watching() {
+			f.stop(n)
+		}
+	}
+	if len(f.nodes) != 6-watchersPerDataCentre {
+		t.Fatalf("%d daemons are left", len(f.nodes))
+	}
+	f.publish(testDocument(2), nil)
+	f.run(inForceWithin)
+	f.wantEverywhere(2, "without the first watchers")
+}
+
 func TestAnOrderPastThePlatformIsNeverReverted(t *testing.T) {
 	f := newFleet(t, 2, 5, 5)
 	f.publish(testDocument(1), nil)
--- a/fleet/version/distribute/fleet_test.go
+++ b/fleet/version/distribute/fleet_test.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// stop ends a node; its links go down.
+func (f *fleet) stop(n *testNode) {
+	f.nodes = slices.DeleteFunc(slices.Clone(f.nodes), func(other *testNode) bool { return other == n })
+	for _, other := range f.nodes {
+		other.core.Step(f.now, PeerDown{VM: n.vm})
+	}
+}
+
 // linked is a mesh inside a data centre, and links between daemons of the same
 // place in different ones.
 func linked(a, b *testNode) bool {
--- a/fleet/version/distribute/gossip.go
+++ b/fleet/version/distribute/gossip.go
@@ -89,6 +89,10 @@
 // platform for long, further daemons take turns, so that one that alone can
 // reach it will find out, and yet no more of them call at a time.
 func (c *Core) updateWatching(now time.Time) {
+	if c.held == nil && now.Sub(c.started) < startGrace {
+		c.watching = false
+		return
+	}
 	c.watching = c.chosen("")
 	if c.watching {
 		return
--- a/lab/operations/operations_test.go
+++ b/lab/operations/operations_test.go
@@ -26,6 +26,9 @@
 	"github.com/trefoilwell/trefoilwell/lab/platform"
 )
 
+// downFaults is a platform that is away.
+var downFaults = platform.Faults{Down: true}
+
 const operatorToken = "operators"
 
 const configuration = `[[datacentre]]
