A later order holds however orders are absorbed

Orders on one thing that were absorbed in another sequence than they were given could leave a daemon with other content under the number of the platform's head, for good: the number did not grow when orders were absorbed. Absorbing now raises it by one more than the orders are, and an order that is absorbed after a later one on the same thing has no effect; the head keeps the absorbed orders for that.

Tests expect the higher number.

--- a/fleet/version/distribute/core_test.go
+++ b/fleet/version/distribute/core_test.go
@@ -180,7 +180,7 @@
 	f.publish(testDocument(4), func(head *version.Head) { head.Out = head.Out.Apply(back) })
 	f.run(inForceWithin)
 	for _, n := range f.nodes {
-		if n.config.DataCentreOut("north") || len(n.core.Orders()) > 0 || n.config.Number != 5 {
+		if n.config.DataCentreOut("north") || len(n.core.Orders()) > 0 || n.config.Number != 6 {
 			t.Errorf("%s: version %d, out %v, orders %v", n.vm, n.config.Number, n.config.Out, n.core.Orders())
 		}
 	}
--- a/fleet/version/document.go
+++ b/fleet/version/document.go
@@ -95,9 +95,9 @@
 	// MaxRecent. A change whose answer was lost is found here even after
 	// others have followed.
 	Recent []string `json:"recent,omitempty"`
-	// Absorbed are the operations of the latest orders that daemons took past
-	// the platform and that this head includes; at most MaxAbsorbed.
-	Absorbed []string `json:"absorbed,omitempty"`
+	// Absorbed are the latest orders that daemons took past the platform and
+	// that this head includes; at most MaxAbsorbed.
+	Absorbed []Order `json:"absorbed,omitempty"`
 }
 
 // Next returns the head that follows as the change of an operation.
--- a/fleet/version/order.go
+++ b/fleet/version/order.go
@@ -20,7 +20,7 @@
 )
 
 // MaxAbsorbed bounds Head.Absorbed.
-const MaxAbsorbed = 256
+const MaxAbsorbed = 64
 
 // Order takes something out of service or back. An order that was handed to a
 // daemon is in force over the platform's head until a later head has absorbed
@@ -55,9 +55,12 @@
 
 // SortOrders puts orders in the sequence in which they are applied.
 func SortOrders(orders []Order) {
-	slices.SortFunc(orders, func(a, b Order) int {
-		return cmp.Or(cmp.Compare(a.Millis, b.Millis), cmp.Compare(a.Operation, b.Operation))
-	})
+	slices.SortFunc(orders, Order.compare)
+}
+
+// compare orders by the time at which they were given.
+func (o Order) compare(other Order) int {
+	return cmp.Or(cmp.Compare(o.Millis, other.Millis), cmp.Compare(o.Operation, other.Operation))
 }
 
 // Apply returns the names with an order applied, sorted and without
@@ -86,16 +89,24 @@
 
 // HasAbsorbed reports whether a head includes an order.
 func (h Head) HasAbsorbed(order Order) bool {
-	return slices.Contains(h.Absorbed, order.Operation)
+	return slices.ContainsFunc(h.Absorbed, func(other Order) bool { return other.Operation == order.Operation })
+}
+
+// supersedes reports whether a head includes a later order on the same thing.
+func (h Head) supersedes(order Order) bool {
+	return slices.ContainsFunc(h.Absorbed, func(other Order) bool {
+		return other.Target == order.Target && other.Name == order.Name && other.compare(order) > 0
+	})
 }
 
 // Under returns the head as it is in force under orders that it has not
-// absorbed. Its number grows by one for each of them, so that it never falls
-// when a later head absorbs them (see Absorb).
+// absorbed. Its number grows by one for each of them.
 func (h Head) Under(orders []Order) Head {
 	pending := h.Pending(orders)
 	for _, order := range pending {
-		h.Out = h.Out.Apply(order)
+		if !h.supersedes(order) {
+			h.Out = h.Out.Apply(order)
+		}
 	}
 	h.Number += Number(len(pending))
 	return h
@@ -109,14 +120,13 @@
 	return pending
 }
 
-// Absorb returns the head that confirms orders. Its number is the number of
-// Under for the same orders.
+// Absorb returns the head that confirms orders. Its number is above that of
+// Under for the same orders, so that whatever a daemon held before, what it
+// holds after has a higher number.
 func (h Head) Absorb(orders []Order) Head {
-	absorbed := slices.Clone(h.Absorbed)
-	for _, order := range h.Pending(orders) {
-		absorbed = append(absorbed, order.Operation)
-	}
+	absorbed := append(slices.Clone(h.Absorbed), h.Pending(orders)...)
 	next := h.Under(orders)
+	next.Number++
 	next.Absorbed = absorbed[max(0, len(absorbed)-MaxAbsorbed):]
 	return next
 }
--- a/lab/operations/operations_test.go
+++ b/lab/operations/operations_test.go
@@ -285,11 +285,11 @@
 	})
 	b.store.SetFaults(platform.Faults{})
 	b.until("the platform has the order", func(s operator.Status) bool {
-		return s.Configuration.Confirmed == 2 && len(s.Configuration.Orders) == 0
+		return s.Configuration.Confirmed == 3 && len(s.Configuration.Orders) == 0
 	})
 	b.want(command.ExitOK, "datacentre", "in", "north")
 	b.until("north is back", func(s operator.Status) bool {
-		return s.Configuration.Number == 3 && s.Ready && len(s.Configuration.Out.DataCentres) == 0
+		return s.Configuration.Number == 4 && s.Ready && len(s.Configuration.Out.DataCentres) == 0
 	})
 
 	out, _ = b.want(command.ExitOK, "status")
