--- a/fleet/process/membership/membership_test.go
+++ b/fleet/process/membership/membership_test.go
@@ -129,6 +129,7 @@
 		return m.bytes / size / seconds
 	}
 	small, large := perDaemon(4), perDaemon(40)
+	t.Logf("%d bytes a second sent by each of 4 members, %d by each of 40", small, large)
 	if large > 2*small {
 		t.Errorf("%d bytes a second with 40 members, %d with 4", large, small)
 	}
