--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -202,14 +202,33 @@
 func (t *Table) Upstreams(now time.Time) []Upstream {
 	list := make([]Upstream, 0, len(t.order))
 	for _, s := range t.order {
-		list = append(list, Upstream{
-			Upstream: s.upstream.ID,
-			Used:     s.used(),
-			Limit:    s.warmth.limit,
-			Usable:   s.capacity(),
-			Cold:     s.cold(),
-			Ejected:  s.warmth.ejected(now),
-		})
+		list = append(list, t.describe(now, s))
 	}
 	return list
 }
+
+// Changed returns the upstreams that became cold, warm, ejected or not since
+// the last call.
+func (t *Table) Changed(now time.Time) []Upstream {
+	var changed []Upstream
+	for _, s := range t.order {
+		cold, ejected := s.cold(), s.warmth.ejected(now)
+		if cold == s.toldCold && ejected == s.toldEjected {
+			continue
+		}
+		s.toldCold, s.toldEjected = cold, ejected
+		changed = append(changed, t.describe(now, s))
+	}
+	return changed
+}
+
+func (t *Table) describe(now time.Time, s *state) Upstream {
+	return Upstream{
+		Upstream: s.upstream.ID,
+		Used:     s.used(),
+		Limit:    s.warmth.limit,
+		Usable:   s.capacity(),
+		Cold:     s.cold(),
+		Ejected:  s.warmth.ejected(now),
+	}
+}
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -72,6 +72,9 @@
 	// usable caches the number of earned slots whose owner is registered.
 	usable    int
 	lastGrant time.Time
+	// toldCold and toldEjected are what Changed last told.
+	toldCold    bool
+	toldEjected bool
 }
 
 // held is what is kept per hold.
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -226,6 +226,7 @@
 		d.giveUp(now, item, request.ReasonDeadline)
 	}
 	d.slots.Tick(now)
+	d.recordUpstreams(now)
 	d.tickPeers(now)
 	d.grant(now)
 }
@@ -262,6 +263,21 @@
 	d.options.Timeline.Record(now, event)
 }
 
+// recordUpstreams puts upstreams that became cold, warm, ejected or not on the
+// time line.
+func (d *Dispatcher) recordUpstreams(now time.Time) {
+	for _, upstream := range d.slots.Changed(now) {
+		detail := "warm"
+		switch {
+		case upstream.Ejected:
+			detail = "ejected"
+		case upstream.Cold:
+			detail = "cold"
+		}
+		d.record(now, timeline.KindUpstream, request.Key{}, timeline.Event{Upstream: upstream.Upstream, Detail: detail})
+	}
+}
+
 func (d *Dispatcher) account(id version.AccountID) *version.Account {
 	if d.config == nil {
 		return nil
--- a/fleet/process/dispatcher/dispatcher_test.go
+++ b/fleet/process/dispatcher/dispatcher_test.go
@@ -337,3 +337,15 @@
 		s.Outbox()
 	}
 }
+
+func TestUpstreamsThatTurnAreOnTheTimeLine(t *testing.T) {
+	s := newSetting(1, 1, 1)
+	s.ticket(1)
+	s.finish(s.grants()[0], request.OutcomeRefused)
+	s.Tick(s.now)
+	events := s.options.Timeline.Events()
+	last := events[len(events)-1]
+	if last.Kind != timeline.KindUpstream || last.Detail != "ejected" {
+		t.Errorf("last event %+v, want the upstream ejected", last)
+	}
+}
