Refuse what router and engine could read differently, and close HTTP/1.0's gap

A completion with a key twice, or in other capitals, was routed by one value and could be run by another; such bodies are refused now. OPTIONS * is refused in the handler's own form. Each was found by a new test, the first by reading.

--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -64,7 +64,13 @@
 	if response.Request.Method == http.MethodHead || response.ContentLength > holdBytes {
 		return false
 	}
-	return a.call.Kind == version.PoolModel || response.ContentLength >= 0
+	return a.call.Kind == version.PoolModel || response.ContentLength >= 0 || a.needsLength(response)
+}
+
+// needsLength reports whether the caller could not tell the answer's end from
+// a cut: HTTP/1.0 has no chunks.
+func (a *attempt) needsLength(response *http.Response) bool {
+	return response.ContentLength < 0 && !a.call.Request.ProtoAtLeast(1, 1)
 }
 
 // hold reads an answer and leaves its writing to the caller of Do. One that
@@ -78,6 +84,11 @@
 	if err != nil {
 		return a.failed(a.cause(response.Request.Context(), err))
 	}
+	if n > holdBytes && a.needsLength(response) {
+		result := a.failed(errors.New("answer is too long for HTTP/1.0"))
+		result.Retry = false
+		return result
+	}
 	if n > holdBytes {
 		return a.pass(response, body.Bytes(), timer)
 	}
--- a/daemon/request/serve/completion.go
+++ b/daemon/request/serve/completion.go
@@ -1,10 +1,14 @@
 package serve
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -14,11 +18,75 @@
 
 // completionBody is what the router reads of a completion request.
 type completionBody struct {
-	Model               string          `json:"model"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	Model               string
+	MaxTokens           *int
+	MaxCompletionTokens *int
+	Messages            json.RawMessage
+	Prompt              json.RawMessage
+}
+
+// field returns where the value of a key goes, or nil for a key that the
+// router does not read.
+func (b *completionBody) field(key string) any {
+	switch key {
+	case "model":
+		return &b.Model
+	case "max_tokens":
+		return &b.MaxTokens
+	case "max_completion_tokens":
+		return &b.MaxCompletionTokens
+	case "messages":
+		return &b.Messages
+	case "prompt":
+		return &b.Prompt
+	}
+	return nil
+}
+
+var (
+	errNotObject = errors.New("it is not an object")
+	errTwice     = errors.New("a key comes twice")
+	errTrailing  = errors.New("something follows the object")
+)
+
+// decode reads the object of a completion request. Keys are taken literally,
+// as engines do, and those that the router reads may come once: otherwise
+// router and engine could read different requests.
+func (b *completionBody) decode(body []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('{') {
+		return errNotObject
+	}
+	seen := make(map[any]bool)
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := key.(string)
+		if err := b.decodeField(decoder, b.field(name), seen); err != nil {
+			return err
+		}
+	}
+	if _, err := decoder.Token(); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errTrailing
+	}
+	return nil
+}
+
+func (b *completionBody) decodeField(decoder *json.Decoder, field any, seen map[any]bool) error {
+	if field == nil {
+		var skipped json.RawMessage
+		return decoder.Decode(&skipped)
+	}
+	if seen[field] {
+		return errTwice
+	}
+	seen[field] = true
+	return decoder.Decode(field)
 }
 
 // completion is a completion request as the router needs it.
@@ -50,7 +118,7 @@
 // parseCompletion reads the body of a completion request.
 func parseCompletion(body []byte) (*completion, *request.Refusal) {
 	var parsed completionBody
-	if err := json.Unmarshal(body, &parsed); err != nil {
+	if err := parsed.decode(body); err != nil {
 		return nil, refuse(request.ReasonBadRequest, "the body is not a JSON completion request: "+err.Error())
 	}
 	if parsed.Model == "" {
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -118,6 +118,8 @@
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
+		// Every answer has the handler's form, also to OPTIONS *.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/lab/calls/refusal_test.go
+++ b/lab/calls/refusal_test.go
@@ -68,6 +68,12 @@
 		}, request.ReasonBadIdempotencyKey, 400},
 		{"header count", "GET", serve.PathModels, "", func(r *http.Request) { r.Header["X-Many"] = make([]string, 200) }, request.ReasonBadRequest, 400},
 		{"not JSON", "POST", serve.PathChat, "{", nil, request.ReasonBadRequest, 400},
+		{"a key twice", "POST", serve.PathChat, `{"model":"polish-7b","model":"other"}`, nil, request.ReasonBadRequest, 400},
+		{"a key in capitals", "POST", serve.PathChat, `{"MODEL":"polish-7b"}`, nil, request.ReasonBadRequest, 400},
+		{"two objects", "POST", serve.PathChat, wholeBody + wholeBody, nil, request.ReasonBadRequest, 400},
+		{"a list", "POST", serve.PathChat, `[1]`, nil, request.ReasonBadRequest, 400},
+		{"an object without end", "POST", serve.PathChat, `{"model":"polish-7b"`, nil, request.ReasonBadRequest, 400},
+		{"deep nesting", "POST", serve.PathChat, `{"x":` + strings.Repeat("[", 1_000_000), nil, request.ReasonBadRequest, 400},
 		{"no model", "POST", serve.PathChat, "{}", nil, request.ReasonBadRequest, 400},
 		{"bad bound", "POST", serve.PathCompletions, `{"model":"polish-7b","max_tokens":-4}`, nil, request.ReasonBadRequest, 400},
 		{"unknown model", "POST", serve.PathChat, `{"model":"none"}`, nil, request.ReasonUnknownModel, 404},
@@ -98,6 +104,48 @@
 	}
 }
 
+// raw sends bytes on a connection of its own and returns all that comes back.
+func (r *router) raw(t *testing.T, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The server may answer and close before it has read everything.
+	_, _ = conn.Write([]byte(text))
+	got, _ := io.ReadAll(conn)
+	return string(got)
+}
+
+func TestMalformedHTTPRunsNothing(t *testing.T) {
+	e, s := fast(), service.New(service.Options{})
+	r := newRouter(t, setup{engines: []http.Handler{e}, services: []http.Handler{s}})
+	start := "POST /booking/visit HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer " + testKey + "\r\n"
+	cases := map[string]string{
+		"many headers":       start + strings.Repeat("a:\r\n", 20_000) + "\r\n",
+		"long header":        start + "X-Long: " + strings.Repeat("x", 100_000) + "\r\n\r\n",
+		"two lengths":        start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+		"bad length":         start + "Content-Length: -1\r\n\r\n",
+		"bad chunk":          start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"unknown encoding":   start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"no host":            "GET /booking/x HTTP/1.1\r\nConnection: close\r\n\r\n",
+		"bad header":         start + "X Y: 1\r\n\r\n",
+		"not HTTP":           "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n",
+		"no absolute path":   "OPTIONS * HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer " + testKey + "\r\n\r\n",
+		"another's proxying": "CONNECT example.org:80 HTTP/1.1\r\nHost: example.org:80\r\nConnection: close\r\nAuthorization: Bearer " + testKey + "\r\n\r\n",
+	}
+	for name, text := range cases {
+		got := r.raw(t, text)
+		if !strings.HasPrefix(got, "HTTP/1.1 4") && !strings.HasPrefix(got, "HTTP/1.1 501") {
+			t.Errorf("%s: answer is %.60q, want an error", name, got)
+		}
+	}
+	if ran := e.Counters().Runs + len(s.Calls()); ran != 0 {
+		t.Errorf("%d malformed requests ran", ran)
+	}
+}
+
 func TestASlowSenderIsRefused(t *testing.T) {
 	r := newRouter(t, setup{engines: []http.Handler{fast()}, serve: serve.Options{BodyTimeout: 20 * time.Millisecond}})
 	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
--- a/lab/calls/whole_test.go
+++ b/lab/calls/whole_test.go
@@ -188,6 +188,29 @@
 	checkRefusal(t, got, request.ReasonUpstreamFailed, request.Unknown)
 }
 
+// TestACallerWithoutChunksGetsALengthOrARefusal covers HTTP/1.0, where a cut
+// answer without a length looks like a whole one.
+func TestACallerWithoutChunksGetsALengthOrARefusal(t *testing.T) {
+	size := 0
+	unsized := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		for range size {
+			_, _ = w.Write([]byte("x"))
+		}
+		_ = http.NewResponseController(w).Flush()
+	})
+	r := newRouter(t, setup{services: []http.Handler{unsized}})
+	text := "POST /booking/visit HTTP/1.0\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
+	size = 1000
+	if got := r.raw(t, text); !strings.Contains(got, "Content-Length: 1000\r\n") {
+		t.Errorf("the answer is %.200q, want one with its length", got)
+	}
+	size = 1 << 20
+	if got := r.raw(t, text); !strings.Contains(got, "502 Bad Gateway") {
+		t.Errorf("the answer is %.200q, want a refusal", got)
+	}
+}
+
 func TestALateAnswerIsRefusedAtTheDeadline(t *testing.T) {
 	e := fast()
 	r := newRouter(t, setup{engines: []http.Handler{e}})
