--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -15,9 +15,9 @@
 
 // Key identifies a request in the whole fleet.
 type Key struct {
-	Entry       version.VMID
-	Incarnation uint64
-	ID          ID
+	Entry       version.VMID `json:"entry"`
+	Incarnation uint64       `json:"incarnation"`
+	ID          ID           `json:"id"`
 }
 
 // Cost is service in weighted cost units: one unit is one generated token;
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 const (
 	model           = "polish-7b"
 	tokensPerAnswer = 24
+	operatorToken   = "demo"
 	// loadDuration is how long the load lasts.
 	loadDuration = 4 * time.Second
 	readyTimeout = 10 * time.Second
@@ -78,7 +80,7 @@
 		return nil, errors.Wrap(err, "print results")
 	}
 	if options.Keep {
-		printCurl(options.Out, fleet.addresses[0])
+		fleet.printHelp(options.Out)
 		<-ctx.Done()
 	}
 	cancel()
@@ -88,7 +90,11 @@
 
 // fleet is what the demo started.
 type fleet struct {
+	// addresses and operators are the daemons' callers' and operators'
+	// listeners.
 	addresses []string
+	operators []string
+	platform  string
 	running   sync.WaitGroup
 }
 
@@ -113,7 +119,7 @@
 }
 
 func startDaemons(ctx context.Context, store *platform.Platform, platformAddress string, log *slog.Logger) (*fleet, error) {
-	f := &fleet{}
+	f := &fleet{platform: platformAddress}
 	var vms []client.VM
 	for i, dataCentre := range []version.DataCentreID{"north", "north", "south"} {
 		s := settings.Default()
@@ -124,13 +130,14 @@
 		s.Peers.Listen = "127.0.0.1:0"
 		s.Peers.Secret = "demo"
 		s.Operators.Listen = "127.0.0.1:0"
-		s.Operators.Token = "demo"
+		s.Operators.Token = operatorToken
 		s.Platform.URL = "http://" + platformAddress
 		daemon, err := app.New(s, log)
 		if err != nil {
 			return nil, err
 		}
 		f.addresses = append(f.addresses, daemon.CallersAddress())
+		f.operators = append(f.operators, daemon.OperatorsAddress())
 		vms = append(vms, client.VM{
 			ID:          s.VM,
 			DataCentre:  dataCentre,
@@ -251,8 +258,16 @@
 	})
 }
 
-func printCurl(out io.Writer, address string) {
-	fmt.Fprintf(out, "\ncurl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
-		"  -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
-		address, users[0].key, model)
+// printHelp shows how to use the fleet while it runs.
+func (f *fleet) printHelp(out io.Writer) {
+	fmt.Fprintf(out, "\nAs a caller:\n\n"+
+		"  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
+		"    -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
+		f.addresses[0], users[0].key, model)
+	fmt.Fprintf(out, "\nAs an operator:\n\n"+
+		"  export TREFOILCTL_PLATFORM_URL=http://%s TREFOILCTL_OPERATOR_TOKEN=%s TREFOILCTL_OPERATORS=%s\n"+
+		"  go run ./daemon/cmd/trefoilctl status\n"+
+		"  go run ./daemon/cmd/trefoilctl datacentre out south\n"+
+		"  go run ./daemon/cmd/trefoilctl timeline --html timeline.html\n",
+		f.platform, operatorToken, strings.Join(f.operators, ","))
 }
