--- a/lab/measure/run.go
+++ b/lab/measure/run.go
@@ -74,6 +74,9 @@
 	r.load()
 	r.pump.Run(scenario.Warm)
 	r.measure()
+	if scenario.AtEnd != nil {
+		scenario.AtEnd()
+	}
 	return r.result(), nil
 }
 
--- a/lab/measure/scenario.go
+++ b/lab/measure/scenario.go
@@ -110,6 +110,9 @@
 	Actions []Action
 	// Loss is the fraction of frames that are lost, 0 to 1.
 	Loss float64
+	// AtEnd is called when the run has ended, while the fleet is still in
+	// memory; nil is nothing.
+	AtEnd func()
 }
 
 // Sample is the state at one moment.
