Show requests, pools and lapsed VMs in status

trefoilctl status named the daemons' versions only; what waits, which slots are used and who lapsed had to be read from the metrics of each daemon.

--- a/daemon/cmd/trefoilctl/command/status.go
+++ b/daemon/cmd/trefoilctl/command/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -51,10 +52,13 @@
 		body = append(body, entry)
 		rows = append(rows, entry.row())
 	}
-	heading := []string{"DAEMON", "VM", "DATA CENTRE", "READY", "VERSION", "PRESET", "MEMBERS", "WATCHING", "ORDERS", "OUT OF SERVICE"}
+	heading := []string{"DAEMON", "VM", "DATA CENTRE", "READY", "VERSION", "PRESET", "WAITING", "RUNNING", "MEMBERS", "LAPSED", "WATCHING", "ORDERS", "OUT OF SERVICE"}
 	if err := c.table(body, heading, rows); err != nil {
 		return err
 	}
+	if err := c.printPools(body); err != nil {
+		return err
+	}
 	if failed > 0 {
 		return errors.Wrapf(errIncomplete, "%d of %d", failed, len(body))
 	}
@@ -72,7 +76,34 @@
 	}
 	return []string{
 		d.Address, string(s.VM), string(s.DataCentre), ready, fmt.Sprint(s.Configuration.Number),
-		dash(s.Configuration.Preset), strconv.Itoa(len(s.Members)), yesNo(s.Configuration.Watching),
+		dash(s.Configuration.Preset), strconv.Itoa(s.Waiting), strconv.Itoa(s.Running),
+		strconv.Itoa(len(s.Members)), strconv.Itoa(len(s.Lapsed)), yesNo(s.Configuration.Watching),
 		strconv.Itoa(len(s.Configuration.Orders)), dash(outText(s.Configuration.Out)),
 	}
 }
+
+// printPools prints the pools by data centre under the table of daemons; they
+// are part of the JSON form already.
+func (c *statusCommand) printPools(daemons []daemonStatus) error {
+	if c.JSON {
+		return nil
+	}
+	var rows [][]string
+	for _, d := range daemons {
+		if d.Status == nil {
+			continue
+		}
+		for _, pool := range d.Status.Pools {
+			rows = append(rows, []string{
+				pool.Name, string(d.Status.DataCentre), string(d.Status.VM), strconv.Itoa(pool.Waiting),
+				fmt.Sprintf("%d of %d", pool.SlotsUsed, pool.SlotsLimit), fmt.Sprintf("%d of %d", pool.Cold, pool.Upstreams),
+			})
+		}
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	slices.SortFunc(rows, slices.Compare[[]string])
+	fmt.Fprintln(c.stdout)
+	return c.table(nil, []string{"POOL", "DATA CENTRE", "DISPATCHER", "WAITING", "SLOTS USED", "COLD UPSTREAMS"}, rows)
+}
--- a/daemon/process/app/operators.go
+++ b/daemon/process/app/operators.go
@@ -1,11 +1,15 @@
 package app
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
+	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
+	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/distribute"
 )
@@ -31,6 +35,7 @@
 		Members:     a.inbox.members(),
 	}
 	config := a.loop.Config()
+	addStats(&status, config, a.loop.Stats())
 	status.NotReadyReason = a.notReadyReason(config)
 	status.Ready = status.NotReadyReason == ""
 	if config == nil {
@@ -48,6 +53,35 @@
 	return status
 }
 
+// addStats fills in what the decision core shows, if it has shown anything yet.
+func addStats(status *operator.Status, config *version.Config, stats *node.Stats) {
+	if stats == nil || config == nil {
+		return
+	}
+	status.Waiting, status.Running = stats.Entry.Waiting, stats.Entry.Running
+	for _, member := range stats.Members {
+		if member.State == membership.Lapsed {
+			status.Lapsed = append(status.Lapsed, member.VM)
+		}
+	}
+	for _, pool := range stats.Pools {
+		described, known := config.Pools[pool.Pool]
+		if !known {
+			continue
+		}
+		row := operator.Pool{Name: described.Name, Waiting: pool.Waiting, Upstreams: len(pool.Upstreams)}
+		for _, upstream := range pool.Upstreams {
+			row.SlotsUsed += upstream.Used
+			row.SlotsLimit += upstream.Limit
+			if upstream.Cold {
+				row.Cold++
+			}
+		}
+		status.Pools = append(status.Pools, row)
+	}
+	slices.SortFunc(status.Pools, func(a, b operator.Pool) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // notReadyReason tells why the daemon takes no callers' requests, or "".
 func (a *App) notReadyReason(config *version.Config) string {
 	switch {
--- a/daemon/process/operator/status.go
+++ b/daemon/process/operator/status.go
@@ -12,6 +12,13 @@
 	// NotReadyReason tells why Ready is not set.
 	NotReadyReason string        `json:"not_ready_reason,omitempty"`
 	Configuration  Configuration `json:"configuration"`
+	// Waiting and Running are the requests that callers gave to this daemon.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// Pools are those that this daemon dispatches, by name.
+	Pools []Pool `json:"pools"`
+	// Lapsed are the VMs of the own data centre that no longer answer.
+	Lapsed []version.VMID `json:"lapsed,omitempty"`
 	// Members are the other daemons that this one is linked to, by VM.
 	Members []Member `json:"members"`
 }
@@ -40,3 +47,17 @@
 	Confirmed version.Number `json:"confirmed"`
 	Leaving   bool           `json:"leaving,omitempty"`
 }
+
+// Pool is one pool in one data centre, as its dispatcher sees it.
+type Pool struct {
+	Name string `json:"name"`
+	// Waiting are the queued requests.
+	Waiting int `json:"waiting"`
+	// SlotsUsed and SlotsLimit add up the upstreams that are in service.
+	SlotsUsed  int `json:"slots_used"`
+	SlotsLimit int `json:"slots_limit"`
+	// Upstreams are all upstreams of the pool here, and Cold those of them that
+	// are cold.
+	Upstreams int `json:"upstreams"`
+	Cold      int `json:"cold"`
+}
--- a/lab/operations/operations_test.go
+++ b/lab/operations/operations_test.go
@@ -270,7 +270,7 @@
 	b.want(command.ExitOK, "config", "apply", b.path, "--expect", "0")
 	b.startDaemons("north", "north", "north", "south")
 	b.until("every daemon is ready and linked", func(s operator.Status) bool {
-		return s.Ready && s.Configuration.Number == 1 && len(s.Members) > 0
+		return s.Ready && s.Configuration.Number == 1 && len(s.Members) == 3
 	})
 	// The order goes to one daemon only, and through it to the others.
 	everyone := b.operators
@@ -292,8 +292,11 @@
 		return s.Configuration.Number == 4 && s.Ready && len(s.Configuration.Out.DataCentres) == 0
 	})
 
+	b.until("north's dispatcher shows its upstream", func(s operator.Status) bool {
+		return s.DataCentre == "south" || len(s.Pools) == 0 || s.Pools[0].Upstreams == 1
+	})
 	out, _ = b.want(command.ExitOK, "status")
-	b.contains(out, "vm-1", "south", "ordinary")
+	b.contains(out, "vm-1", "south", "ordinary", "SLOTS USED", "polish", "1 of 1")
 	out, _ = b.want(command.ExitOK, "timeline", "--kind", "configured")
 	var last timeline.Stamp
 	lines := strings.Split(strings.TrimSpace(out), "\n")
