--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/version/follow"
@@ -17,6 +18,7 @@
 type inbox struct {
 	loop     *loop.Loop
 	follower *follow.Follower
+	ledger   *ledger.Ledger
 
 	mu     sync.Mutex
 	linked map[version.VMID]linkedVM
@@ -40,18 +42,21 @@
 
 // Receive implements peer.Handler.
 func (i *inbox) Receive(from wire.Hello, messages []wire.Message) {
-	others := make([]wire.Message, 0, len(messages))
+	var claims, others []wire.Message
 	for _, message := range messages {
 		switch message.(type) {
 		case wire.Announce, wire.HeadRequest, wire.HeadOffer, wire.PartRequest, wire.PartChunk:
 			i.follower.Receive(from.VM, message)
 		default:
-			others = append(others, message)
+			if wire.IsLedger(message) {
+				claims = append(claims, message)
+			} else {
+				others = append(others, message)
+			}
 		}
 	}
-	if len(others) > 0 {
-		i.loop.Receive(from, others)
-	}
+	i.loop.Receive(from, others)
+	i.ledger.Receive(from.VM, claims)
 }
 
 // LinkDown implements peer.Handler.
--- a/fleet/process/dispatcher/balance.go
+++ b/fleet/process/dispatcher/balance.go
@@ -11,16 +11,30 @@
 
 const (
 	// SpillThreshold is how far the lowest level that waits in another data
-	// centre has to be ahead of ours before a ticket moves there although it
-	// has no free slot, in weighted cost units.
-	SpillThreshold = 1000.0
+	// centre has to be ahead of ours, at least, before a ticket moves there
+	// although it has no free slot, in weighted cost units.
+	SpillThreshold = 500.0
+	// SpillTime is the same as the time in which our lowest level rises by so
+	// much: what is known of levels elsewhere is about that old.
+	SpillTime = 3 * time.Second
+	// riseInterval is the time over which that rise is measured, and riseGain
+	// the weight of the latest measurement.
+	riseInterval = time.Second
+	riseGain     = 0.3
+	// refusedMin and refusedMax bound the pause after a peer refused a ticket;
+	// it doubles until one is granted.
+	refusedMin = time.Second
+	refusedMax = 30 * time.Second
 	// levelInterval is the least time between two vacancies that only tell the
 	// lowest waiting level.
-	levelInterval = time.Second
+	levelInterval = 2 * time.Second
 	// levelChange is the least change of that level worth telling.
 	levelChange = SpillThreshold / 4
 	// levelTime is how long a told level is believed.
-	levelTime = 5 * time.Second
+	levelTime = 6 * time.Second
+	// stuckTime is how long the first ticket in fair order waits before it may
+	// move for fairness.
+	stuckTime = 2 * time.Second
 	// queuedThere bounds the tickets that wait in the queue of one peer.
 	queuedThere = 4
 	// queuedHere bounds the tickets of other data centres in the own queue.
@@ -31,26 +45,85 @@
 type lowestWaiting struct {
 	level float64
 	heard time.Time
-	// refused is set once the peer has refused a ticket, or one was recalled,
-	// since it told the level.
-	refused bool
 }
 
-// balance moves tickets of accounts that are behind to peers where those that
-// wait are ahead of them by more than SpillThreshold.
+// refusals paces what is offered to a peer that has no free slot.
+type refusals struct {
+	pause time.Duration
+	until time.Time
+}
+
+func (r *refusals) refused(now time.Time) {
+	r.pause = min(max(2*r.pause, refusedMin), refusedMax)
+	r.until = now.Add(r.pause)
+}
+
+// rise follows how fast the lowest waiting level rises.
+type rise struct {
+	level     float64
+	at        time.Time
+	perSecond float64
+}
+
+func (r *rise) follow(now time.Time, lowest float64) {
+	age := now.Sub(r.at)
+	if age < riseInterval {
+		return
+	}
+	if !r.at.IsZero() && age < 2*riseInterval {
+		latest := max(lowest-r.level, 0) / age.Seconds()
+		r.perSecond += riseGain * (latest - r.perSecond)
+	}
+	r.level, r.at = lowest, now
+}
+
+// threshold returns how far a peer's lowest level has to be ahead of ours.
+func (r *rise) threshold() float64 {
+	return max(SpillThreshold, r.perSecond*SpillTime.Seconds())
+}
+
+// balance moves tickets of accounts that are behind to the peer where those
+// that wait are furthest ahead, if that is by more than a threshold.
 func (d *Dispatcher) balance(now time.Time) {
-	for _, p := range d.peers {
-		linked := p.proxy.Dispatcher(d.options.Pool) != ""
-		if !linked || p.lowest.refused || now.Sub(p.lowest.heard) > levelTime {
-			continue
+	lowest, waits := d.queue.Lowest()
+	if !waits {
+		return
+	}
+	d.rise.follow(now, lowest)
+	p := d.furthestAhead(now)
+	for p != nil && p.waiting(d) < queuedThere {
+		lowest, waits = d.queue.Lowest()
+		behind := waits && lowest+d.rise.threshold() < p.lowest.level
+		if !behind || !d.stuck(now) || !d.offerNext(now, p) {
+			return
 		}
-		for p.waiting(d) < queuedThere {
-			lowest, waits := d.queue.Lowest()
-			if !waits || lowest+SpillThreshold >= p.lowest.level || !d.offerNext(now, p) {
-				break
-			}
+	}
+}
+
+// stuck reports whether the first ticket in fair order has waited for longer
+// than one that soon gets a slot here.
+func (d *Dispatcher) stuck(now time.Time) bool {
+	item, waits := d.queue.Next(now)
+	return waits && now.Sub(item.Arrived) >= stuckTime
+}
+
+// furthestAhead returns the peer with the highest lowest level of those that
+// may be offered tickets, or nil.
+func (d *Dispatcher) furthestAhead(now time.Time) *peer {
+	var furthest *peer
+	for _, p := range d.peers {
+		if d.mayBalance(now, p) && (furthest == nil || p.lowest.level > furthest.lowest.level) {
+			furthest = p
 		}
 	}
+	return furthest
+}
+
+// mayBalance reports whether a peer may be offered tickets for which it has no
+// free slot.
+func (d *Dispatcher) mayBalance(now time.Time, p *peer) bool {
+	linked := p.proxy.Dispatcher(d.options.Pool) != ""
+	return linked && now.Sub(p.lowest.heard) <= levelTime && !now.Before(p.refusals.until)
 }
 
 // waiting returns how many tickets are on offer to the peer.
@@ -89,7 +162,7 @@
 	}
 	placed := from.placed[oldest]
 	from.abandon(oldest)
-	from.lowest.refused = true
+	from.refusals.refused(now)
 	d.push(now, d.registrationOf(placed.key), placed.item)
 	return true
 }
@@ -162,6 +235,31 @@
 	d.queue.SetElsewhere(elsewhere)
 }
 
+// shareOf returns how many of the free slots a peer is told of: those that want
+// any share them, in turns if there are fewer, so that a slot is not offered to
+// all of them at once.
+func (d *Dispatcher) shareOf(now time.Time, p *peer, free int) int {
+	wanting, place := 0, 0
+	for _, other := range d.peers {
+		if other.VM == "" || now.After(other.wanted) {
+			continue
+		}
+		if other == p {
+			place = wanting
+		}
+		wanting++
+	}
+	if wanting == 0 {
+		return 0
+	}
+	d.turn++
+	share := free / wanting
+	if (place+d.turn)%wanting < free%wanting {
+		share++
+	}
+	return share
+}
+
 // levelNews reports whether the lowest level is worth telling a peer again.
 func (d *Dispatcher) levelNews(now time.Time, p *peer, lowest uint64) bool {
 	if now.Sub(p.toldTime) < levelInterval {
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -15,9 +15,9 @@
 
 const (
 	// needInterval is how often a dispatcher whose tickets wait says so.
-	needInterval = time.Second
+	needInterval = 2 * time.Second
 	// needTime is how long it is then told of free slots.
-	needTime = 3 * time.Second
+	needTime = 5 * time.Second
 	// peerRetry is how long after a lost link a peer is registered with again.
 	peerRetry = 100 * time.Millisecond
 	// lostTime is how long what a lost entry runs at a peer keeps its slot.
@@ -57,6 +57,7 @@
 	// peer was last told of here.
 	lowest     lowestWaiting
 	toldLowest uint64
+	refusals   refusals
 }
 
 // placement is a request of this data centre at a peer.
@@ -133,9 +134,11 @@
 func (d *Dispatcher) fromPeer(now time.Time, p *peer, from version.VMID, message wire.Message) {
 	switch m := message.(type) {
 	case wire.Grant:
+		p.refusals = refusals{}
 		p.proxy.Grant(from, m)
 	case wire.Refuse:
-		p.free, p.lowest.refused = 0, true
+		p.free = 0
+		p.refusals.refused(now)
 		p.proxy.Refuse(from, m)
 	case wire.Released:
 		p.proxy.Released(now, from, m)
@@ -277,7 +280,7 @@
 	}
 	free := 0
 	if d.queue.Len() == 0 {
-		free = d.slots.Free(now)
+		free = d.shareOf(now, p, d.slots.Free(now))
 	}
 	lowest := d.lowestTold()
 	same := free == p.told && free == 0 && !d.levelNews(now, p, lowest)
