Keep the pace of reading the list of VMs through an outage

A failed read counted as a list of no VMs, so that every daemon of a large fleet turned to a read every two seconds, four attempts each, just when the platform was in trouble. The pace now follows the last list. The peers' secret is compared in constant time, as the operators' token is.

--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -147,7 +149,7 @@
 
 // ServeHTTP accepts a link.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+m.options.Secret {
+	if !m.authorised(r) {
 		http.Error(w, ErrUnauthorised.Error(), http.StatusUnauthorized)
 		return
 	}
@@ -159,6 +161,14 @@
 	m.serve(r.Context(), conn, false)
 }
 
+// authorised compares digests, so that the time taken tells nothing of the
+// secret.
+func (m *Manager) authorised(r *http.Request) bool {
+	given := sha256.Sum256([]byte(r.Header.Get("Authorization")))
+	wanted := sha256.Sum256([]byte("Bearer " + m.options.Secret))
+	return subtle.ConstantTimeCompare(given[:], wanted[:]) == 1
+}
+
 // keep dials whenever there is no link.
 func (m *Manager) keep(ctx context.Context, vm version.VMID, address string) {
 	pause := redialMin
--- a/daemon/process/app/directory.go
+++ b/daemon/process/app/directory.go
@@ -21,6 +21,7 @@
 // followDirectory hands the platform's list of VMs to the decision core. While
 // the platform is away, the last list stays.
 func (a *App) followDirectory(ctx context.Context) error {
+	var pace pace
 	for {
 		vms, err := a.client.VMs(ctx)
 		if err != nil {
@@ -28,7 +29,7 @@
 		} else {
 			a.loop.Post(node.Directory{VMs: membersOf(vms)})
 		}
-		timer := time.NewTimer(directoryPause(len(vms)))
+		timer := time.NewTimer(pace.after(len(vms), err))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -38,6 +39,18 @@
 	}
 }
 
+// pace spaces the reads of the list. It keeps the size of the last list, since a
+// large fleet must not call a platform in trouble more often than a healthy one.
+type pace struct{ listed int }
+
+// after returns the time until the next read.
+func (p *pace) after(listed int, err error) time.Duration {
+	if err == nil {
+		p.listed = listed
+	}
+	return directoryPause(p.listed)
+}
+
 // directoryPause returns when to read the list again. It varies by a quarter,
 // so that daemons that start together do not read together.
 func directoryPause(vms int) time.Duration {
