Tell a ticket its body's size, and test leaving and a whole restart

The entry counts what a grant in another region carries, so it has to know the body. A daemon that leaves hands its roles over with nothing refused; a fleet of which every daemon restarts empty serves again within its limits. go test ./fleet/process/node: green.

--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -60,10 +60,11 @@
 		c.answerBy = c.waitUntil
 	}
 	c.ticket = request.Ticket{
-		ID:      h.options.Fleet.NewID(),
-		Account: admitted.account.ID,
-		Pool:    pool.ID,
-		Attempt: 1,
+		ID:        h.options.Fleet.NewID(),
+		Account:   admitted.account.ID,
+		Pool:      pool.ID,
+		Attempt:   1,
+		BodyBytes: len(body),
 	}
 	return c
 }
--- a/fleet/process/node/fault_test.go
+++ b/fleet/process/node/fault_test.go
@@ -151,3 +151,40 @@
 		t.Errorf("members %+v, want both alive", members)
 	}
 }
+
+func TestLeavingDaemonHandsItsRolesOverAndFinishesItsWork(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, pump.Options{Seed: 8}, site{"north", "one", 3, 2})
+	f.load(f.VMs(), 150*time.Millisecond, 15*time.Second, quickCost)
+	f.Run(8 * time.Second)
+	leaving := f.owner("north")
+	f.Step(leaving, node.Leave{})
+	f.Run(2 * time.Second)
+	if got := f.owner("north"); got == leaving {
+		t.Error("a leaving daemon still dispatches")
+	}
+	f.Run(60 * time.Second)
+	f.checkLimits()
+	f.checkEnds(0)
+	f.checkIdle()
+	if len(f.refused) > 0 {
+		t.Errorf("%d refused, first %+v", len(f.refused), f.refusals[0])
+	}
+}
+
+func TestWholeFleetRestartsEmpty(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, pump.Options{Seed: 9}, site{"north", "one", 3, 2}, site{"south", "two", 2, 2})
+	f.load(f.VMs(), 150*time.Millisecond, 20*time.Second, quickCost)
+	f.Run(8 * time.Second)
+	before := len(f.ended)
+	for _, vm := range f.VMs() {
+		f.Restart(vm)
+	}
+	f.Run(70 * time.Second)
+	if len(f.ended) == before {
+		t.Error("nothing ended after the restart")
+	}
+	f.checkLimits()
+	f.checkIdle()
+}
