Keep the members in order instead of sorting them each tick

An idle daemon of a fleet with 336 VMs and 12 pools spent 5.8 ms a second, a third of it on sorting the members to look for suspects.

--- a/fleet/process/membership/gossip.go
+++ b/fleet/process/membership/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"math/bits"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -139,11 +138,10 @@
 // and are not this one, by VM.
 func (t *Tracker) Addresses() []VM {
 	var list []VM
-	for _, r := range t.members {
+	for _, r := range t.order {
 		if r.listed && t.own(r) && r.address != "" && r.VM != t.options.Self.VM {
 			list = append(list, VM{ID: r.VM, DataCentre: r.DataCentre, Address: r.address})
 		}
 	}
-	slices.SortFunc(list, func(a, b VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
 }
--- a/fleet/process/membership/membership.go
+++ b/fleet/process/membership/membership.go
@@ -59,6 +59,9 @@
 	options Options
 	random  *rand.Rand
 	members map[version.VMID]*record
+	// order holds the members by VM, so that the same events give the same
+	// messages.
+	order []*record
 	// listedAt is when the platform's list last came; zero is never.
 	listedAt time.Time
 	probes   probes
@@ -95,7 +98,8 @@
 		members: make(map[version.VMID]*record),
 		changed: true,
 	}
-	t.members[options.Self.VM] = &record{Member: options.Self, known: true, linked: true}
+	self := t.record(options.Self.VM, options.Self.DataCentre)
+	self.Member, self.known, self.linked = options.Self, true, true
 	t.gossip.spread(options.Self.VM, 1)
 	return t
 }
@@ -110,12 +114,12 @@
 // View returns the members as seen at now.
 func (t *Tracker) View(now time.Time) View {
 	members := make([]Member, 0, len(t.members))
-	for _, r := range t.members {
+	for _, r := range t.order {
 		if member, visible := t.visible(now, r); visible {
 			members = append(members, member)
 		}
 	}
-	return NewView(members)
+	return View{Members: members}
 }
 
 // visible returns a record as others see it.
@@ -142,7 +146,7 @@
 // is live by the platform's list or by peers counts for cold upstreams.
 func (t *Tracker) SlotMembers(now time.Time) []slots.Member {
 	var list []slots.Member
-	for _, r := range t.members {
+	for _, r := range t.order {
 		if !t.own(r) || !t.mayRun(r) {
 			continue
 		}
@@ -150,7 +154,6 @@
 		lapsed := !r.known || r.State == Lapsed
 		list = append(list, slots.Member{VM: r.VM, Live: live, Lapsed: lapsed})
 	}
-	slices.SortFunc(list, func(a, b slots.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return list
 }
 
@@ -222,12 +225,13 @@
 		}
 		r.listed, r.leaving, r.address = true, vm.Leaving, vm.Address
 	}
-	for vm, r := range t.members {
+	t.order = slices.DeleteFunc(t.order, func(r *record) bool {
 		gone := !r.listed && !r.linked && (!r.known || r.State == Lapsed)
-		if gone && vm != t.options.Self.VM {
-			delete(t.members, vm)
+		if gone {
+			delete(t.members, r.VM)
 		}
-	}
+		return gone
+	})
 	t.changed = true
 }
 
@@ -289,6 +293,10 @@
 	if !present {
 		r = &record{Member: Member{VM: vm, DataCentre: dataCentre}}
 		t.members[vm] = r
+		i, _ := slices.BinarySearchFunc(t.order, vm, func(o *record, vm version.VMID) int {
+			return strings.Compare(string(o.VM), string(vm))
+		})
+		t.order = slices.Insert(t.order, i, r)
 	}
 	r.DataCentre = dataCentre
 	return r
@@ -307,7 +315,7 @@
 // linkedMembers returns the linked members of the data centre, by VM.
 func (t *Tracker) linkedMembers() []*record {
 	var linked []*record
-	for _, r := range t.sorted() {
+	for _, r := range t.order {
 		if r.linked && t.own(r) && r.VM != t.options.Self.VM {
 			linked = append(linked, r)
 		}
@@ -315,17 +323,6 @@
 	return linked
 }
 
-// sorted returns the records by VM, so that the same events give the same
-// messages.
-func (t *Tracker) sorted() []*record {
-	records := make([]*record, 0, len(t.members))
-	for _, r := range t.members {
-		records = append(records, r)
-	}
-	slices.SortFunc(records, func(a, b *record) int { return strings.Compare(string(a.VM), string(b.VM)) })
-	return records
-}
-
 func (t *Tracker) send(to version.VMID, message wire.Message) {
 	t.outbox = append(t.outbox, Send{To: to, Message: message})
 }
--- a/fleet/process/membership/probe.go
+++ b/fleet/process/membership/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -72,12 +71,11 @@
 
 func (t *Tracker) shuffled() []version.VMID {
 	var turn []version.VMID
-	for vm, r := range t.members {
+	for _, r := range t.order {
 		if t.probed(r) {
-			turn = append(turn, vm)
+			turn = append(turn, r.VM)
 		}
 	}
-	slices.SortFunc(turn, func(a, b version.VMID) int { return strings.Compare(string(a), string(b)) })
 	t.random.Shuffle(len(turn), func(i, j int) { turn[i], turn[j] = turn[j], turn[i] })
 	return turn
 }
@@ -169,7 +167,7 @@
 
 // lapseSuspects gives up on the members that did not deny in time.
 func (t *Tracker) lapseSuspects(now time.Time) {
-	for _, r := range t.sorted() {
+	for _, r := range t.order {
 		if r.State == Suspect && now.Sub(r.since) >= SuspectTime {
 			t.set(now, r, Lapsed)
 			t.spread(r)
--- a/fleet/process/node/links_test.go
+++ b/fleet/process/node/links_test.go
@@ -19,7 +19,7 @@
 )
 
 // manyVMs is the platform's list of a large fleet and its configuration.
-func manyVMs(t *testing.T) ([]membership.VM, *version.Config) {
+func manyVMs(t testing.TB) ([]membership.VM, *version.Config) {
 	t.Helper()
 	spec := &version.Document{Presets: []version.PresetSpec{{Name: "day"}}}
 	var vms []membership.VM
