Record late answers of claimed requests, and try streams that do not begin elsewhere

A claimed request that was still running at its deadline was cut off, and its outcome stayed unknown for ever. Now its caller is refused at once and the attempt goes on apart; what it answers is recorded for the caller's next try, and a drain waits for it.

An engine that took a stream and sent nothing held its caller for up to five minutes; after the stall timeout another engine is tried. A held answer no longer keeps its slot while a slow caller reads it.

--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -95,6 +95,9 @@
 	Attempt uuid.UUID
 	// AnswerBy is when the answer must have begun.
 	AnswerBy time.Time
+	// Stream is set if the caller asked for a stream of events. Its first one
+	// must come within the stall timeout.
+	Stream bool
 	// Permit must not have ended when the attempt is sent; nil needs none.
 	Permit *claim.Permit
 	// Record keeps the answer for the ledger and lets the attempt run to its
@@ -198,7 +201,7 @@
 
 // run sends the attempt and relays its answer.
 func (a *attempt) run() Result {
-	ctx, timer := a.context(time.Until(a.call.AnswerBy), ErrLate)
+	ctx, timer := a.firstContext()
 	defer timer.stop()
 	probe := &upstream.Probe{}
 	out, err := a.newRequest(probe.Context(ctx))
@@ -249,6 +252,15 @@
 	return newStallTimer(parent, limit, cause)
 }
 
+// firstContext bounds the wait for the beginning of the answer.
+func (a *attempt) firstContext() (context.Context, *stallTimer) {
+	limit := time.Until(a.call.AnswerBy)
+	if a.call.Stream && limit > a.relay.options.StallTimeout {
+		return a.context(a.relay.options.StallTimeout, ErrStalled)
+	}
+	return a.context(limit, ErrLate)
+}
+
 // cause turns an error of the transport into one of this package.
 func (a *attempt) cause(ctx context.Context, err error) error {
 	if !a.call.Record && a.call.Request.Context().Err() != nil {
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -37,7 +37,7 @@
 func (a *attempt) stream(response *http.Response, timer *stallTimer) Result {
 	s := &streaming{attempt: a, first: response}
 	err := s.pump(response, timer)
-	for failures := 0; errors.IsAny(err, ErrCut, ErrStalled) && failures < maxResumes; failures++ {
+	for failures := 0; s.resumable(err) && failures < maxResumes; failures++ {
 		before := s.events
 		err = s.resume(failures)
 		if s.events > before {
@@ -57,6 +57,15 @@
 	return a.broken()
 }
 
+// resumable reports whether the same upstream is asked for the rest. One that
+// stalled before the first event is left for another one.
+func (s *streaming) resumable(err error) bool {
+	if errors.Is(err, ErrStalled) {
+		return s.out.begun || s.call.Record
+	}
+	return errors.Is(err, ErrCut)
+}
+
 // pump relays events until the last one. It returns ErrCut or ErrStalled if the
 // answer ended before that.
 func (s *streaming) pump(response *http.Response, timer *stallTimer) error {
@@ -134,7 +143,7 @@
 // request's deadline still holds.
 func (s *streaming) resumeContext() (context.Context, *stallTimer) {
 	if !s.out.begun {
-		return s.context(time.Until(s.call.AnswerBy), ErrLate)
+		return s.firstContext()
 	}
 	return s.context(s.relay.options.StallTimeout, ErrStalled)
 }
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -26,6 +26,9 @@
 	out    *callerWriter
 }
 
+// Len returns the length of the answer's body in bytes.
+func (h *Held) Len() int { return len(h.body) }
+
 // Write writes the answer to the caller.
 func (h *Held) Write() error {
 	if h.Status != http.StatusNoContent && h.Status != http.StatusNotModified {
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -37,6 +37,9 @@
 	key *claim.Key
 	// once is set if no attempt may follow another one.
 	once bool
+	// stream is set for an answer of events.
+	stream bool
+	held   *held
 	// mayHaveRun is set after an attempt that may have run.
 	mayHaveRun bool
 }
@@ -112,6 +115,7 @@
 		Body:     c.body,
 		Attempt:  uuid.New(),
 		AnswerBy: c.answerTime(),
+		Stream:   c.stream,
 	}
 	if c.key != nil {
 		return c.claimed(attempt)
@@ -124,11 +128,23 @@
 		c.ticket.Attempt++
 		return false
 	}
-	defer carrier.Settle(result)
-	c.answer(result)
+	c.settleAndAnswer(result)
 	return true
 }
 
+// settleAndAnswer ends the last attempt. One that ended with a whole answer
+// frees its slot before the answer is written, because the caller may be slow;
+// any other is settled afterwards, because its cancelling may be.
+func (c *call) settleAndAnswer(result relay.Result) {
+	if result.Ending == relay.EndHeld {
+		c.held.add(int64(result.Held.Len()))
+		c.handler.options.Relay.Settle(result)
+	} else {
+		defer c.handler.options.Relay.Settle(result)
+	}
+	c.answer(result)
+}
+
 func (c *call) answerTime() time.Time {
 	if c.answerBy.IsZero() {
 		return time.Now().Add(defaultAnswerTime)
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
+	"time"
 
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -19,7 +20,6 @@
 // caller has its final answer when it returns true.
 func (c *call) claimed(attempt relay.Call) bool {
 	carrier := c.handler.options.Relay
-	ledger := c.handler.options.Ledger
 	asked := claim.Claim{
 		Account: c.account,
 		Key:     *c.key,
@@ -34,17 +34,70 @@
 	}
 	attempt.Permit = verdict.Run
 	attempt.Record = true
-	result := carrier.Do(c.w, attempt)
-	defer carrier.Settle(result)
-	if result.NotRun {
-		ledger.Release(asked)
-	} else {
-		ledger.Record(asked, result.Answer)
-	}
-	c.answer(result)
+	attempt.AnswerBy = time.Now().Add(defaultAnswerTime)
+	c.await(c.start(attempt, asked))
 	return true
 }
 
+// start runs a claimed attempt on a goroutine of its own, which outlives the
+// caller's request if the deadline comes first: its answer is recorded then,
+// for when the caller asks again.
+func (c *call) start(attempt relay.Call, asked claim.Claim) *claimedRun {
+	run := &claimedRun{
+		writer: newDetachable(c.w),
+		done:   make(chan relay.Result, 1),
+	}
+	go func() {
+		result := c.handler.options.Relay.Do(run.writer, attempt)
+		if result.NotRun {
+			c.handler.options.Ledger.Release(asked)
+		} else {
+			c.handler.options.Ledger.Record(asked, result.Answer)
+		}
+		if run.writer.complete() {
+			run.done <- result
+			return
+		}
+		c.handler.options.Relay.Settle(result)
+		run.release()
+	}()
+	return run
+}
+
+// claimedRun is a claimed attempt under way.
+type claimedRun struct {
+	writer *detachable
+	// done gives the result to the caller's request, unless that has left.
+	done chan relay.Result
+	// release ends the request after its caller's has left.
+	release func()
+}
+
+// await answers the caller with the attempt's result, or at the deadline if
+// the answer has not begun by then.
+func (c *call) await(run *claimedRun) {
+	var deadline <-chan time.Time
+	if !c.answerBy.IsZero() {
+		timer := time.NewTimer(time.Until(c.answerBy))
+		defer timer.Stop()
+		deadline = timer.C
+	}
+	select {
+	case result := <-run.done:
+		c.settleAndAnswer(result)
+	case <-deadline:
+		if !run.writer.detach(func() { run.release = c.held.keep() }) {
+			c.settleAndAnswer(<-run.done)
+			return
+		}
+		c.refuse(&request.Refusal{
+			Reason:    request.ReasonDeadline,
+			Execution: request.Unknown,
+			Detail:    "the request runs on; ask again with the same key for its outcome",
+		})
+	}
+}
+
 func (c *call) claim(asked claim.Claim) claim.Verdict {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.waitUntil)
 	defer cancel()
--- a/daemon/request/serve/completion.go
+++ b/daemon/request/serve/completion.go
@@ -19,6 +19,7 @@
 // completionBody is what the router reads of a completion request.
 type completionBody struct {
 	Model               string
+	Stream              bool
 	MaxTokens           *int
 	MaxCompletionTokens *int
 	Messages            json.RawMessage
@@ -31,6 +32,8 @@
 	switch key {
 	case "model":
 		return &b.Model
+	case "stream":
+		return &b.Stream
 	case "max_tokens":
 		return &b.MaxTokens
 	case "max_completion_tokens":
@@ -92,6 +95,8 @@
 // completion is a completion request as the router needs it.
 type completion struct {
 	Model string
+	// Stream is set for an answer of events.
+	Stream bool
 	// Output bounds the generated tokens; 0 is no bound.
 	Output int
 	prefix uint64
@@ -124,7 +129,7 @@
 	if parsed.Model == "" {
 		return nil, refuse(request.ReasonBadRequest, "model is missing")
 	}
-	result := &completion{Model: parsed.Model}
+	result := &completion{Model: parsed.Model, Stream: parsed.Stream}
 	for _, limit := range []*int{parsed.MaxTokens, parsed.MaxCompletionTokens} {
 		if limit == nil {
 			continue
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -107,6 +107,40 @@
 	h.all.bytes -= bytes
 }
 
+// held is what one request holds until it is released.
+type held struct {
+	holdings *holdings
+	account  version.AccountID
+	bytes    int64
+	// kept is set if somebody else releases the request later.
+	kept bool
+}
+
+// add counts the bytes of an answer in. It refuses nothing: what it takes is
+// not there for new requests.
+func (h *held) add(bytes int64) {
+	h.holdings.free(h.account, -bytes)
+	h.bytes += bytes
+}
+
+// keep makes release do nothing, and returns what is to be called instead.
+func (h *held) keep() func() {
+	h.kept = true
+	return h.end
+}
+
+// release counts the request out unless it is kept.
+func (h *held) release() {
+	if !h.kept {
+		h.end()
+	}
+}
+
+func (h *held) end() {
+	h.holdings.free(h.account, h.bytes)
+	h.holdings.leave(h.account)
+}
+
 // leaves turns readiness off.
 func (h *holdings) leaves() {
 	h.mu.Lock()
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -195,6 +195,7 @@
 		c := h.newCall(w, r, admitted, pool, body)
 		c.ticket.Estimate = parsed.estimate(len(body), admitted.costHint)
 		c.ticket.Prefix = parsed.prefix
+		c.stream = parsed.Stream
 		return c, nil
 	})
 }
@@ -225,17 +226,19 @@
 		h.refuse(w, refusal)
 		return
 	}
-	defer h.holdings.leave(account)
+	held := &held{holdings: h.holdings, account: account}
+	defer held.release()
 	body, refusal := h.readBody(w, r, account)
 	if refusal != nil {
 		h.refuse(w, refusal)
 		return
 	}
-	defer h.holdings.free(account, int64(len(body)))
+	held.bytes = int64(len(body))
 	c, refusal := plan(admitted, body)
 	if refusal != nil {
 		h.refuse(w, refusal)
 		return
 	}
+	c.held = held
 	c.run()
 }
--- a/lab/calls/once_test.go
+++ b/lab/calls/once_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// TestALateClaimedAnswerIsRecorded covers a deadline that comes before the
+// answer: the caller is told at once, and a drain waits for the outcome.
+func TestALateClaimedAnswerIsRecorded(t *testing.T) {
+	const delay = 200 * time.Millisecond
+	s := service.New(service.Options{Delay: delay})
+	l := running()
+	r := newRouter(t, setup{services: []http.Handler{s}, ledger: l})
+	out := r.newRequest(t, http.MethodPost, "/booking/visit", "x",
+		serve.HeaderIdempotencyKey, testIdempotencyKey, serve.HeaderDeadline, "20")
+	checkRefusal(t, r.do(t, out), request.ReasonDeadline, request.Unknown)
+	r.handler.Close()
+	if err := r.handler.Wait(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.answers) != 1 || l.answers[0] == nil || s.Runs(testIdempotencyKey) != 1 {
+		t.Errorf("recorded %+v after %d runs, want the late answer of the only one", l.answers, s.Runs(testIdempotencyKey))
+	}
+	if finishes := r.fleet.ended(t); len(finishes) != 1 || finishes[0].Outcome != request.OutcomeDone {
+		t.Errorf("finishes are %+v, want one that is done", finishes)
+	}
+}
+
 func TestOnlyWhatIsMeantForAnUpstreamReachesIt(t *testing.T) {
 	s := service.New(service.Options{})
 	r := newRouter(t, setup{services: []http.Handler{s}})
--- a/lab/calls/whole_test.go
+++ b/lab/calls/whole_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
@@ -211,6 +212,16 @@
 	}
 }
 
+func TestAStreamThatDoesNotBeginIsTriedElsewhere(t *testing.T) {
+	hung, other := fast(), fast()
+	r := newRouter(t, setup{engines: []http.Handler{hung, other}, relay: relay.Options{StallTimeout: 100 * time.Millisecond}})
+	hung.SetFaults(engine.Faults{Late: 1, LateBy: time.Hour})
+	checkTokens(t, r.chat(t, streamBody), 10)
+	if hung.Counters().Cancelled != 1 || other.Counters().Served != 1 {
+		t.Errorf("counters are %+v and %+v, want one cancelled and one served", hung.Counters(), other.Counters())
+	}
+}
+
 func TestALateAnswerIsRefusedAtTheDeadline(t *testing.T) {
 	e := fast()
 	r := newRouter(t, setup{engines: []http.Handler{e}})
