--- a/daemon/connection/upstream/probe_test.go
+++ b/daemon/connection/upstream/probe_test.go
@@ -33,9 +33,8 @@
 	if err == nil || probe.Seal() {
 		t.Errorf("error %v; a call that was not connected was sent", err)
 	}
-	vanishing := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		panic(http.ErrAbortHandler)
-	}))
+	vanish := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	vanishing := httptest.NewServer(vanish)
 	defer vanishing.Close()
 	probe, _, err = send(t.Context(), transport, vanishing.URL)
 	if err == nil || !probe.Seal() {
@@ -43,6 +42,28 @@
 	}
 }
 
+// TestAProbeSeesThroughTLS checks that the writes of a handshake are not taken
+// for the attempt's.
+func TestAProbeSeesThroughTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	trusted := server.Client().Transport.(*http.Transport).TLSClientConfig
+	transport := NewTransport(trusted.Clone())
+	defer transport.CloseIdleConnections()
+	probe, response, err := send(t.Context(), transport, server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if probe.conn == nil || probe.before == 0 || !probe.Seal() {
+		t.Errorf("the probe saw %+v, want writes before and after the handshake", probe)
+	}
+	probe, _, err = send(t.Context(), NewTransport(nil), server.URL)
+	if err == nil || probe.Seal() {
+		t.Errorf("error %v; a call was sent to a server that is not trusted", err)
+	}
+}
+
 func TestASealedConnectionSendsNothing(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -120,13 +120,13 @@
 		Log:        log,
 	})
 	a.inbox.follower = a.follower
-	a.callers = a.newCallers()
-	a.links = newServer(a.peers)
 	a.metrics = metrics.New(a.loop, metrics.Counters{
 		PeerBytesSent:     a.peers.BytesSent,
 		PeerBytesReceived: a.peers.BytesReceived,
 		PlatformCalls:     calls.Load,
 	})
+	a.callers = a.newCallers()
+	a.links = newServer(a.peers)
 	a.operators = newServer(a.newOperator())
 	return a, nil
 }
@@ -185,6 +185,7 @@
 		Fleet:      a.loop,
 		Relay:      relayer,
 		Ledger:     a.ledger,
+		Counter:    a.metrics,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
--- a/lab/calls/harness_test.go
+++ b/lab/calls/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,6 +131,18 @@
 	return &ledger{verdict: claim.Verdict{Run: &claim.Permit{Deadline: time.Now().Add(time.Hour)}}}
 }
 
+// counter counts final answers.
+type counter struct {
+	answered atomic.Int64
+	refused  atomic.Int64
+}
+
+// Answered implements serve.Counter.
+func (c *counter) Answered() { c.answered.Add(1) }
+
+// Refused implements serve.Counter.
+func (c *counter) Refused(request.Reason) { c.refused.Add(1) }
+
 // router is the callers' interface in front of stand-ins.
 type router struct {
 	url     string
--- a/lab/calls/refusal_test.go
+++ b/lab/calls/refusal_test.go
@@ -45,7 +45,8 @@
 
 func TestBadInputIsRefusedInOneForm(t *testing.T) {
 	e, s := fast(), service.New(service.Options{})
-	r := newRouter(t, setup{engines: []http.Handler{e}, services: []http.Handler{s}})
+	counts := &counter{}
+	r := newRouter(t, setup{engines: []http.Handler{e}, services: []http.Handler{s}, serve: serve.Options{Counter: counts}})
 	big := strings.Repeat("x", serve.MaxBodyBytes+1)
 	cases := []struct {
 		name               string
@@ -102,6 +103,10 @@
 	if ran := e.Counters().Runs + len(s.Calls()); ran != 0 {
 		t.Errorf("%d requests ran that were refused as not run", ran)
 	}
+	if counts.refused.Load() != int64(len(cases)) || counts.answered.Load() != 0 {
+		t.Errorf("counted %d refusals and %d answers of %d refused requests",
+			counts.refused.Load(), counts.answered.Load(), len(cases))
+	}
 }
 
 // raw sends bytes on a connection of its own and returns all that comes back.
