--- a/fleet/version/distribute/core_test.go
+++ b/fleet/version/distribute/core_test.go
@@ -257,6 +257,21 @@
 	if refused == 0 {
 		t.Error("nobody reported the head")
 	}
+	// Orders are still exchanged, and do not bring the head up again.
+	order := version.Order{Operation: "order", Target: version.TargetDataCentre, Name: "north", Out: true}
+	if _, err := f.nodes[0].core.GiveOrder(f.now, order); err != nil {
+		t.Fatal(err)
+	}
+	f.run(inForceWithin)
+	for _, n := range f.nodes {
+		refused -= n.refused
+		if n.config.Number != 2 || !n.config.DataCentreOut("north") {
+			t.Errorf("%s: version %d, out %v", n.vm, n.config.Number, n.config.Out)
+		}
+	}
+	if refused != 0 {
+		t.Errorf("the head was refused %d times more", -refused)
+	}
 	f.publish(testDocument(3), nil)
 	f.run(inForceWithin)
 	f.wantEverywhere(3, "mended")
--- a/fleet/version/distribute/fetch.go
+++ b/fleet/version/distribute/fetch.go
@@ -81,7 +81,7 @@
 		c.giveUp(now, err)
 		return
 	}
-	if next == nil || next.head.Number <= c.Confirmed() {
+	if next == nil || next.head.Number <= max(c.Confirmed(), c.refused) {
 		c.endFetch(now, m.Orders)
 		return
 	}
