--- a/daemon/version/follow/follow.go
+++ b/daemon/version/follow/follow.go
@@ -19,6 +19,10 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version/distribute"
 )
 
+// unreachableAfter is how long calls to the platform must have failed before it
+// is reported as unreachable.
+const unreachableAfter = 2 * time.Second
+
 // Sender carries messages to linked daemons.
 type Sender interface {
 	// Send reports false if the message cannot be sent.
@@ -46,8 +50,11 @@
 
 	mu   sync.Mutex
 	core *distribute.Core
-	// reachable is what the last call to the platform showed.
-	reachable bool
+	// failingSince is when calls to the platform began to fail; zero while they
+	// succeed.
+	failingSince time.Time
+	// unreachable is set once that has been reported.
+	unreachable bool
 }
 
 // Status is what a Follower holds.
@@ -70,7 +77,6 @@
 			DataCentre: options.DataCentre,
 			Seed:       options.Seed,
 		}),
-		reachable: true,
 	}
 }
 
@@ -134,29 +140,38 @@
 	f.step(distribute.Receive{From: from, Message: message})
 }
 
-// Observe is told the outcome of each call to the platform.
+// Observe is told the outcome of each call to the platform. It reports a
+// platform that has failed for unreachableAfter, and its return.
 func (f *Follower) Observe(err error) {
-	if errors.Is(err, platform.ErrRateLimited) {
-		// The platform answered.
-		err = nil
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if err == nil {
-		f.core.Step(now, distribute.PlatformContact{})
-		f.carryOut()
-	}
-	if f.reachable == (err == nil) {
+	if err != nil && !errors.Is(err, platform.ErrRateLimited) {
+		f.failed(now, err)
 		return
 	}
-	f.reachable = err == nil
-	detail := "reachable"
-	if err != nil {
-		detail = "unreachable"
+	// A platform that limits the rate answers, too.
+	f.failingSince = time.Time{}
+	f.core.Step(now, distribute.PlatformContact{})
+	f.carryOut()
+	if f.unreachable {
+		f.unreachable = false
+		f.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindPlatform, Detail: "reachable"})
+		f.options.Log.Info("platform reachable")
+	}
+}
+
+// failed notes a call that the platform did not answer.
+func (f *Follower) failed(now time.Time, err error) {
+	if f.failingSince.IsZero() {
+		f.failingSince = now
+	}
+	if f.unreachable || now.Sub(f.failingSince) < unreachableAfter {
+		return
 	}
-	f.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindPlatform, Detail: detail})
-	f.options.Log.Warn("platform "+detail, "error", err)
+	f.unreachable = true
+	f.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindPlatform, Detail: "unreachable"})
+	f.options.Log.Warn("platform unreachable", "error", err)
 }
 
 func (f *Follower) step(event distribute.Event) {
