Let unknown load run in the slots of others

An entry that had lost only its link to the owner registered with another daemon and got nothing: what the owner's entries ran was unknown there and counted against the few slots that the entry's VM owns. It now counts against the whole limit. A test of many nodes and one of the table fail without this. Also tested: configurations switched back and forth lose nothing. go test ./fleet/connection/slots -rapid.checks=20000 and ./fleet/process/node: green.

--- a/fleet/connection/slots/shared_test.go
+++ b/fleet/connection/slots/shared_test.go
@@ -299,3 +299,29 @@
 		table.Release(epoch, hold, request.Finish{Upstream: upstream, Outcome: request.OutcomeDone})
 	}
 }
+
+func TestUnknownLoadInSlotsOfOthersLeavesTheOwnOnes(t *testing.T) {
+	upstream := upstreamOf(1, 8)
+	table := New(epoch)
+	table.SetMembers(epoch, []Member{{VM: "vm-0", Live: true}, {VM: "vm-1", Live: true}})
+	table.Configure(epoch, expected, []*version.Upstream{upstream})
+	table.Join(epoch, "vm-0", epoch)
+	table.Restore(epoch, "vm-0", only, 1000)
+	elsewhere := 0
+	for _, owner := range table.upstreams[only].owners.warm {
+		if table.members.list[owner].vm == "vm-1" {
+			elsewhere++
+		}
+	}
+	now := epoch.Add(evidenceDelay)
+	table.Report(now, only, Load{Running: elsewhere})
+	granted := 0
+	for id := range 8 {
+		if _, free := table.Acquire(now, Demand{Hold: holdOf("vm-0", id)}); free {
+			granted++
+		}
+	}
+	if granted != 8-elsewhere {
+		t.Errorf("granted %d beside %d elsewhere of 8 slots", granted, elsewhere)
+	}
+}
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -252,7 +252,7 @@
 	total := 0
 	for _, s := range t.order {
 		if s.room(now) && s.lends("") {
-			total += min(s.capacity()-s.used(), s.capacity()-s.kept()-s.foreign)
+			total += min(s.spare(), s.capacity()-s.kept()-s.foreign)
 		}
 	}
 	return total
@@ -300,7 +300,7 @@
 
 // room reports whether an account of the owning team may take one more slot.
 func (s *state) room(now time.Time) bool {
-	return s.used() < s.capacity() && !s.out && !s.warmth.ejected(now)
+	return s.spare() > 0 && !s.out && !s.warmth.ejected(now)
 }
 
 // lends reports whether an account of a team may take one more slot, as far as
@@ -321,6 +321,17 @@
 	return int((1 - s.upstream.LentShare) * float64(s.capacity()))
 }
 
+// spare returns the number of free slots. Load that nobody registered here may
+// run in the slots that others use, so it counts against the whole limit.
+func (s *state) spare() int {
+	capacity := s.capacity()
+	limit := s.warmth.limit
+	if s.warmth.onTrial() {
+		limit = capacity
+	}
+	return min(capacity-len(s.holds), limit-s.used())
+}
+
 // capacity returns the number of slots that may be held at present.
 func (s *state) capacity() int {
 	if s.warmth.onTrial() {
--- a/fleet/process/node/fault_test.go
+++ b/fleet/process/node/fault_test.go
@@ -188,3 +188,45 @@
 	f.checkLimits()
 	f.checkIdle()
 }
+
+func TestEntryThatCannotReachTheOwnerIsServedByAnother(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		f := newFleet(t, pump.Options{Seed: 30 + seed}, site{"north", "one", 4, 3})
+		f.Run(5 * time.Second)
+		owner := f.owner("north")
+		others := f.except("north", owner)
+		cutOff := others[:1]
+		f.load(others, 200*time.Millisecond, 40*time.Second, quickCost)
+		f.Run(10 * time.Second)
+		f.Cut(cutOff, []version.VMID{owner})
+		f.Run(15 * time.Second)
+		before := f.grantsTo(cutOff[0])
+		f.Run(10 * time.Second)
+		if f.grantsTo(cutOff[0]) == before {
+			t.Error("an entry that lost only its link to the owner gets nothing")
+		}
+		f.Heal(cutOff, []version.VMID{owner})
+		f.Run(90 * time.Second)
+		f.checkLimits()
+		f.checkEnds(0)
+		f.checkIdle()
+	}
+}
+
+func TestPresetSwitchedBackAndForthLosesNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, pump.Options{Seed: 40}, site{"north", "one", 3, 2})
+	f.load(f.VMs(), 150*time.Millisecond, 20*time.Second, quickCost)
+	for range 6 {
+		f.Run(3 * time.Second)
+		f.reconfigure(version.OutNames{})
+	}
+	f.Run(60 * time.Second)
+	f.checkLimits()
+	f.checkEnds(0)
+	f.checkIdle()
+	if len(f.refused) > 0 {
+		t.Errorf("%d refused, first %+v", len(f.refused), f.refusals[0])
+	}
+}
