--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -252,10 +252,11 @@
 	return newStallTimer(parent, limit, cause)
 }
 
-// firstContext bounds the wait for the beginning of the answer.
+// firstContext bounds the wait for the beginning of the answer. An attempt that
+// is recorded has no successor, so it may take its time.
 func (a *attempt) firstContext() (context.Context, *stallTimer) {
 	limit := time.Until(a.call.AnswerBy)
-	if a.call.Stream && limit > a.relay.options.StallTimeout {
+	if a.call.Stream && !a.call.Record && limit > a.relay.options.StallTimeout {
 		return a.context(a.relay.options.StallTimeout, ErrStalled)
 	}
 	return a.context(limit, ErrLate)
--- a/lab/calls/whole_test.go
+++ b/lab/calls/whole_test.go
@@ -212,6 +212,25 @@
 	}
 }
 
+func TestACrossedResumptionGoesToNoCaller(t *testing.T) {
+	const own, foreign = "data: {\"own\":1}\n\n", "data: {\"foreign\":1}\n\n"
+	crossing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if r.Method == http.MethodGet {
+			w.Header().Set("X-Attempt-Id", "00000000-0000-4000-8000-000000000000")
+			fmt.Fprint(w, foreign+"data: [DONE]\n\n")
+			return
+		}
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		fmt.Fprint(w, own)
+	})
+	r := newRouter(t, setup{engines: []http.Handler{crossing}})
+	got := r.chat(t, streamBody)
+	if got.err == nil || !strings.HasPrefix(got.body, own) || strings.Contains(got.body, "foreign") || strings.Contains(got.body, "[DONE]") {
+		t.Errorf("the caller got %q and %v, want its own event and a broken end", got.body, got.err)
+	}
+}
+
 func TestAStreamThatDoesNotBeginIsTriedElsewhere(t *testing.T) {
 	hung, other := fast(), fast()
 	r := newRouter(t, setup{engines: []http.Handler{hung, other}, relay: relay.Options{StallTimeout: 100 * time.Millisecond}})
