--- a/fleet/process/node/service_test.go
+++ b/fleet/process/node/service_test.go
@@ -48,13 +48,24 @@
 		id := version.NewAccountID(accountName(i))
 		s.accounts = append(s.accounts, id)
 		s.costs[id] = request.Cost(20 + 40*i)
-		for j := range sharedCallers {
-			s.submit(s.VMs()[j%len(s.VMs())], id)
-		}
 	}
 	return s
 }
 
+// startEverywhere spreads each account's callers over all VMs.
+func (s *shared) startEverywhere() {
+	for _, id := range s.accounts {
+		s.startAt(id, s.VMs())
+	}
+}
+
+// startAt puts an account's callers at some VMs.
+func (s *shared) startAt(id version.AccountID, vms []version.VMID) {
+	for i := range sharedCallers {
+		s.submit(vms[i%len(vms)], id)
+	}
+}
+
 func (s *shared) submit(vm version.VMID, id version.AccountID) {
 	cost := s.costs[id]
 	s.Submit(vm, request.Ticket{Account: id, Pool: poolID, Estimate: cost, Wait: time.Minute}, cost)
@@ -125,15 +136,29 @@
 
 func TestDispatchersKnowWhatWasServedElsewhere(t *testing.T) {
 	s := newShared(t, nil, site{"north", "one", 2, 2}, site{"near", "one", 2, 2}, site{"south", "two", 2, 2})
+	s.startEverywhere()
 	s.Run(60 * time.Second)
 	s.checkLevels(t, s.inFlight())
 	s.checkShares(t, s.inFlight())
 }
 
+// TestSharesAreEvenWhereverCallersAre puts one account alone where most slots
+// are and two together where few are.
+func TestSharesAreEvenWhereverCallersAre(t *testing.T) {
+	s := newShared(t, nil, site{"north", "one", 2, 4}, site{"south", "two", 2, 2})
+	north, south := s.VMs()[:2], s.VMs()[2:]
+	s.startAt(s.accounts[0], north)
+	s.startAt(s.accounts[1], south)
+	s.startAt(s.accounts[2], south)
+	s.Run(120 * time.Second)
+	s.checkShares(t, s.inFlight())
+}
+
 // TestRestartedDaemonsLearnTheirLevelsAnew restarts every daemon in turn, homes
 // and dispatchers alike.
 func TestRestartedDaemonsLearnTheirLevelsAnew(t *testing.T) {
 	s := newShared(t, nil, site{"north", "one", 2, 2}, site{"near", "one", 2, 2}, site{"south", "two", 2, 2})
+	s.startEverywhere()
 	s.Run(60 * time.Second)
 	for _, vm := range s.VMs() {
 		s.Restart(vm)
@@ -163,6 +188,7 @@
 
 func TestSharesMeetAgainAfterAPartition(t *testing.T) {
 	s := newShared(t, nil, site{"north", "one", 2, 2}, site{"south", "two", 2, 1})
+	s.startEverywhere()
 	s.Run(30 * time.Second)
 	north, south := s.VMs()[:2], s.VMs()[2:]
 	s.Cut(north, south)
@@ -175,6 +201,7 @@
 
 func TestSharesSurviveLostDoubledAndReorderedMessages(t *testing.T) {
 	s := newShared(t, lossy(3), site{"north", "one", 2, 2}, site{"south", "two", 2, 2})
+	s.startEverywhere()
 	s.Run(120 * time.Second)
 	s.checkShares(t, 2*s.inFlight())
 }
