--- a/lab/measure/standard.go
+++ b/lab/measure/standard.go
@@ -5,8 +5,8 @@
 const (
 	// standardWarm lets slow start end before measuring.
 	standardWarm = 30 * time.Second
-	// standardLength is the measured time of a standard scenario.
-	standardLength = 2 * time.Minute
+	// StandardLength is the measured time of a standard scenario.
+	StandardLength = 2 * time.Minute
 )
 
 // Standard returns the scenarios of a deployment whose results the project
@@ -16,7 +16,7 @@
 	base := func(name string, policy Policy, spread Spread, actions ...Action) Scenario {
 		return Scenario{
 			Name: name, Seed: seed, Deployment: build(), Policy: policy, Spread: spread,
-			Warm: standardWarm, Length: standardLength, Actions: actions,
+			Warm: standardWarm, Length: StandardLength, Actions: actions,
 		}
 	}
 	sites := build().Document.DataCentres
