Let a new home speak only when it knows, and lift by what any home said

Cause: a home that had just taken an account over did not know the sums of other data centres. Change: a handover brings the sums of other data centres; without one, a new home waits until they have told theirs, ten seconds at most. What was counted elsewhere never falls in a meter, whichever home says so. Test: TestIgnorantHomeLiftsNobody, TestNewHomeTellsNobodyUntilItKnows.

--- a/fleet/connection/wire/service.go
+++ b/fleet/connection/wire/service.go
@@ -97,6 +97,14 @@
 	Account version.AccountID
 	Lift    uint64
 	VMs     []ServiceSource
+	Remotes []ServiceRemote
+}
+
+// ServiceRemote is the sum of another data centre.
+type ServiceRemote struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre version.DataCentreID
+	Count      ServiceCount
 }
 
 // ServiceSource holds what the incarnations of one VM counted.
--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -136,7 +136,7 @@
 			candidates = append(candidates, service.Candidate{Channel: service.ChannelReport, To: home, Record: record})
 		}
 	}
-	for _, word := range n.sums.home.Words(now) {
+	for _, word := range n.sums.home.Words(now, n.otherDataCentres()) {
 		if word.To == n.source() {
 			n.hear(n.source(), n.sums.home.NextSequence(), word.Record)
 		} else if word.To.VM != n.options.VM {
@@ -212,8 +212,7 @@
 	case wire.ServiceRestore:
 		n.receiveRestore(now, m)
 	case wire.ServiceHandover:
-		tally := service.TallyFromWire(m.VMs)
-		n.sums.home.TakeOver(now, m.Account, tally, float64(m.Lift))
+		n.sums.home.TakeOver(now, service.HandoverFromWire(m))
 	case wire.Progress:
 		key := request.Key{Entry: from.VM, Incarnation: from.Incarnation, ID: m.ID}
 		n.sums.meter.Progress(service.Hold{Key: key, Attempt: m.Attempt}, request.Cost(m.Cost))
@@ -284,8 +283,7 @@
 			continue
 		}
 		n.sums.handed[account] = now
-		tally, lift := n.sums.home.Handover(account)
-		n.deliver(now, to, wire.ServiceHandover{Account: account, Lift: uint64(lift), VMs: tally.Wire()})
+		n.deliver(now, to, n.sums.home.Handover(account).Wire())
 	}
 }
 
--- a/fleet/process/service/home.go
+++ b/fleet/process/service/home.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// wordDelay is how long a new home of an account gathers counts before it
-	// tells them to dispatchers.
-	wordDelay = 2 * time.Second
+	// gatherTime is how long a new home of an account waits at least for what
+	// its data centre counted before it tells dispatchers.
+	gatherTime = 2 * time.Second
+	// wordDelay is how long it waits for what it was not handed over, or told
+	// by the other data centres.
+	wordDelay = 10 * time.Second
 	// foldAge is how long the counts of a VM's former incarnation are kept
 	// apart after a new one is known.
 	foldAge = time.Minute
@@ -29,6 +32,8 @@
 type homed struct {
 	since time.Time
 	tally *Tally
+	// handed is set once the former home has handed over what it knew.
+	handed bool
 	// gone is the part of a restored sum that no source has reported.
 	gone Count
 	// sum is what was last published; it only grows.
@@ -155,20 +160,40 @@
 	return ids
 }
 
-// Handover returns the tally and lift of an account for its new home.
-func (h *Home) Handover(id version.AccountID) (*Tally, float64) {
+// Handover is what a home knows of an account, for its new home.
+type Handover struct {
+	Account version.AccountID
+	Lift    float64
+	Tally   *Tally
+	// Remotes holds the sums of the other data centres.
+	Remotes map[version.DataCentreID]Count
+}
+
+// Handover returns what is known of an account.
+func (h *Home) Handover(id version.AccountID) Handover {
+	handover := Handover{Account: id, Tally: NewTally(), Remotes: make(map[version.DataCentreID]Count)}
 	a, present := h.accounts[id]
 	if !present {
-		return NewTally(), 0
+		return handover
 	}
-	return a.tally, a.lift
+	handover.Tally, handover.Lift = a.tally, a.lift
+	for dataCentre, remote := range a.remotes {
+		handover.Remotes[dataCentre] = remote.sum
+	}
+	return handover
 }
 
 // TakeOver merges what a former home knew.
-func (h *Home) TakeOver(now time.Time, id version.AccountID, tally *Tally, lift float64) {
-	a := h.account(now, id)
-	a.tally.Merge(tally)
-	a.lift = max(a.lift, lift)
+func (h *Home) TakeOver(now time.Time, handover Handover) {
+	a := h.account(now, handover.Account)
+	a.handed = true
+	a.tally.Merge(handover.Tally)
+	a.lift = max(a.lift, handover.Lift)
+	for dataCentre, sum := range handover.Remotes {
+		remote := a.remotes[dataCentre]
+		remote.sum = remote.sum.Merge(sum)
+		a.remotes[dataCentre] = remote
+	}
 }
 
 // Forget drops an account whose home is elsewhere now.
@@ -204,6 +229,21 @@
 	}
 }
 
+// speaks reports whether the home knows enough of an account to tell it to
+// dispatchers. others are the data centres that should have told their sums.
+func (a *homed) speaks(now time.Time, others []version.DataCentreID) bool {
+	age := now.Sub(a.since)
+	if age >= wordDelay {
+		return true
+	}
+	told := true
+	for _, other := range others {
+		_, heard := a.remotes[other]
+		told = told && heard
+	}
+	return age >= gatherTime && (a.handed || told)
+}
+
 // backloggedBeyond reports whether the account waits elsewhere than at a
 // daemon of this data centre.
 func (a *homed) backloggedBeyond(vm version.VMID) bool {
--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -46,7 +46,8 @@
 // metered is what is kept per account.
 type metered struct {
 	own Count
-	// elsewhere is what others counted, by the home's last word.
+	// elsewhere is what others counted, as far as any home said; it only
+	// grows.
 	elsewhere Count
 	// word orders the home's words.
 	word Word
@@ -223,7 +224,8 @@
 		return
 	}
 	a.word = word
-	a.elsewhere = elsewhere
+	// A home that has just begun may know less than the one before it.
+	a.elsewhere = a.elsewhere.Merge(elsewhere)
 	a.contested = contested
 	a.lift = math.Max(a.lift, lift)
 	first := !a.fresh
--- a/fleet/process/service/record.go
+++ b/fleet/process/service/record.go
@@ -95,11 +95,12 @@
 }
 
 // Words returns what the daemons where accounts are backlogged should know.
-func (h *Home) Words(now time.Time) []WordTo {
+// others are the other data centres that can be heard.
+func (h *Home) Words(now time.Time, others []version.DataCentreID) []WordTo {
 	var words []WordTo
 	for _, id := range h.Accounts() {
 		a := h.accounts[id]
-		if now.Sub(a.since) < wordDelay {
+		if !a.speaks(now, others) {
 			continue
 		}
 		total := h.Total(id)
--- a/fleet/process/service/service_test.go
+++ b/fleet/process/service/service_test.go
@@ -123,9 +123,9 @@
 		now = now.Add(2 * time.Minute)
 		home.Tick(now)
 	}
-	tally, _ := home.Handover(1)
-	if sum := home.Sum(1); sum.Charged != want || tally.Len() > 2 {
-		t.Fatalf("sum %+v of %v, %d counts kept", sum, want, tally.Len())
+	kept := home.Handover(1).Tally.Len()
+	if sum := home.Sum(1); sum.Charged != want || kept > 2 {
+		t.Fatalf("sum %+v of %v, %d counts kept", sum, want, kept)
 	}
 }
 
@@ -216,6 +216,52 @@
 	}
 }
 
+// TestIgnorantHomeLiftsNobody follows an account whose new home knows nothing of
+// other data centres yet.
+func TestIgnorantHomeLiftsNobody(t *testing.T) {
+	m := service.NewMeter()
+	m.Join(start, 1, 8000)
+	m.Hear(1, service.Word{Home: service.Source{VM: "h"}, Sequence: 5}, service.Count{Charged: 8000}, 0, true)
+	m.Leave(start, 1)
+	later := start.Add(time.Minute)
+	m.Join(later, 1, 9000)
+	m.Hear(1, service.Word{Home: service.Source{VM: "new"}, Sequence: 1}, service.Count{}, 0, false)
+	if level := m.Level(1); level != 9000 {
+		t.Fatalf("level %v, want the floor", level)
+	}
+	m.Hear(1, service.Word{Home: service.Source{VM: "new"}, Sequence: 2}, service.Count{Charged: 8500}, 0, true)
+	if level := m.Level(1); level != 9500 {
+		t.Fatalf("level %v once the new home has learnt, want what was served and the one lift", level)
+	}
+}
+
+// TestNewHomeTellsNobodyUntilItKnows starts a home for an account that others
+// have counted.
+func TestNewHomeTellsNobodyUntilItKnows(t *testing.T) {
+	source := service.Source{VM: "d", Incarnation: 1}
+	waiting := service.Record{Account: 1, Count: service.Count{Charged: 10}, Backlogged: true}
+	others := []version.DataCentreID{"far"}
+	soon := start.Add(3 * time.Second)
+
+	alone := service.NewHome()
+	alone.Report(start, source, waiting)
+	if words := alone.Words(soon, others); len(words) != 0 {
+		t.Fatalf("words of a home that knows nothing: %+v", words)
+	}
+	told := service.NewHome()
+	told.Report(start, source, waiting)
+	told.Exchange(start, "far", service.Record{Account: 1, Count: service.Count{Charged: 90}})
+	handed := service.NewHome()
+	handed.TakeOver(start, told.Handover(1))
+	handed.Report(start, source, waiting)
+	for name, home := range map[string]*service.Home{"told": told, "handed": handed} {
+		words := home.Words(soon, others)
+		if len(words) != 1 || words[0].Record.Count.Charged != 90 {
+			t.Errorf("words of a home that was %s: %+v", name, words)
+		}
+	}
+}
+
 // TestPacerStaysWithinItsBudget offers more than may be sent.
 func TestPacerStaysWithinItsBudget(t *testing.T) {
 	p := service.NewPacer()
--- a/fleet/process/service/tally.go
+++ b/fleet/process/service/tally.go
@@ -140,6 +140,32 @@
 	return t
 }
 
+// Wire encodes a handover.
+func (h Handover) Wire() wire.ServiceHandover {
+	m := wire.ServiceHandover{Account: h.Account, Lift: units(h.Lift), VMs: h.Tally.Wire()}
+	for _, dataCentre := range slices.Sorted(maps.Keys(h.Remotes)) {
+		m.Remotes = append(m.Remotes, wire.ServiceRemote{
+			DataCentre: dataCentre,
+			Count:      h.Remotes[dataCentre].wire(),
+		})
+	}
+	return m
+}
+
+// HandoverFromWire decodes a handover.
+func HandoverFromWire(m wire.ServiceHandover) Handover {
+	h := Handover{
+		Account: m.Account,
+		Lift:    float64(m.Lift),
+		Tally:   TallyFromWire(m.VMs),
+		Remotes: make(map[version.DataCentreID]Count),
+	}
+	for _, remote := range m.Remotes {
+		h.Remotes[remote.DataCentre] = countFromWire(remote.Count)
+	}
+	return h
+}
+
 func (c Count) wire() wire.ServiceCount {
 	return wire.ServiceCount{Charged: units(c.Charged), Returned: units(c.Returned)}
 }
