Let a lift last while its account waits, and shrink when more is known

Cause: a lift only grew, so one that came of ignorance stayed: with 5% of frames lost, an account got nothing for minutes. Change: a lift belongs to the dispatcher where the account waits and ends with the wait; the largest one counts elsewhere meanwhile. It is shared once a home that hears every data centre has confirmed it, and shrinks with what the home tells later.

--- a/fleet/connection/wire/service.go
+++ b/fleet/connection/wire/service.go
@@ -31,13 +31,14 @@
 }
 
 // ServiceRecord says what an account was charged, in whole weighted cost
-// units. All numbers but Backlogged only grow.
+// units. Charged and Returned only grow.
 type ServiceRecord struct {
 	_        struct{} `cbor:",toarray"`
 	Account  version.AccountID
 	Charged  uint64
 	Returned uint64
-	// Lift is added to the counts so that idleness is not saved up.
+	// Lift is added to the counts while the account is backlogged, so that
+	// idleness is not saved up.
 	Lift uint64
 	// Backlogged is set while the account waits where the record comes from,
 	// or elsewhere in the case of ServiceLevels.
@@ -59,7 +60,9 @@
 	Incarnation uint32
 	// Sequence orders the messages of one home.
 	Sequence uint64
-	Records  []ServiceRecord
+	// Partial is set by a home that may lack the sums of other data centres.
+	Partial bool
+	Records []ServiceRecord
 }
 
 // ServiceExchange tells the homes in another data centre the sum of the
@@ -95,7 +98,6 @@
 type ServiceHandover struct {
 	_       struct{} `cbor:",toarray"`
 	Account version.AccountID
-	Lift    uint64
 	VMs     []ServiceSource
 	Remotes []ServiceRemote
 }
--- a/fleet/process/node/service.go
+++ b/fleet/process/node/service.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -136,14 +137,17 @@
 			candidates = append(candidates, service.Candidate{Channel: service.ChannelReport, To: home, Record: record})
 		}
 	}
-	for _, word := range n.sums.home.Words(now, n.otherDataCentres()) {
+	others := n.othersInService()
+	reached := len(n.otherDataCentres()) >= len(others)
+	for _, word := range n.sums.home.Words(now, others, reached) {
 		if word.To == n.source() {
-			n.hear(n.source(), n.sums.home.NextSequence(), word.Record)
+			n.hear(n.source(), n.sums.home.NextSequence(), word.Partial, word.Record)
 		} else if word.To.VM != n.options.VM {
 			candidates = append(candidates, service.Candidate{
 				Channel:     service.ChannelWord,
 				To:          word.To.VM,
 				Incarnation: word.To.Incarnation,
+				Partial:     word.Partial,
 				Record:      word.Record,
 			})
 		}
@@ -174,7 +178,7 @@
 	for len(chosen) > 0 {
 		first := chosen[0]
 		var records []wire.ServiceRecord
-		for len(chosen) > 0 && chosen[0].Channel == first.Channel && chosen[0].To == first.To {
+		for len(chosen) > 0 && sameMessage(chosen[0], first) {
 			records = append(records, chosen[0].Record.Wire())
 			chosen = chosen[1:]
 		}
@@ -182,6 +186,11 @@
 	}
 }
 
+// sameMessage reports whether two records go in one message.
+func sameMessage(a, b service.Candidate) bool {
+	return a.Channel == b.Channel && a.To == b.To && a.Partial == b.Partial
+}
+
 func (n *Node) recordMessage(first service.Candidate, records []wire.ServiceRecord) wire.Message {
 	switch first.Channel {
 	case service.ChannelReport:
@@ -190,6 +199,7 @@
 		return wire.ServiceLevels{
 			Incarnation: uint32(first.Incarnation),
 			Sequence:    n.sums.home.NextSequence(),
+			Partial:     first.Partial,
 			Records:     records,
 		}
 	default:
@@ -229,13 +239,19 @@
 		return
 	}
 	for _, record := range m.Records {
-		n.hear(service.Source(from), m.Sequence, service.FromWire(record))
+		n.hear(service.Source(from), m.Sequence, m.Partial, service.FromWire(record))
 	}
 }
 
-func (n *Node) hear(home service.Source, sequence uint64, record service.Record) {
-	word := service.Word{Home: home, Sequence: sequence}
-	n.sums.meter.Hear(record.Account, word, record.Count, record.Lift, record.Backlogged)
+func (n *Node) hear(home service.Source, sequence uint64, partial bool, record service.Record) {
+	n.sums.meter.Hear(record.Account, service.Word{
+		Home:      home,
+		Sequence:  sequence,
+		Elsewhere: record.Count,
+		Lift:      record.Lift,
+		Contested: record.Backlogged,
+		Partial:   partial,
+	})
 }
 
 // receiveExchange merges the sums of another data centre, or passes those on
@@ -348,3 +364,19 @@
 	}
 	return others
 }
+
+// othersInService returns the other data centres that operators have in
+// service, in order.
+func (n *Node) othersInService() []version.DataCentreID {
+	if n.config == nil {
+		return nil
+	}
+	var others []version.DataCentreID
+	for id := range n.config.DataCentres {
+		if id != n.options.DataCentre && !n.config.DataCentreOut(id) {
+			others = append(others, id)
+		}
+	}
+	slices.Sort(others)
+	return others
+}
--- a/fleet/process/service/home.go
+++ b/fleet/process/service/home.go
@@ -22,7 +22,7 @@
 // Home sums what some accounts were served in one data centre, and knows the
 // sums of the others. It is not safe for concurrent use.
 //
-// Invariant: an account's sum and lift never fall.
+// Invariant: an account's sum never falls.
 type Home struct {
 	accounts map[version.AccountID]*homed
 	sequence uint64
@@ -37,8 +37,7 @@
 	// gone is the part of a restored sum that no source has reported.
 	gone Count
 	// sum is what was last published; it only grows.
-	sum  Count
-	lift float64
+	sum Count
 	// sources holds the latest incarnation of each VM and whether the account
 	// is backlogged there.
 	sources map[version.VMID]homedSource
@@ -49,6 +48,7 @@
 type homedSource struct {
 	incarnation uint64
 	backlogged  bool
+	lift        float64
 	since       time.Time
 	folded      bool
 }
@@ -56,6 +56,7 @@
 type homedRemote struct {
 	sum        Count
 	backlogged bool
+	lift       float64
 }
 
 // NewHome returns a home of no account.
@@ -68,7 +69,6 @@
 		a.gone = a.gone.Minus(record.Count)
 	}
 	a.tally.Add(source, record.Count)
-	a.lift = max(a.lift, record.Lift)
 	known, present := a.sources[source.VM]
 	switch {
 	case present && source.Incarnation < known.incarnation:
@@ -76,7 +76,7 @@
 	case !present || source.Incarnation > known.incarnation:
 		known = homedSource{incarnation: source.Incarnation, since: now}
 	}
-	known.backlogged = record.Backlogged
+	known.backlogged, known.lift = record.Backlogged, record.Lift
 	a.sources[source.VM] = known
 }
 
@@ -84,14 +84,13 @@
 // than is known of it, Exchange returns the record that restores it.
 func (h *Home) Exchange(now time.Time, dataCentre version.DataCentreID, record Record) (Record, bool) {
 	a := h.account(now, record.Account)
-	a.lift = max(a.lift, record.Lift)
 	known := a.remotes[dataCentre].sum
 	merged := known.Merge(record.Count)
-	a.remotes[dataCentre] = homedRemote{sum: merged, backlogged: record.Backlogged}
+	a.remotes[dataCentre] = homedRemote{sum: merged, backlogged: record.Backlogged, lift: record.Lift}
 	if merged == record.Count {
 		return Record{}, false
 	}
-	return Record{Account: record.Account, Count: merged, Lift: a.lift}, true
+	return Record{Account: record.Account, Count: merged}, true
 }
 
 // Restore merges the last sum of this data centre that another one knew. What
@@ -100,7 +99,6 @@
 func (h *Home) Restore(now time.Time, record Record) {
 	a := h.account(now, record.Account)
 	a.gone = a.gone.Merge(record.Count.Minus(a.tally.Sum()))
-	a.lift = max(a.lift, record.Lift)
 }
 
 // Tick folds the counts of former incarnations.
@@ -163,7 +161,6 @@
 // Handover is what a home knows of an account, for its new home.
 type Handover struct {
 	Account version.AccountID
-	Lift    float64
 	Tally   *Tally
 	// Remotes holds the sums of the other data centres.
 	Remotes map[version.DataCentreID]Count
@@ -176,7 +173,7 @@
 	if !present {
 		return handover
 	}
-	handover.Tally, handover.Lift = a.tally, a.lift
+	handover.Tally = a.tally
 	for dataCentre, remote := range a.remotes {
 		handover.Remotes[dataCentre] = remote.sum
 	}
@@ -188,7 +185,6 @@
 	a := h.account(now, handover.Account)
 	a.handed = true
 	a.tally.Merge(handover.Tally)
-	a.lift = max(a.lift, handover.Lift)
 	for dataCentre, sum := range handover.Remotes {
 		remote := a.remotes[dataCentre]
 		remote.sum = remote.sum.Merge(sum)
@@ -230,18 +226,46 @@
 }
 
 // speaks reports whether the home knows enough of an account to tell it to
-// dispatchers. others are the data centres that should have told their sums.
+// dispatchers.
 func (a *homed) speaks(now time.Time, others []version.DataCentreID) bool {
 	age := now.Sub(a.since)
-	if age >= wordDelay {
+	return age >= wordDelay || (age >= gatherTime && a.told(others))
+}
+
+// told reports whether the sums of other data centres are known, as far as they
+// counted anything.
+func (a *homed) told(others []version.DataCentreID) bool {
+	if a.handed {
 		return true
 	}
-	told := true
 	for _, other := range others {
-		_, heard := a.remotes[other]
-		told = told && heard
+		if _, heard := a.remotes[other]; !heard {
+			return false
+		}
+	}
+	return true
+}
+
+// liftHere returns the largest lift in this data centre but at one VM.
+func (a *homed) liftHere(but version.VMID) float64 {
+	largest := 0.0
+	for vm, source := range a.sources {
+		if vm != but && source.backlogged {
+			largest = max(largest, source.lift)
+		}
+	}
+	return largest
+}
+
+// liftBeyond returns the largest lift elsewhere than at one VM.
+func (a *homed) liftBeyond(vm version.VMID) float64 {
+	largest := a.liftHere(vm)
+	for _, remote := range a.remotes {
+		if remote.backlogged {
+			largest = max(largest, remote.lift)
+		}
 	}
-	return age >= gatherTime && (a.handed || told)
+	return largest
 }
 
 // backloggedBeyond reports whether the account waits elsewhere than at a
--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -31,7 +31,7 @@
 // Meter counts what one daemon's dispatchers grant and knows the accounts'
 // levels. It is not safe for concurrent use.
 //
-// Invariant: an account's own count and lift never fall.
+// Invariant: an account's own count never falls.
 type Meter struct {
 	config   *version.Config
 	accounts map[version.AccountID]*metered
@@ -49,10 +49,10 @@
 	// elsewhere is what others counted, as far as any home said; it only
 	// grows.
 	elsewhere Count
-	// word orders the home's words.
-	word Word
-	// lift is added to the counts so that idleness is not saved up.
-	lift float64
+	word      Word
+	// lift is added to the counts while the account is backlogged here, so
+	// that idleness is not saved up; shared is the largest lift elsewhere.
+	lift, shared float64
 	// contested is set while the account is backlogged at another daemon too.
 	contested bool
 	// queues counts the queues in which the account is backlogged.
@@ -82,6 +82,14 @@
 	Home Source
 	// Sequence orders the words of one home.
 	Sequence uint64
+	// Elsewhere is what was counted elsewhere than at the receiver.
+	Elsewhere Count
+	// Lift is the largest lift elsewhere.
+	Lift float64
+	// Contested is set while the account is backlogged elsewhere too.
+	Contested bool
+	// Partial is set by a home that may lack the sums of other data centres.
+	Partial bool
 }
 
 // NewMeter returns a meter that knows no account.
@@ -159,7 +167,7 @@
 	if !present {
 		return 0
 	}
-	return a.level() + a.held
+	return a.level()
 }
 
 // Own returns what this meter counted for an account.
@@ -179,21 +187,22 @@
 	return m.changed[cursor-m.forgotten:], next, false
 }
 
-// Join implements Levels. An account that was idle is lifted to floor. Until
-// its home has spoken, the lift is not shared, since the account may be
-// backlogged elsewhere or have been served there meanwhile.
+// Join implements Levels. An account that was idle is lifted to floor while it
+// is backlogged here. Once its home has spoken, the lift is worked out anew: none
+// if the account waits elsewhere too, since it was not idle then.
 func (m *Meter) Join(now time.Time, id version.AccountID, floor float64) {
 	a := m.account(id)
-	a.fresh = a.fresh && a.backlogged(now)
+	if !a.backlogged(now) {
+		a.fresh, a.lift, a.shared = false, 0, 0
+	}
 	a.queues++
 	if a.queues > 1 {
 		return
 	}
 	a.floor, a.start = floor, a.own.Net()
-	if a.fresh {
-		a.settle()
-	} else {
-		a.held = math.Max(a.held, floor-a.level())
+	if !a.fresh || !a.contested {
+		a.fresh = false
+		a.lift = math.Max(a.lift, floor-a.served())
 	}
 	m.note(id)
 }
@@ -203,10 +212,6 @@
 	a := m.account(id)
 	a.queues--
 	a.left = now
-	if a.queues == 0 {
-		a.held = 0
-		m.note(id)
-	}
 }
 
 // Backlogged reports whether the account waits here, or did within JoinHold.
@@ -215,24 +220,20 @@
 	return present && a.backlogged(now)
 }
 
-// Hear applies a home's word on an account: what was counted elsewhere, the
-// lift and whether the account is backlogged elsewhere too. An older word of
-// the same home is ignored.
-func (m *Meter) Hear(id version.AccountID, word Word, elsewhere Count, lift float64, contested bool) {
+// Hear applies a home's word on an account. An older word of the same home is
+// ignored.
+func (m *Meter) Hear(id version.AccountID, word Word) {
 	a := m.account(id)
 	if a.word.Home == word.Home && word.Sequence <= a.word.Sequence {
 		return
 	}
 	a.word = word
 	// A home that has just begun may know less than the one before it.
-	a.elsewhere = a.elsewhere.Merge(elsewhere)
-	a.contested = contested
-	a.lift = math.Max(a.lift, lift)
-	first := !a.fresh
-	a.fresh = true
-	if first && a.queues > 0 {
-		a.settle()
-	}
+	a.elsewhere = a.elsewhere.Merge(word.Elsewhere)
+	a.contested = word.Contested
+	a.shared = word.Lift
+	a.settle()
+	a.fresh = a.fresh || word.Contested || !word.Partial
 	m.note(id)
 }
 
@@ -249,17 +250,20 @@
 	}
 }
 
-// settle replaces what is held by a lift from the level at which the account
-// became backlogged, unless it was backlogged elsewhere.
+// settle lowers the lift to what is known by now of the level at which the
+// account became backlogged.
 func (a *metered) settle() {
-	a.held = 0
-	joined := a.start + a.elsewhere.Net() + a.lift
-	if !a.contested && joined < a.floor {
-		a.lift += a.floor - joined
+	switch {
+	case !a.contested:
+		a.lift = math.Min(a.lift, math.Max(a.floor-a.start-a.elsewhere.Net(), 0))
+	case !a.fresh:
+		a.lift = 0
 	}
 }
 
-func (a *metered) level() float64 { return a.own.Net() + a.elsewhere.Net() + a.lift }
+func (a *metered) served() float64 { return a.own.Net() + a.elsewhere.Net() }
+
+func (a *metered) level() float64 { return a.served() + math.Max(a.lift, a.shared) }
 
 func (a *metered) backlogged(now time.Time) bool {
 	return a.queues > 0 || (!a.left.IsZero() && now.Sub(a.left) < JoinHold)
--- a/fleet/process/service/pacer.go
+++ b/fleet/process/service/pacer.go
@@ -46,7 +46,9 @@
 	To      version.VMID
 	// Incarnation is that of the receiver, for a ChannelWord.
 	Incarnation uint64
-	Record      Record
+	// Partial is set for a ChannelWord that may lack sums.
+	Partial bool
+	Record  Record
 }
 
 // Pacer chooses which records to send within BytesPerSecond: those that
@@ -88,6 +90,7 @@
 		return cmp.Or(
 			cmp.Compare(a.Channel, b.Channel),
 			cmp.Compare(a.To, b.To),
+			compareBools(a.Partial, b.Partial),
 			cmp.Compare(a.Record.Account, b.Record.Account),
 		)
 	})
@@ -180,6 +183,17 @@
 	}
 }
 
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func keyOf(c Candidate) pacedKey {
 	return pacedKey{channel: c.Channel, to: c.To, account: c.Record.Account}
 }
--- a/fleet/process/service/record.go
+++ b/fleet/process/service/record.go
@@ -56,6 +56,15 @@
 	return change
 }
 
+// claim returns the lift that others should know: that of an account that is
+// backlogged, once its home has confirmed that it had been idle.
+func (a *metered) claim(now time.Time) float64 {
+	if !a.fresh || !a.backlogged(now) {
+		return 0
+	}
+	return a.lift
+}
+
 // Reports returns what an account's home should know of the own counts.
 func (m *Meter) Reports(now time.Time) []Record {
 	ids := m.ids()
@@ -65,7 +74,7 @@
 		records = append(records, Record{
 			Account:    id,
 			Count:      a.own,
-			Lift:       a.lift,
+			Lift:       a.claim(now),
 			Backlogged: a.backlogged(now),
 		}.rounded())
 	}
@@ -81,7 +90,7 @@
 		records = append(records, Record{
 			Account:    id,
 			Count:      a.publish(),
-			Lift:       a.lift,
+			Lift:       a.liftHere(""),
 			Backlogged: a.backloggedHere(),
 		}.rounded())
 	}
@@ -92,28 +101,31 @@
 type WordTo struct {
 	To     Source
 	Record Record
+	// Partial is set if sums of other data centres may be missing.
+	Partial bool
 }
 
 // Words returns what the daemons where accounts are backlogged should know.
-// others are the other data centres that can be heard.
-func (h *Home) Words(now time.Time, others []version.DataCentreID) []WordTo {
+// others are the other data centres in service; reached is set if all of them
+// can be heard.
+func (h *Home) Words(now time.Time, others []version.DataCentreID, reached bool) []WordTo {
 	var words []WordTo
 	for _, id := range h.Accounts() {
 		a := h.accounts[id]
 		if !a.speaks(now, others) {
 			continue
 		}
-		total := h.Total(id)
+		total, complete := h.Total(id), reached && a.told(others)
 		for _, vm := range sortedSources(a.sources) {
 			source := a.sources[vm]
 			if !source.backlogged {
 				continue
 			}
 			to := Source{VM: vm, Incarnation: source.incarnation}
-			words = append(words, WordTo{To: to, Record: Record{
+			words = append(words, WordTo{To: to, Partial: !complete, Record: Record{
 				Account:    id,
 				Count:      total.Minus(a.tally.Of(to)),
-				Lift:       a.lift,
+				Lift:       a.liftBeyond(vm),
 				Backlogged: a.backloggedBeyond(vm),
 			}.rounded()})
 		}
--- a/fleet/process/service/tally.go
+++ b/fleet/process/service/tally.go
@@ -142,7 +142,7 @@
 
 // Wire encodes a handover.
 func (h Handover) Wire() wire.ServiceHandover {
-	m := wire.ServiceHandover{Account: h.Account, Lift: units(h.Lift), VMs: h.Tally.Wire()}
+	m := wire.ServiceHandover{Account: h.Account, VMs: h.Tally.Wire()}
 	for _, dataCentre := range slices.Sorted(maps.Keys(h.Remotes)) {
 		m.Remotes = append(m.Remotes, wire.ServiceRemote{
 			DataCentre: dataCentre,
@@ -156,7 +156,6 @@
 func HandoverFromWire(m wire.ServiceHandover) Handover {
 	h := Handover{
 		Account: m.Account,
-		Lift:    float64(m.Lift),
 		Tally:   TallyFromWire(m.VMs),
 		Remotes: make(map[version.DataCentreID]Count),
 	}
