--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -17,12 +17,13 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
-	"github.com/trefoilwell/trefoilwell/daemon/version/watch"
+	"github.com/trefoilwell/trefoilwell/daemon/version/follow"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
@@ -42,8 +43,9 @@
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
+	ledger   *ledger.Ledger
 	poller   *upstream.Poller
-	watcher  *watch.Watcher
+	follower *follow.Follower
 	timeline *timeline.Ring
 	handler  *serve.Handler
 	callers  *http.Server
@@ -55,6 +57,7 @@
 	// leaving is set once the daemon drains.
 	leaving atomic.Bool
 
+	dialling          *dialling
 	callersListener   net.Listener
 	peersListener     net.Listener
 	operatorsListener net.Listener
@@ -63,31 +66,60 @@
 // New binds the listeners and wires the daemon.
 func New(s *settings.Settings, log *slog.Logger) (*App, error) {
 	a := &App{settings: s, log: log, timeline: timeline.New(s.VM, timeline.DefaultRingEvents)}
+	var err error
+	if a.dialling, err = newDialling(s); err != nil {
+		return nil, err
+	}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
 	var calls atomic.Uint64
+	observe := func(_ platform.Call, err error) {
+		calls.Add(1)
+		a.follower.Observe(err)
+	}
 	a.client = platform.New(platform.Options{
-		URL:     s.Platform.URL,
-		Token:   s.Platform.Token,
-		Observe: func(platform.Call, error) { calls.Add(1) },
+		URL:            s.Platform.URL,
+		Token:          s.Platform.Token,
+		Transport:      a.dialling.platform,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+		CallsBurst:     s.Platform.CallsBurst,
+		Observe:        observe,
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
-	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]wire.Hello)}
+	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]linkedVM)}
 	a.peers = peer.New(peer.Options{
 		Secret:  s.Peers.Secret,
-		Scheme:  "ws",
+		Scheme:  a.dialling.peerScheme,
+		HTTP:    a.dialling.peers,
 		Handler: a.inbox,
 		Hello:   a.hello(incarnation),
 		Log:     log,
 	})
+	a.ledger = a.newLedger(observe)
+	a.inbox.ledger = a.ledger
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
-	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
+	a.poller = upstream.NewPoller(upstream.PollerOptions{
+		Handler:   a.loop,
+		Transport: a.dialling.polls,
+		Scheme:    a.dialling.upstreamScheme,
+		Log:       log,
+	})
 	a.loop.SetPoller(a.poller)
-	a.watcher = watch.New(watch.Options{Store: a.client, Apply: a.apply, Log: log})
+	a.follower = follow.New(follow.Options{
+		VM:         s.VM,
+		DataCentre: s.DataCentre,
+		Seed:       rand.Uint64(),
+		Store:      a.client,
+		Sender:     a.peers,
+		Apply:      a.apply,
+		Timeline:   a.timeline,
+		Log:        log,
+	})
+	a.inbox.follower = a.follower
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
 	a.metrics = metrics.New(a.loop, metrics.Counters{
@@ -120,9 +152,12 @@
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
 	addLoop(&group, ctx, a.loop.Run)
-	addLoop(&group, ctx, a.watcher.Run)
+	addLoop(&group, ctx, a.follower.Run)
 	addLoop(&group, ctx, a.followDirectory)
 	addLoop(&group, ctx, a.poller.Run)
+	addLoop(&group, ctx, a.ledger.Run)
+	addLoop(&group, ctx, a.ledger.Sweep)
+	addLoop(&group, ctx, a.followOwners)
 	err := group.Run()
 	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
@@ -130,20 +165,6 @@
 	return err
 }
 
-func (a *App) listen() error {
-	var err error
-	if a.callersListener, err = net.Listen("tcp", a.settings.Callers.Listen); err != nil {
-		return errors.Wrap(err, "callers listener")
-	}
-	if a.peersListener, err = net.Listen("tcp", a.settings.Peers.Listen); err != nil {
-		return errors.Wrap(err, "peer listener")
-	}
-	if a.operatorsListener, err = net.Listen("tcp", a.settings.Operators.Listen); err != nil {
-		return errors.Wrap(err, "operators' listener")
-	}
-	return nil
-}
-
 func (a *App) newNode(incarnation uint64) *node.Node {
 	return node.New(node.Options{
 		VM:          a.settings.VM,
@@ -155,10 +176,15 @@
 }
 
 func (a *App) newCallers() *http.Server {
-	relayer := relay.New(relay.Options{Accounting: a.loop, Transport: upstream.NewTransport(nil)})
+	relayer := relay.New(relay.Options{
+		Accounting: a.loop,
+		Transport:  a.dialling.upstreams,
+		Scheme:     a.dialling.upstreamScheme,
+	})
 	a.handler = serve.New(serve.Options{
 		Fleet:      a.loop,
 		Relay:      relayer,
+		Ledger:     a.ledger,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
