--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -64,8 +64,6 @@
 	// floor and start are the lowest backlogged level and the own net count
 	// when the account became backlogged.
 	floor, start float64
-	// held is added to the level until the home has spoken.
-	held float64
 }
 
 // charge is what was charged for a running attempt.
