--- a/fleet/process/service/service_test.go
+++ b/fleet/process/service/service_test.go
@@ -123,9 +123,9 @@
 		now = now.Add(2 * time.Minute)
 		home.Tick(now)
 	}
-	tally, _ := home.Handover(1)
-	if sum := home.Sum(1); sum.Charged != want || tally.Len() > 2 {
-		t.Fatalf("sum %+v of %v, %d counts kept", sum, want, tally.Len())
+	kept := home.Handover(1).Tally.Len()
+	if sum := home.Sum(1); sum.Charged != want || kept > 2 {
+		t.Fatalf("sum %+v of %v, %d counts kept", sum, want, kept)
 	}
 }
 
@@ -185,6 +185,14 @@
 	}
 }
 
+func word(home version.VMID, sequence uint64, elsewhere float64) service.Word {
+	return service.Word{
+		Home:      service.Source{VM: home},
+		Sequence:  sequence,
+		Elsewhere: service.Count{Charged: elsewhere},
+	}
+}
+
 // TestAccountBackloggedElsewhereIsNotLifted joins a queue with a floor far
 // above the account's level.
 func TestAccountBackloggedElsewhereIsNotLifted(t *testing.T) {
@@ -194,8 +202,9 @@
 		if level := m.Level(1); level != 1000 {
 			t.Fatalf("level %v before the home spoke", level)
 		}
-		word := service.Word{Home: service.Source{VM: "h"}, Sequence: 1}
-		m.Hear(1, word, service.Count{Charged: 300}, 0, contested)
+		w := word("h", 1, 300)
+		w.Contested = contested
+		m.Hear(1, w)
 		want := 1000.0
 		if contested {
 			want = 300
@@ -206,16 +215,77 @@
 	}
 }
 
+func TestLargestLiftCounts(t *testing.T) {
+	m := service.NewMeter()
+	m.Join(start, 1, 50)
+	w := word("h", 1, 300)
+	w.Contested, w.Lift = true, 400
+	m.Hear(1, w)
+	if level := m.Level(1); level != 700 {
+		t.Fatalf("level %v with a lift of 400 elsewhere", level)
+	}
+}
+
 func TestOldWordOfAHomeIsIgnored(t *testing.T) {
 	m := service.NewMeter()
-	home := service.Source{VM: "h"}
-	m.Hear(1, service.Word{Home: home, Sequence: 2}, service.Count{Charged: 500}, 0, false)
-	m.Hear(1, service.Word{Home: home, Sequence: 1}, service.Count{Charged: 400}, 0, false)
+	m.Hear(1, word("h", 2, 500))
+	m.Hear(1, word("h", 1, 400))
 	if level := m.Level(1); level != 500 {
 		t.Fatalf("level %v", level)
 	}
 }
 
+// TestIgnorantHomeDoesNoLastingHarm follows an account whose home knows nothing
+// of other data centres for a while.
+func TestIgnorantHomeDoesNoLastingHarm(t *testing.T) {
+	m := service.NewMeter()
+	m.Join(start, 1, 9000)
+	ignorant := word("new", 1, 0)
+	ignorant.Partial = true
+	m.Hear(1, ignorant)
+	if level := m.Level(1); level != 9000 {
+		t.Fatalf("level %v, want the floor", level)
+	}
+	m.Hear(1, word("new", 2, 8500))
+	if level := m.Level(1); level != 9000 {
+		t.Fatalf("level %v once the home has learnt, want the floor still", level)
+	}
+	m.Leave(start, 1)
+	later := start.Add(time.Minute)
+	m.Join(later, 1, 8000)
+	m.Hear(1, word("other", 1, 0))
+	if level := m.Level(1); level != 8500 {
+		t.Fatalf("level %v after the next idle time, want what was served", level)
+	}
+}
+
+// TestNewHomeTellsNobodyUntilItKnows starts a home for an account that others
+// have counted.
+func TestNewHomeTellsNobodyUntilItKnows(t *testing.T) {
+	source := service.Source{VM: "d", Incarnation: 1}
+	waiting := service.Record{Account: 1, Count: service.Count{Charged: 10}, Backlogged: true}
+	others := []version.DataCentreID{"far"}
+	soon := start.Add(3 * time.Second)
+
+	alone := service.NewHome()
+	alone.Report(start, source, waiting)
+	if words := alone.Words(soon, others, true); len(words) != 0 {
+		t.Fatalf("words of a home that knows nothing: %+v", words)
+	}
+	told := service.NewHome()
+	told.Report(start, source, waiting)
+	told.Exchange(start, "far", service.Record{Account: 1, Count: service.Count{Charged: 90}})
+	handed := service.NewHome()
+	handed.TakeOver(start, told.Handover(1))
+	handed.Report(start, source, waiting)
+	for name, home := range map[string]*service.Home{"told": told, "handed": handed} {
+		words := home.Words(soon, others, true)
+		if len(words) != 1 || words[0].Record.Count.Charged != 90 {
+			t.Errorf("words of a home that was %s: %+v", name, words)
+		}
+	}
+}
+
 // TestPacerStaysWithinItsBudget offers more than may be sent.
 func TestPacerStaysWithinItsBudget(t *testing.T) {
 	p := service.NewPacer()
