--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -33,6 +33,9 @@
 const (
 	// readHeaderTimeout bounds the reading of a request's headers.
 	readHeaderTimeout = 5 * time.Second
+	// operatorsTimeout bounds the reading and the answering of an operator's
+	// request.
+	operatorsTimeout = 30 * time.Second
 )
 
 // App is one daemon.
@@ -120,14 +123,15 @@
 		Log:        log,
 	})
 	a.inbox.follower = a.follower
-	a.callers = a.newCallers()
-	a.links = newServer(a.peers)
 	a.metrics = metrics.New(a.loop, metrics.Counters{
 		PeerBytesSent:     a.peers.BytesSent,
 		PeerBytesReceived: a.peers.BytesReceived,
 		PlatformCalls:     calls.Load,
 	})
+	a.callers = a.newCallers()
+	a.links = newServer(a.peers)
 	a.operators = newServer(a.newOperator())
+	a.operators.ReadTimeout, a.operators.WriteTimeout = operatorsTimeout, operatorsTimeout
 	return a, nil
 }
 
@@ -185,6 +189,7 @@
 		Fleet:      a.loop,
 		Relay:      relayer,
 		Ledger:     a.ledger,
+		Counter:    a.metrics,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
--- a/lab/calls/whole_test.go
+++ b/lab/calls/whole_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
@@ -188,6 +189,39 @@
 	checkRefusal(t, got, request.ReasonUpstreamFailed, request.Unknown)
 }
 
+// TestACallerWithoutChunksGetsALengthOrARefusal covers HTTP/1.0, where a cut
+// answer without a length looks like a whole one.
+func TestACallerWithoutChunksGetsALengthOrARefusal(t *testing.T) {
+	size := 0
+	unsized := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		for range size {
+			_, _ = w.Write([]byte("x"))
+		}
+		_ = http.NewResponseController(w).Flush()
+	})
+	r := newRouter(t, setup{services: []http.Handler{unsized}})
+	text := "POST /booking/visit HTTP/1.0\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
+	size = 1000
+	if got := r.raw(t, text); !strings.Contains(got, "Content-Length: 1000\r\n") {
+		t.Errorf("the answer is %.200q, want one with its length", got)
+	}
+	size = 1 << 20
+	if got := r.raw(t, text); !strings.Contains(got, "502 Bad Gateway") {
+		t.Errorf("the answer is %.200q, want a refusal", got)
+	}
+}
+
+func TestAStreamThatDoesNotBeginIsTriedElsewhere(t *testing.T) {
+	hung, other := fast(), fast()
+	r := newRouter(t, setup{engines: []http.Handler{hung, other}, relay: relay.Options{StallTimeout: 100 * time.Millisecond}})
+	hung.SetFaults(engine.Faults{Late: 1, LateBy: time.Hour})
+	checkTokens(t, r.chat(t, streamBody), 10)
+	if hung.Counters().Cancelled != 1 || other.Counters().Served != 1 {
+		t.Errorf("counters are %+v and %+v, want one cancelled and one served", hung.Counters(), other.Counters())
+	}
+}
+
 func TestALateAnswerIsRefusedAtTheDeadline(t *testing.T) {
 	e := fast()
 	r := newRouter(t, setup{engines: []http.Handler{e}})
