--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -99,6 +99,7 @@
 		PeerBytesSent:     a.peers.BytesSent,
 		PeerBytesReceived: a.peers.BytesReceived,
 		PlatformCalls:     calls.Load,
+		Ledger:            func() any { return a.ledger.Stats() },
 	})
 	a.operators = newServer(a.newOperator())
 	return a, nil
--- a/daemon/process/ledger/calls.go
+++ b/daemon/process/ledger/calls.go
@@ -28,13 +28,19 @@
 func (l *Ledger) call(ctx context.Context, action core.Action) core.Event {
 	switch a := action.(type) {
 	case core.Write:
+		l.counters.writes.Add(1)
 		stored, err := l.options.Store.Put(ctx, a.Name, a.Value, platform.ObjectVersion(a.Expected))
-		return core.WriteDone{Operation: a.Operation, Result: resultOf(err), Version: uint64(stored)}
+		result := resultOf(err)
+		l.counters.result(result)
+		return core.WriteDone{Operation: a.Operation, Result: result, Version: uint64(stored)}
 	case core.Read:
+		l.counters.reads.Add(1)
 		object, err := l.options.Store.Get(ctx, a.Name)
+		result := resultOf(err)
+		l.counters.result(result)
 		return core.ReadDone{
 			Operation: a.Operation,
-			Result:    resultOf(err),
+			Result:    result,
 			Version:   uint64(object.Version),
 			Value:     object.Value,
 		}
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -49,12 +49,13 @@
 // Ledger owns the decision core. Its methods are safe for concurrent use. It
 // implements serve.Ledger.
 type Ledger struct {
-	options Options
-	core    *core.Ledger
-	events  chan core.Event
-	calls   chan core.Action
-	owners  atomic.Pointer[core.Owners]
-	settled atomic.Bool
+	options  Options
+	core     *core.Ledger
+	events   chan core.Event
+	calls    chan core.Action
+	owners   atomic.Pointer[core.Owners]
+	settled  atomic.Bool
+	counters counters
 	// done is closed when Run ends.
 	done chan struct{}
 
@@ -125,6 +126,7 @@
 			l.core.Step(time.Now(), core.Undelivered(a))
 		}
 	case core.Decide:
+		l.counters.verdict(a.Verdict)
 		l.resolve(a)
 	default:
 		select {
--- a/daemon/process/metrics/metrics.go
+++ b/daemon/process/metrics/metrics.go
@@ -37,6 +37,9 @@
 	PeerBytesReceived func() uint64
 	// PlatformCalls counts calls of the platform's API.
 	PlatformCalls func() uint64
+	// Ledger returns the totals of the ledger of non-idempotent requests, in
+	// a form for JSON.
+	Ledger func() any
 }
 
 // Metrics holds the variables of one daemon. It is safe for concurrent use.
@@ -57,6 +60,9 @@
 	m.vars.Set("peer_bytes_sent", total(counters.PeerBytesSent))
 	m.vars.Set("peer_bytes_received", total(counters.PeerBytesReceived))
 	m.vars.Set("platform_calls", total(counters.PlatformCalls))
+	if counters.Ledger != nil {
+		m.vars.Set("ledger", expvar.Func(counters.Ledger))
+	}
 	m.vars.Set("event_ring", expvar.Func(func() any { return m.ring() }))
 	m.vars.Set("memory", expvar.Func(func() any { return memory() }))
 	m.vars.Set("fleet", expvar.Func(func() any { return m.fleet() }))
--- a/fleet/process/ledger/event.go
+++ b/fleet/process/ledger/event.go
@@ -94,11 +94,17 @@
 func (e Withdraw) apply(l *Ledger, now time.Time) { l.withdraw(now, e.Attempt) }
 func (e Finish) apply(l *Ledger, now time.Time)   { l.finish(now, e) }
 func (e Release) apply(l *Ledger, now time.Time)  { l.release(now, e.Claim) }
-func (e Receive) apply(l *Ledger, now time.Time)  { l.receive(now, e.From, e.Message) }
 func (e Route) apply(l *Ledger, _ time.Time)      { l.owners = e.Owners }
 
 func (e Flush) apply(l *Ledger, _ time.Time) { l.flushing = true }
 
+func (e Receive) apply(l *Ledger, now time.Time) {
+	if e.Message.Kind() != wire.KindLedgerRelay {
+		delete(l.contacts, e.From)
+	}
+	l.receive(now, e.From, e.Message)
+}
+
 func (e Undelivered) apply(l *Ledger, now time.Time) { l.undelivered(now, e) }
 
 func (e ReadDone) apply(l *Ledger, now time.Time) {
--- a/fleet/process/ledger/writer.go
+++ b/fleet/process/ledger/writer.go
@@ -19,7 +19,7 @@
 	maxBatchClaims = 512
 	// maxBatchBodyBytes bounds the answers of one write.
 	maxBatchBodyBytes = 256 << 10
-	// maxWaiting bounds the claims that wait for one shard.
+	// maxWaiting bounds the claims that wait for one place.
 	maxWaiting = 4096
 	// maxNotes bounds the endings that wait for one place.
 	maxNotes = 4096
@@ -113,15 +113,16 @@
 		w.repeat(now, c, m)
 		return
 	}
-	b.waiting = append(b.waiting, &candidate{
+	c := &candidate{
 		from:    from,
 		subject: m.Subject,
 		request: m.Request,
 		stamp:   m.Stamp,
 		since:   now,
 		heard:   now,
-	})
-	w.settle(now, b)
+	}
+	b.waiting = append(b.waiting, c)
+	w.settleClaim(now, b, c)
 }
 
 // repeat answers a repeated claim that still waits. The stamp of a claim that
@@ -172,22 +173,27 @@
 // settle gives the verdicts that the book allows.
 func (w *writer) settle(now time.Time, b *book) {
 	for _, c := range slices.Clone(b.waiting) {
-		s, holder, answer := b.judge(c)
-		switch s {
-		case free:
-			c.holder = nil
-		case held:
-			w.follow(now, b, c, holder)
-		default:
-			b.remove(c)
-			w.decide(c, resultOf[s], answer)
-		}
+		w.settleClaim(now, b, c)
 	}
 	for _, n := range b.takeWritten() {
 		w.ledger.send(n.from, wire.LedgerAck{Attempt: n.subject.Attempt})
 	}
 }
 
+// settleClaim gives a claim the verdict that the book allows.
+func (w *writer) settleClaim(now time.Time, b *book, c *candidate) {
+	s, holder, answer := b.judge(c)
+	switch s {
+	case free:
+		c.holder = nil
+	case held:
+		w.follow(now, b, c, holder)
+	default:
+		b.remove(c)
+		w.decide(c, resultOf[s], answer)
+	}
+}
+
 // resultOf gives the result of each standing that ends a candidate's wait.
 var resultOf = map[standing]wire.LedgerResult{
 	mine:     wire.LedgerClaimed,
