--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -88,6 +88,7 @@
 	})
 	a.ledger = a.newLedger(observe)
 	a.inbox.ledger = a.ledger
+	a.inbox.linksChanged = a.updateOwners
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
 	a.poller = upstream.NewPoller(upstream.PollerOptions{Handler: a.loop, Log: log})
--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -17,6 +17,8 @@
 type inbox struct {
 	loop   *loop.Loop
 	ledger *ledger.Ledger
+	// linksChanged is called after a link went down.
+	linksChanged func()
 
 	mu     sync.Mutex
 	linked map[version.VMID]wire.Hello
@@ -52,6 +54,8 @@
 	}
 	i.mu.Unlock()
 	i.loop.LinkDown(hello)
+	i.linksChanged()
+	i.ledger.LinkDown(hello.VM)
 }
 
 // members returns the daemons that are linked, by VM.
--- a/daemon/process/app/ledger.go
+++ b/daemon/process/app/ledger.go
@@ -42,9 +42,7 @@
 	ticker := time.NewTicker(ownersInterval)
 	defer ticker.Stop()
 	for {
-		if config := a.loop.Config(); config != nil {
-			a.ledger.SetOwners(a.ledgerOwners(config))
-		}
+		a.updateOwners()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -53,6 +51,12 @@
 	}
 }
 
+func (a *App) updateOwners() {
+	if config := a.loop.Config(); config != nil {
+		a.ledger.SetOwners(a.ledgerOwners(config))
+	}
+}
+
 // ledgerOwners gives the shards to the daemons that are linked and in service.
 func (a *App) ledgerOwners(config *version.Config) core.Owners {
 	self := membership.Member{VM: a.settings.VM, DataCentre: a.settings.DataCentre}
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -191,6 +191,9 @@
 	l.post(core.Route{Owners: owners})
 }
 
+// LinkDown handles a link that went down.
+func (l *Ledger) LinkDown(vm version.VMID) { l.post(core.LinkLost{VM: vm}) }
+
 // Drain has every ending recorded at once and waits until all are, or ctx
 // ends.
 func (l *Ledger) Drain(ctx context.Context) {
--- a/fleet/process/ledger/attempt.go
+++ b/fleet/process/ledger/attempt.go
@@ -114,16 +114,37 @@
 	})
 }
 
-// unreachable writes a claim here whose writer has no link.
+// unreachable asks another writer about a claim whose writer has no link: the
+// one that the table names by now, or this daemon.
 func (l *Ledger) unreachable(now time.Time, id uuid.UUID, to version.VMID) {
 	a := l.claiming(id)
 	if a == nil || a.writer.VM != to || to == l.options.VM {
 		return
 	}
-	a.writer = l.self()
+	if l.owner(a.claim).VM == to {
+		a.writer = l.self()
+		a.sole = false
+	}
 	l.ask(now, a)
 }
 
+// linkLost asks others in place of a daemon whose link went down.
+func (l *Ledger) linkLost(now time.Time, vm version.VMID) {
+	for _, id := range l.sortedAttempts() {
+		l.unreachable(now, id, vm)
+	}
+	for _, w := range l.writers {
+		if w != nil {
+			w.linkLost(now, vm)
+		}
+	}
+	for other, contact := range l.contacts {
+		if contact == vm {
+			delete(l.contacts, other)
+		}
+	}
+}
+
 // self returns this daemon as a writer.
 func (l *Ledger) self() Owner { return Owner{VM: l.options.VM} }
 
--- a/fleet/process/ledger/event.go
+++ b/fleet/process/ledger/event.go
@@ -48,6 +48,9 @@
 	Message wire.Message
 }
 
+// LinkLost is a link to another daemon that went down.
+type LinkLost struct{ VM version.VMID }
+
 // Route is a new table of the shards' writers.
 type Route struct{ Owners Owners }
 
@@ -96,6 +99,8 @@
 func (e Release) apply(l *Ledger, now time.Time)  { l.release(now, e.Claim) }
 func (e Route) apply(l *Ledger, _ time.Time)      { l.owners = e.Owners }
 
+func (e LinkLost) apply(l *Ledger, now time.Time) { l.linkLost(now, e.VM) }
+
 func (e Flush) apply(l *Ledger, _ time.Time) { l.flushing = true }
 
 func (e Receive) apply(l *Ledger, now time.Time) {
--- a/fleet/process/ledger/probe.go
+++ b/fleet/process/ledger/probe.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 const (
@@ -85,6 +86,17 @@
 	}
 }
 
+// linkLost ends the probes of a daemon that cannot be asked any more.
+func (w *writer) linkLost(now time.Time, vm version.VMID) {
+	for _, b := range w.books {
+		for _, p := range b.probes {
+			if p.holder.Entry == vm {
+				lose(now, b, p)
+			}
+		}
+	}
+}
+
 // lose makes the store the last resort for an attempt's outcome.
 func lose(now time.Time, b *book, p *probe) {
 	if p.lost.IsZero() {
--- a/lab/ledgercheck/sim.go
+++ b/lab/ledgercheck/sim.go
@@ -151,7 +151,11 @@
 	if !d.up {
 		return
 	}
+	linked := s.linkedTo(d)
 	d.kill()
+	for _, other := range linked {
+		s.linkLost(other, d)
+	}
 	s.reroute()
 	s.agenda.after(down, func() {
 		d.start()
@@ -159,6 +163,27 @@
 	})
 }
 
+// linkedTo returns the daemons that have a link to d.
+func (s *Sim) linkedTo(d *daemon) []*daemon {
+	var linked []*daemon
+	for _, other := range s.daemons {
+		if other != d && s.linked(d, other) {
+			linked = append(linked, other)
+		}
+	}
+	return linked
+}
+
+// linkLost tells a daemon that the process at the other end of a link ended. It
+// works out anew who writes the shards.
+func (s *Sim) linkLost(d, lost *daemon) {
+	incarnation := d.incarnation
+	s.agenda.after(s.distance(d, lost), func() {
+		d.step(incarnation, ledger.Route{Owners: s.owners(d)})
+		d.step(incarnation, ledger.LinkLost{VM: lost.vm})
+	})
+}
+
 // Pause stops a daemon for a while.
 func (s *Sim) Pause(vm int, length time.Duration) { s.daemons[vm].pause(length) }
 
--- a/lab/ledgercheck/speed.go
+++ b/lab/ledgercheck/speed.go
@@ -16,13 +16,20 @@
 	// KeyAge spreads the times in the keys: a key is up to this old when it is
 	// used, as callers' clocks differ.
 	KeyAge time.Duration
+	// KillEvery is how often a daemon is killed; 0 is never.
+	KillEvery time.Duration
 }
 
+// killedFor is how long a killed daemon stays away.
+const killedFor = 5 * time.Second
+
 // Speed is what a stream of claims cost.
 type Speed struct {
 	Claims int
-	// Refused are claims without a permit.
+	// Refused are claims without a permit, and Lost those whose daemon was
+	// killed or was down.
 	Refused int
+	Lost    int
 	P50     time.Duration
 	P99     time.Duration
 	Max     time.Duration
@@ -45,7 +52,12 @@
 	var failure error
 	record := func(c *call) {
 		speed.Claims++
-		if c.permitted.IsZero() {
+		switch {
+		case !c.permitted.IsZero():
+		case c.got.Kind == AnswerNone:
+			speed.Lost++
+			return
+		default:
 			speed.Refused++
 			return
 		}
@@ -54,6 +66,9 @@
 		}
 	}
 	s.stream(load, record)
+	if load.KillEvery > 0 {
+		s.killEvery(load)
+	}
 	s.Run(load.Length + settleLength)
 	if violations := s.Finish(); len(violations) > 0 {
 		return Speed{}, errors.Newf("%d violations, first %s", len(violations), violations[0])
@@ -81,3 +96,10 @@
 	}
 	next()
 }
+
+// killEvery kills the daemons in turn.
+func (s *Sim) killEvery(load Load) {
+	for i := 1; time.Duration(i)*load.KillEvery < load.Length; i++ {
+		s.agenda.after(time.Duration(i)*load.KillEvery, func() { s.Kill(i%len(s.daemons), killedFor) })
+	}
+}
