--- a/daemon/process/app/ledger.go
+++ b/daemon/process/app/ledger.go
@@ -29,6 +29,7 @@
 	store := platform.New(platform.Options{
 		URL:            a.settings.Platform.URL,
 		Token:          a.settings.Platform.Token,
+		Transport:      a.dialling.platform,
 		CallsPerSecond: ledgerCallsPerSecond,
 		CallsBurst:     ledgerCallsBurst,
 		Retry:          platform.Retry{Attempts: 1},
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -49,10 +49,12 @@
 // Ledger owns the decision core. Its methods are safe for concurrent use. It
 // implements serve.Ledger.
 type Ledger struct {
-	options  Options
-	core     *core.Ledger
-	events   chan core.Event
-	calls    chan core.Action
+	options Options
+	core    *core.Ledger
+	events  chan core.Event
+	calls   chan core.Action
+	// routing keeps the core's table the same as owners.
+	routing  sync.Mutex
 	owners   atomic.Pointer[core.Owners]
 	settled  atomic.Bool
 	counters counters
@@ -184,6 +186,8 @@
 
 // SetOwners sets who writes the shards.
 func (l *Ledger) SetOwners(owners core.Owners) {
+	l.routing.Lock()
+	defer l.routing.Unlock()
 	if *l.owners.Load() == owners {
 		return
 	}
--- a/fleet/process/ledger/model_test.go
+++ b/fleet/process/ledger/model_test.go
@@ -298,7 +298,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			e := explore(newModel(x.owner, x.left, sound, x.daemons...))
-			t.Logf("%d states, of these %d with a run and %d with a replay", len(e.seen), e.ran, e.replayed)
+			t.Logf("%s: %d states, of these %d with a run and %d with a replay", x.name, len(e.seen), e.ran, e.replayed)
 			if e.found != nil {
 				t.Error(e.found.Violation)
 			}
--- a/fleet/process/node/harness_test.go
+++ b/fleet/process/node/harness_test.go
@@ -56,14 +56,18 @@
 	sites  []site
 	number version.Number
 	out    version.OutNames
+	// accounts is the number of accounts; 0 counts as 1.
+	accounts int
 }
 
 func (d *document) compile(t *testing.T) *version.Config {
 	t.Helper()
 	spec := &version.Document{
-		Accounts: []version.AccountSpec{{Name: "counters", MaxWaiting: 100_000}},
-		Pools:    []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{"m"}}},
-		Presets:  []version.PresetSpec{{Name: "day"}},
+		Pools:   []version.PoolSpec{{Name: "polish", Kind: version.PoolModel, Models: []string{"m"}}},
+		Presets: []version.PresetSpec{{Name: "day"}},
+	}
+	for i := range max(d.accounts, 1) {
+		spec.Accounts = append(spec.Accounts, version.AccountSpec{Name: accountName(i), MaxWaiting: 100_000})
 	}
 	for _, s := range d.sites {
 		spec.DataCentres = append(spec.DataCentres, version.DataCentreSpec{Name: string(s.name), Region: s.region})
@@ -158,12 +162,22 @@
 	f.t.Helper()
 	for _, s := range f.sites {
 		for _, id := range f.upstreamsOf(s.name) {
-			stand := f.Stand(id)
-			if stand.OverCold > 0 {
-				f.t.Errorf("upstream %d of %s: %d requests above the cold limit while cold", id, s.name, stand.OverCold)
+			if got := f.Stand(id).MaxRunning; got > warmLimit {
+				f.t.Errorf("upstream %d of %s ran %d at once, limit %d", id, s.name, got, warmLimit)
 			}
-			if stand.MaxRunning > warmLimit {
-				f.t.Errorf("upstream %d of %s ran %d at once, limit %d", id, s.name, stand.MaxRunning, warmLimit)
+		}
+	}
+	f.checkColdLimits()
+}
+
+// checkColdLimits fails the test if a cold upstream ever got more than it
+// bears.
+func (f *fleet) checkColdLimits() {
+	f.t.Helper()
+	for _, s := range f.sites {
+		for _, id := range f.upstreamsOf(s.name) {
+			if got := f.Stand(id).OverCold; got > 0 {
+				f.t.Errorf("upstream %d of %s: %d requests above the cold limit while cold", id, s.name, got)
 			}
 		}
 	}
--- a/fleet/process/service/record.go
+++ b/fleet/process/service/record.go
@@ -42,15 +42,18 @@
 // rounded returns the record as it arrives after encoding.
 func (r Record) rounded() Record { return FromWire(r.Wire()) }
 
-// change returns how much the level differs between two records; a difference
-// in Backlogged counts as infinite, since it changes who is told.
+// flagChange is the change of level that a change of Backlogged is worth.
+const flagChange = 500.0
+
+// change returns how much two records differ, in weighted cost units.
 func (r Record) change(other Record) float64 {
-	if r.Backlogged != other.Backlogged {
-		return math.Inf(1)
-	}
-	return math.Abs(r.Count.Charged-other.Count.Charged) +
+	change := math.Abs(r.Count.Charged-other.Count.Charged) +
 		math.Abs(r.Count.Returned-other.Count.Returned) +
 		math.Abs(r.Lift-other.Lift)
+	if r.Backlogged != other.Backlogged {
+		change += flagChange
+	}
+	return change
 }
 
 // Reports returns what an account's home should know of the own counts.
@@ -87,7 +90,7 @@
 
 // WordTo is a home's word to one daemon on one account.
 type WordTo struct {
-	VM     version.VMID
+	To     Source
 	Record Record
 }
 
@@ -105,10 +108,10 @@
 			if !source.backlogged {
 				continue
 			}
-			own := a.tally.Of(Source{VM: vm, Incarnation: source.incarnation})
-			words = append(words, WordTo{VM: vm, Record: Record{
+			to := Source{VM: vm, Incarnation: source.incarnation}
+			words = append(words, WordTo{To: to, Record: Record{
 				Account:    id,
-				Count:      total.Minus(own),
+				Count:      total.Minus(a.tally.Of(to)),
 				Lift:       a.lift,
 				Backlogged: a.backloggedBeyond(vm),
 			}.rounded()})
