Say of a key out of time that it may have run

A key refused as too old said "not run", though an earlier call may have run while its record was kept; one ahead of this clock may have been accepted by another daemon. Only a malformed key is said not to have run. A key that gets too old while its claim waits is refused as such and its attempt closed.

--- a/fleet/process/ledger/attempt.go
+++ b/fleet/process/ledger/attempt.go
@@ -205,8 +205,12 @@
 	deadline := l.stampedAt(stamp).Add(PermitValidity)
 	// The claim in the store shows that the key was not used before.
 	a.held, a.looked = false, true
-	expired := !now.Before(deadline) || !now.Before(a.deadline)
-	if expired || a.claim.Key.Check(now) != nil {
+	if err := a.claim.Key.Check(now); err != nil {
+		l.end(now, a, ending{closed: true})
+		l.refuse(a.claim.Attempt, badKey(err))
+		return
+	}
+	if !now.Before(deadline) || !now.Before(a.deadline) {
 		l.giveUp(now, a)
 		return
 	}
--- a/fleet/process/ledger/refusal.go
+++ b/fleet/process/ledger/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -32,12 +33,19 @@
 	l.refuse(id, refusal)
 }
 
+// badKey says "not run" only of a malformed key, which no daemon ever accepts.
+// One that is too old may have run in its time, and one that is ahead of this
+// clock may have been accepted by another.
 func badKey(err error) *request.Refusal {
-	return &request.Refusal{
+	refusal := &request.Refusal{
 		Reason:    request.ReasonBadIdempotencyKey,
-		Execution: request.NotRun,
+		Execution: request.Unknown,
 		Detail:    err.Error(),
 	}
+	if errors.Is(err, claim.ErrKeyMalformed) {
+		refusal.Execution = request.NotRun
+	}
+	return refusal
 }
 
 func keyReuse() *request.Refusal {
