Answer a killed daemon's store call to no later process

The cause is in the stand-in store: with a slow store, the answer to a killed daemon's write reached the next process of the daemon, whose first call has the same number; that process took its own write for done. A real process cannot get another's answer. The stand-in now notes the process when the call is made, and the seed is kept as a test.

--- a/lab/ledgercheck/schedule_test.go
+++ b/lab/ledgercheck/schedule_test.go
@@ -36,3 +36,14 @@
 		}
 	}
 }
+
+// TestSeedsThatFailedOnce keeps the schedules that found a fault.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for seed, fault := range map[uint64]string{
+		1055764: "the stand-in store answered a killed daemon's call to its next process",
+	} {
+		if outcome := Schedule(seed, Break{}); len(outcome.Violations) > 0 {
+			t.Errorf("seed %d (%s): %v", seed, fault, outcome.Violations)
+		}
+	}
+}
--- a/lab/ledgercheck/store.go
+++ b/lab/ledgercheck/store.go
@@ -54,9 +54,17 @@
 	usage    Usage
 }
 
+// caller is the process that made a call. The answer finds this process or
+// none, never a later one of the same daemon.
+type caller struct {
+	daemon      *daemon
+	incarnation uint64
+}
+
 func (s *store) read(d *daemon, a ledger.Read) {
 	s.usage.Reads++
 	faults := s.faults
+	by := caller{d, d.incarnation}
 	s.call(faults, func() {
 		result := ledger.ReadDone{Operation: a.Operation, Result: ledger.NotFound}
 		stored, present := s.objects[a.Name]
@@ -66,22 +74,23 @@
 			result.Version = stored.version
 			result.Value = stored.value
 		}
-		s.answer(d, faults, result)
+		s.answer(by, faults, result)
 	}, func(r ledger.Result) {
-		s.answer(d, faults, ledger.ReadDone{Operation: a.Operation, Result: r})
+		s.answer(by, faults, ledger.ReadDone{Operation: a.Operation, Result: r})
 	})
 }
 
 func (s *store) write(d *daemon, a ledger.Write) {
 	s.sim.reach(StepWrite)
 	faults := s.faults
+	by := caller{d, d.incarnation}
 	if !s.admit() {
 		faults.Limited = true
 	}
 	s.call(faults, func() {
 		if faults.LateWrites {
 			s.sim.agenda.after(lateBy, func() { s.apply(a) })
-			s.answer(d, faults, ledger.WriteDone{Operation: a.Operation, Result: ledger.Unresolved})
+			s.answer(by, faults, ledger.WriteDone{Operation: a.Operation, Result: ledger.Unresolved})
 			return
 		}
 		result := ledger.WriteDone{Operation: a.Operation, Result: ledger.Conflict}
@@ -92,9 +101,9 @@
 		if s.faults.LoseAnswers || s.faults.Down {
 			result = ledger.WriteDone{Operation: a.Operation, Result: ledger.Unresolved}
 		}
-		s.answer(d, faults, result)
+		s.answer(by, faults, result)
 	}, func(r ledger.Result) {
-		s.answer(d, faults, ledger.WriteDone{Operation: a.Operation, Result: r})
+		s.answer(by, faults, ledger.WriteDone{Operation: a.Operation, Result: r})
 	})
 }
 
@@ -115,12 +124,11 @@
 }
 
 // answer brings a result back to the daemon, unless it is too late there.
-func (s *store) answer(d *daemon, faults StoreFaults, event ledger.Event) {
+func (s *store) answer(by caller, faults StoreFaults, event ledger.Event) {
 	if faults.Delay > callTimeout {
 		event = unresolved(event)
 	}
-	incarnation := d.incarnation
-	s.sim.agenda.after(s.sim.options.StoreTime/2, func() { d.step(incarnation, event) })
+	s.sim.agenda.after(s.sim.options.StoreTime/2, func() { by.daemon.step(by.incarnation, event) })
 }
 
 func unresolved(event ledger.Event) ledger.Event {
