--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -103,6 +103,7 @@
 	})
 	a.ledger = a.newLedger(observe)
 	a.inbox.ledger = a.ledger
+	a.inbox.linksChanged = a.updateOwners
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
 	a.poller = upstream.NewPoller(upstream.PollerOptions{
@@ -127,6 +128,7 @@
 		PeerBytesSent:     a.peers.BytesSent,
 		PeerBytesReceived: a.peers.BytesReceived,
 		PlatformCalls:     calls.Load,
+		Ledger:            func() any { return a.ledger.Stats() },
 	})
 	a.callers = a.newCallers()
 	a.links = newServer(a.peers)
--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -19,6 +19,8 @@
 	loop     *loop.Loop
 	follower *follow.Follower
 	ledger   *ledger.Ledger
+	// linksChanged is called after the last link to a daemon went down.
+	linksChanged func()
 
 	mu     sync.Mutex
 	linked map[version.VMID]linkedVM
@@ -63,6 +65,8 @@
 func (i *inbox) LinkDown(hello wire.Hello) {
 	if i.unlink(hello.VM) {
 		i.follower.LinkDown(hello.VM)
+		i.linksChanged()
+		i.ledger.LinkDown(hello.VM)
 	}
 	i.loop.LinkDown(hello)
 }
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -53,8 +53,11 @@
 	core    *core.Ledger
 	events  chan core.Event
 	calls   chan core.Action
-	owners  atomic.Pointer[core.Owners]
-	settled atomic.Bool
+	// routing keeps the core's table the same as owners.
+	routing  sync.Mutex
+	owners   atomic.Pointer[core.Owners]
+	settled  atomic.Bool
+	counters counters
 	// done is closed when Run ends.
 	done chan struct{}
 
@@ -125,6 +128,7 @@
 			l.core.Step(time.Now(), core.Undelivered(a))
 		}
 	case core.Decide:
+		l.counters.verdict(a.Verdict)
 		l.resolve(a)
 	default:
 		select {
@@ -182,6 +186,8 @@
 
 // SetOwners sets who writes the shards.
 func (l *Ledger) SetOwners(owners core.Owners) {
+	l.routing.Lock()
+	defer l.routing.Unlock()
 	if *l.owners.Load() == owners {
 		return
 	}
@@ -189,6 +195,9 @@
 	l.post(core.Route{Owners: owners})
 }
 
+// LinkDown handles a link that went down.
+func (l *Ledger) LinkDown(vm version.VMID) { l.post(core.LinkLost{VM: vm}) }
+
 // Drain has every ending recorded at once and waits until all are, or ctx
 // ends.
 func (l *Ledger) Drain(ctx context.Context) {
--- a/fleet/process/ledger/attempt.go
+++ b/fleet/process/ledger/attempt.go
@@ -114,16 +114,37 @@
 	})
 }
 
-// unreachable writes a claim here whose writer has no link.
+// unreachable asks another writer about a claim whose writer has no link: the
+// one that the table names by now, or this daemon.
 func (l *Ledger) unreachable(now time.Time, id uuid.UUID, to version.VMID) {
 	a := l.claiming(id)
 	if a == nil || a.writer.VM != to || to == l.options.VM {
 		return
 	}
-	a.writer = l.self()
+	if l.owner(a.claim).VM == to {
+		a.writer = l.self()
+		a.sole = false
+	}
 	l.ask(now, a)
 }
 
+// linkLost asks others in place of a daemon whose link went down.
+func (l *Ledger) linkLost(now time.Time, vm version.VMID) {
+	for _, id := range l.sortedAttempts() {
+		l.unreachable(now, id, vm)
+	}
+	for _, w := range l.writers {
+		if w != nil {
+			w.linkLost(now, vm)
+		}
+	}
+	for other, contact := range l.contacts {
+		if contact == vm {
+			delete(l.contacts, other)
+		}
+	}
+}
+
 // self returns this daemon as a writer.
 func (l *Ledger) self() Owner { return Owner{VM: l.options.VM} }
 
@@ -184,8 +205,12 @@
 	deadline := l.stampedAt(stamp).Add(PermitValidity)
 	// The claim in the store shows that the key was not used before.
 	a.held, a.looked = false, true
-	expired := !now.Before(deadline) || !now.Before(a.deadline)
-	if expired || a.claim.Key.Check(now) != nil {
+	if err := a.claim.Key.Check(now); err != nil {
+		l.end(now, a, ending{closed: true})
+		l.refuse(a.claim.Attempt, badKey(err))
+		return
+	}
+	if !now.Before(deadline) || !now.Before(a.deadline) {
 		l.giveUp(now, a)
 		return
 	}
--- a/fleet/process/ledger/event.go
+++ b/fleet/process/ledger/event.go
@@ -48,6 +48,9 @@
 	Message wire.Message
 }
 
+// LinkLost is a link to another daemon that went down.
+type LinkLost struct{ VM version.VMID }
+
 // Route is a new table of the shards' writers.
 type Route struct{ Owners Owners }
 
@@ -94,11 +97,19 @@
 func (e Withdraw) apply(l *Ledger, now time.Time) { l.withdraw(now, e.Attempt) }
 func (e Finish) apply(l *Ledger, now time.Time)   { l.finish(now, e) }
 func (e Release) apply(l *Ledger, now time.Time)  { l.release(now, e.Claim) }
-func (e Receive) apply(l *Ledger, now time.Time)  { l.receive(now, e.From, e.Message) }
 func (e Route) apply(l *Ledger, _ time.Time)      { l.owners = e.Owners }
 
+func (e LinkLost) apply(l *Ledger, now time.Time) { l.linkLost(now, e.VM) }
+
 func (e Flush) apply(l *Ledger, _ time.Time) { l.flushing = true }
 
+func (e Receive) apply(l *Ledger, now time.Time) {
+	if e.Message.Kind() != wire.KindLedgerRelay {
+		delete(l.contacts, e.From)
+	}
+	l.receive(now, e.From, e.Message)
+}
+
 func (e Undelivered) apply(l *Ledger, now time.Time) { l.undelivered(now, e) }
 
 func (e ReadDone) apply(l *Ledger, now time.Time) {
