Say unknown of a keyed call that is refused before its claim

Cause: a refusal for a full queue, a passed deadline or a draining daemon said not-run also to a retry with an idempotency key whose first call may have run, because the ledger is asked only after the grant. That is true of the call and not of the request, and a caller who believes it orders again under a new key. Ruled out: asking the ledger before the queue, which costs the platform reads for requests that will not run, just when there are too many. Change: such refusals say unknown and to ask again with the same key. Refusals of calls that could never run as sent, such as a malformed key, stay not-run. The new tests fail without it.

--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -75,14 +75,14 @@
 // run gives the caller its final answer.
 func (c *call) run() {
 	if c.key != nil && c.handler.options.Ledger == nil {
-		c.refuse(refuse(request.ReasonLedgerUnavailable, "this router keeps no ledger"))
+		c.refuseUnclaimed(refuse(request.ReasonLedgerUnavailable, "this router keeps no ledger"))
 		return
 	}
 	c.ticket.Lane = request.LaneOf(c.ticket.Estimate)
 	for {
 		grant, refusal := c.acquire()
 		if refusal != nil {
-			c.refuse(refusal)
+			c.refuseUnclaimed(refusal)
 			return
 		}
 		if c.attempt(grant) {
@@ -213,3 +213,9 @@
 	}
 	c.handler.refuse(c.w, refusal)
 }
+
+// refuseUnclaimed ends a request whose idempotency key, if it has one, the
+// ledger was not asked about.
+func (c *call) refuseUnclaimed(refusal *request.Refusal) {
+	c.refuse(unclaimed(c.r, refusal))
+}
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -218,25 +218,25 @@
 func (h *Handler) hold(w http.ResponseWriter, r *http.Request, plan func(*admission, []byte) (*call, *request.Refusal)) {
 	admitted, refusal := h.admit(r)
 	if refusal != nil {
-		h.refuse(w, refusal)
+		h.refuse(w, unclaimed(r, refusal))
 		return
 	}
 	account := admitted.account.ID
 	if refusal := h.holdings.enter(account); refusal != nil {
-		h.refuse(w, refusal)
+		h.refuse(w, unclaimed(r, refusal))
 		return
 	}
 	held := &held{holdings: h.holdings, account: account}
 	defer held.release()
 	body, refusal := h.readBody(w, r, account)
 	if refusal != nil {
-		h.refuse(w, refusal)
+		h.refuse(w, unclaimed(r, refusal))
 		return
 	}
 	held.bytes = int64(len(body))
 	c, refusal := plan(admitted, body)
 	if refusal != nil {
-		h.refuse(w, refusal)
+		h.refuse(w, unclaimed(r, refusal))
 		return
 	}
 	c.held = held
--- /dev/null
+++ b/daemon/request/serve/unclaimed_test.go
@@ -0,0 +1,53 @@
+package serve
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+func TestARefusalBeforeTheClaimPromisesNothingOfEarlierCalls(t *testing.T) {
+	tests := []struct {
+		name    string
+		key     string
+		refusal request.Refusal
+		want    request.Execution
+	}{
+		{"without a key", "", request.Refusal{Reason: request.ReasonQueueFull, Execution: request.NotRun}, request.NotRun},
+		{"queue full", "k", request.Refusal{Reason: request.ReasonQueueFull, Execution: request.NotRun}, request.Unknown},
+		{"deadline", "k", request.Refusal{Reason: request.ReasonDeadline, Execution: request.NotRun}, request.Unknown},
+		{"draining", "k", request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotRun}, request.Unknown},
+		{"no ledger", "k", request.Refusal{Reason: request.ReasonLedgerUnavailable, Execution: request.NotRun}, request.Unknown},
+		{"bad key", "k", request.Refusal{Reason: request.ReasonBadIdempotencyKey, Execution: request.NotRun}, request.NotRun},
+		{"unknown model", "k", request.Refusal{Reason: request.ReasonUnknownModel, Execution: request.NotRun}, request.NotRun},
+	}
+	for _, test := range tests {
+		r := httptest.NewRequest(http.MethodPost, "/booking/visit", nil)
+		if test.key != "" {
+			r.Header.Set(HeaderIdempotencyKey, test.key)
+		}
+		if got := unclaimed(r, &test.refusal); got.Execution != test.want {
+			t.Errorf("%s: execution %q, want %q", test.name, got.Execution, test.want)
+		}
+	}
+}
+
+// noConfiguration is a fleet that has no configuration yet.
+type noConfiguration struct{ Fleet }
+
+// Config implements Fleet.
+func (noConfiguration) Config() *version.Config { return nil }
+
+func TestADaemonThatIsNotReadySaysUnknownOfAKeyedCall(t *testing.T) {
+	h := New(Options{Fleet: noConfiguration{}})
+	r := httptest.NewRequest(http.MethodPost, "/booking/visit", nil)
+	r.Header.Set(HeaderIdempotencyKey, "018f0000-0000-7000-8000-000000000000")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	if got := w.Header().Get(HeaderExecution); w.Code != http.StatusServiceUnavailable || got != string(request.Unknown) {
+		t.Errorf("status %d with execution %q, want 503 with unknown", w.Code, got)
+	}
+}
