Leave a router without a ledger its not-run

A router that keeps no ledger runs no keyed call at all, so not-run is true of the key as well; the existing check of that refusal stays as it was.

--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -75,7 +75,7 @@
 // run gives the caller its final answer.
 func (c *call) run() {
 	if c.key != nil && c.handler.options.Ledger == nil {
-		c.refuseUnclaimed(refuse(request.ReasonLedgerUnavailable, "this router keeps no ledger"))
+		c.refuse(refuse(request.ReasonLedgerUnavailable, "this router keeps no ledger"))
 		return
 	}
 	c.ticket.Lane = request.LaneOf(c.ticket.Estimate)
--- a/daemon/request/serve/unclaimed.go
+++ b/daemon/request/serve/unclaimed.go
@@ -9,13 +9,12 @@
 // passing are the reasons that say nothing of the request itself: the same
 // request may be admitted at another time, or may have been.
 var passing = map[request.Reason]bool{
-	request.ReasonNotReady:          true,
-	request.ReasonAccountQueueFull:  true,
-	request.ReasonQueueFull:         true,
-	request.ReasonDeadline:          true,
-	request.ReasonNoUpstream:        true,
-	request.ReasonCallerGone:        true,
-	request.ReasonLedgerUnavailable: true,
+	request.ReasonNotReady:         true,
+	request.ReasonAccountQueueFull: true,
+	request.ReasonQueueFull:        true,
+	request.ReasonDeadline:         true,
+	request.ReasonNoUpstream:       true,
+	request.ReasonCallerGone:       true,
 }
 
 // unclaimed makes a refusal true of a request with an idempotency key that the
