Ask for free slots elsewhere every five seconds

A dispatcher whose tickets wait told each peer so every 2 s, to be kept informed for 5 s; now every 5 s for 12 s. What it is told and when stays the same.

--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -15,9 +15,9 @@
 
 const (
 	// needInterval is how often a dispatcher whose tickets wait says so.
-	needInterval = 2 * time.Second
+	needInterval = 5 * time.Second
 	// needTime is how long it is then told of free slots.
-	needTime = 5 * time.Second
+	needTime = 12 * time.Second
 	// peerRetry is how long after a lost link a peer is registered with again.
 	peerRetry = 100 * time.Millisecond
 	// peerDigestInterval is how often a registration with a peer is renewed.
