--- a/lab/fleetproc/fleetproc.go
+++ b/lab/fleetproc/fleetproc.go
@@ -22,6 +22,7 @@
 	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
+	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/demo"
@@ -53,6 +54,9 @@
 type Fleet struct {
 	Platform    *platform.Platform
 	platformURL string
+	// PeerAddress returns the address under which a daemon is listed for its
+	// peers; default its own.
+	PeerAddress func(p *Process) string
 
 	mu  sync.Mutex
 	vms []client.VM
@@ -85,15 +89,15 @@
 	err     error
 }
 
-// Start runs a daemon and waits until it is ready. change may be nil.
-func (f *Fleet) Start(t testing.TB, vm version.VMID, dataCentre version.DataCentreID, change func(*settings.Settings)) *Process {
+// Start runs a daemon and waits until it is ready. edit may be nil.
+func (f *Fleet) Start(t testing.TB, vm version.VMID, dataCentre version.DataCentreID, edit func(*settings.Settings)) *Process {
 	t.Helper()
 	path, err := binary()
 	if err != nil {
 		t.Fatalf("build the daemon: %v", err)
 	}
 	p := &Process{VM: vm, ended: make(chan struct{})}
-	p.command = exec.Command(path, "serve", "--settings", f.settingsFile(t, vm, dataCentre, change))
+	p.command = exec.Command(path, "serve", "--settings", f.settingsFile(t, vm, dataCentre, edit))
 	logs, err := p.command.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -103,12 +107,25 @@
 	}
 	t.Cleanup(func() { p.end(t) })
 	p.readAddresses(t, logs)
-	f.list(client.VM{ID: vm, DataCentre: dataCentre, PeerAddress: p.Peers, State: client.VMLive})
+	address := p.Peers
+	if f.PeerAddress != nil {
+		address = f.PeerAddress(p)
+	}
+	f.list(client.VM{ID: vm, DataCentre: dataCentre, PeerAddress: address, State: client.VMLive})
 	p.AwaitReady(t, true)
 	return p
 }
 
-func (f *Fleet) settingsFile(t testing.TB, vm version.VMID, dataCentre version.DataCentreID, change func(*settings.Settings)) string {
+// Change changes the configuration and puts the result in force.
+func (f *Fleet) Change(t testing.TB, edit func(*change.State) error) {
+	t.Helper()
+	store := client.New(client.Options{URL: f.platformURL})
+	if _, err := change.New(change.Options{Store: store}).Change(t.Context(), edit); err != nil {
+		t.Fatalf("change the configuration: %v", err)
+	}
+}
+
+func (f *Fleet) settingsFile(t testing.TB, vm version.VMID, dataCentre version.DataCentreID, edit func(*settings.Settings)) string {
 	t.Helper()
 	s := settings.Default()
 	s.VM, s.DataCentre = vm, dataCentre
@@ -116,8 +133,8 @@
 	s.Callers.DrainGraceMS = 0
 	s.Peers.Secret, s.Operators.Token = "secret", operatorsToken
 	s.Platform.URL = f.platformURL
-	if change != nil {
-		change(s)
+	if edit != nil {
+		edit(s)
 	}
 	text, err := toml.Marshal(s)
 	if err != nil {
