Own no role before the platform's list has the daemon

Cause: TestDemoServesEveryAccountWholeAnswers failed now and then on a busy machine with two broken answers. The time line and the engines' counters showed two daemons of one data centre that started together, each before the list had the other, each dispatching the pool: both granted the one cold slot of both upstreams, and the engines fell over. The wait for other members was satisfied by a member of another data centre. Ruled out: a late leave in the engine stand-in, which counts down before it ends its stream. Change: a daemon owns no role until the list has had its own VM, or for 10 s. The load tool now says why an answer broke, and the demo lists its VMs before they start.

--- a/fleet/process/membership/membership.go
+++ b/fleet/process/membership/membership.go
@@ -24,6 +24,9 @@
 	// LapseTime is how long a lapsed or merely listed member still owns slots
 	// of warm upstreams.
 	LapseTime = 3 * time.Second
+	// UnlistedTime is how long a daemon that started waits until the
+	// platform's list has it.
+	UnlistedTime = 10 * time.Second
 	// unreachableTime is how long a listed daemon of another data centre may
 	// take to be linked before another one is taken in its place.
 	unreachableTime = 3 * time.Second
@@ -64,10 +67,15 @@
 	order []*record
 	// listedAt is when the platform's list last came; zero is never.
 	listedAt time.Time
-	probes   probes
-	gossip   gossip
-	outbox   []Send
-	changed  bool
+	// selfListed is set once the platform's list has had this daemon's VM, so
+	// that it has all that were started before.
+	selfListed bool
+	// asked is when MayOwn was first called; zero is never.
+	asked   time.Time
+	probes  probes
+	gossip  gossip
+	outbox  []Send
+	changed bool
 }
 
 // record is what is kept of one VM.
@@ -142,6 +150,18 @@
 	return member, r.linked || r.listed
 }
 
+// MayOwn reports whether this daemon may own roles: the platform's list has had
+// its VM, and with it all that were started before. Until then, daemons that
+// were started together may not know of one another, and each would use all
+// slots. One that is not listed within UnlistedTime of the first call goes by
+// its peers.
+func (t *Tracker) MayOwn(now time.Time) bool {
+	if t.asked.IsZero() {
+		t.asked = now
+	}
+	return t.selfListed || now.Sub(t.asked) >= UnlistedTime
+}
+
 // SlotMembers returns the VMs of the data centre that may own slots. One that
 // is live by the platform's list or by peers counts for cold upstreams.
 func (t *Tracker) SlotMembers(now time.Time) []slots.Member {
@@ -224,6 +244,9 @@
 			r.since = now
 		}
 		r.listed, r.leaving, r.address = true, vm.Leaving, vm.Address
+		if vm.ID == t.options.Self.VM {
+			t.selfListed = true
+		}
 	}
 	t.order = slices.DeleteFunc(t.order, func(r *record) bool {
 		gone := !r.listed && !r.linked && (!r.known || r.State == Lapsed)
--- a/fleet/process/membership/membership_test.go
+++ b/fleet/process/membership/membership_test.go
@@ -259,3 +259,36 @@
 		t.Errorf("owner %q, want the other one than %q", next, owner)
 	}
 }
+
+func TestDaemonThatIsNotListedYetOwnsNothing(t *testing.T) {
+	now := time.UnixMilli(0)
+	self := VM{ID: vmOf(0), DataCentre: "north"}
+	other := VM{ID: vmOf(1), DataCentre: "north"}
+	tracker := New(Options{Self: Member{VM: self.ID, DataCentre: "north", Incarnation: 1}})
+	if tracker.MayOwn(now) {
+		t.Error("may own roles before any list came")
+	}
+	tracker.List(now, []VM{other})
+	if tracker.MayOwn(now) {
+		t.Error("may own roles by a list from before its start")
+	}
+	tracker.List(now, []VM{self, other})
+	if !tracker.MayOwn(now) {
+		t.Error("may not own roles although the list has it")
+	}
+	tracker.List(now, nil)
+	if !tracker.MayOwn(now) {
+		t.Error("a list that lost the daemon takes its roles away")
+	}
+}
+
+func TestDaemonThatIsNeverListedGoesByItsPeersInTheEnd(t *testing.T) {
+	now := time.UnixMilli(0)
+	tracker := New(Options{Self: Member{VM: vmOf(0), DataCentre: "north", Incarnation: 1}})
+	if tracker.MayOwn(now) || tracker.MayOwn(now.Add(UnlistedTime-1)) {
+		t.Error("may own roles too early")
+	}
+	if !tracker.MayOwn(now.Add(UnlistedTime)) {
+		t.Errorf("owns nothing although %v passed", UnlistedTime)
+	}
+}
--- a/fleet/process/node/roles.go
+++ b/fleet/process/node/roles.go
@@ -60,9 +60,10 @@
 	n.updateView(now)
 	n.updateSettled(now)
 	members := n.tracker.SlotMembers(now)
+	mayOwn := n.tracker.MayOwn(now)
 	for _, pool := range n.pools() {
 		ranked := n.view.Ranked(n.options.DataCentre, dispatcherKey(pool))
-		owner := len(ranked) > 0 && ranked[0] == n.options.VM
+		owner := mayOwn && len(ranked) > 0 && ranked[0] == n.options.VM
 		n.entry.SetTarget(now, pool, n.target(now, pool, ranked))
 		n.setOwner(now, pool, owner)
 	}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -120,6 +120,7 @@
 
 func startDaemons(ctx context.Context, store *platform.Platform, platformAddress string, log *slog.Logger) (*fleet, error) {
 	f := &fleet{platform: platformAddress}
+	var daemons []*app.App
 	var vms []client.VM
 	for i, dataCentre := range []version.DataCentreID{"north", "north", "south"} {
 		s := settings.Default()
@@ -144,13 +145,16 @@
 			PeerAddress: daemon.PeersAddress(),
 			State:       client.VMLive,
 		})
+		daemons = append(daemons, daemon)
+	}
+	store.SetVMs(vms)
+	for _, daemon := range daemons {
 		f.running.Go(func() {
 			if err := daemon.Run(ctx); err != nil {
-				log.Error("daemon", "vm", s.VM, "error", err)
+				log.Error("daemon", "error", err)
 			}
 		})
 	}
-	store.SetVMs(vms)
 	return f, nil
 }
 
--- a/lab/demo/demo_test.go
+++ b/lab/demo/demo_test.go
@@ -15,7 +15,7 @@
 	}
 	for _, r := range results {
 		if r.Broken != 0 || r.Refusals() != 0 {
-			t.Errorf("%s: %d broken, %d refused, want none", r.Account.Name, r.Broken, r.Refusals())
+			t.Errorf("%s: %d broken, %d refused, want none; first: %+v", r.Account.Name, r.Broken, r.Refusals(), r.FirstError)
 		}
 		if want := r.Answers * tokensPerAnswer; r.Answers == 0 || r.Tokens != want {
 			t.Errorf("%s: %d tokens in %d answers, want %d", r.Account.Name, r.Tokens, r.Answers, want)
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -66,6 +66,8 @@
 	// Answers counts whole answers, Broken those that ended early.
 	Answers int
 	Broken  int
+	// FirstError says why the first broken answer broke; nil if none did.
+	FirstError error
 	// Refused counts refusals by reason.
 	Refused map[request.Reason]int
 	// Tokens counts the tokens of whole answers.
@@ -254,7 +256,7 @@
 		a.tokens++
 		last = now
 	}
-	a.err = errShort
+	a.err = errors.CombineErrors(errors.Wrapf(errShort, "after %d tokens", a.tokens), lines.Err())
 	return a
 }
 
@@ -264,6 +266,9 @@
 	switch {
 	case a.err != nil:
 		r.Broken++
+		if r.FirstError == nil {
+			r.FirstError = a.err
+		}
 	case a.refusal != "":
 		r.Refused[a.refusal]++
 	default:
