Let an entry wait for a daemon that may own its pool's role

An entry whose own daemon would be the dispatcher, but may not own a role yet, registered there, was sent away and waited for a backoff of up to two seconds. It now has no target until there is an owner. TestFailedSendMakesTheEntry- RegisterAgain failed on it.

--- a/fleet/process/node/roles.go
+++ b/fleet/process/node/roles.go
@@ -63,9 +63,13 @@
 	mayOwn := n.tracker.MayOwn(now)
 	for _, pool := range n.pools() {
 		ranked := n.view.Ranked(n.options.DataCentre, dispatcherKey(pool))
-		owner := mayOwn && len(ranked) > 0 && ranked[0] == n.options.VM
-		n.entry.SetTarget(now, pool, n.target(now, pool, ranked))
-		n.setOwner(now, pool, owner)
+		owner := len(ranked) > 0 && ranked[0] == n.options.VM
+		target := n.target(now, pool, ranked)
+		if owner && !mayOwn {
+			target = entry.Target{}
+		}
+		n.entry.SetTarget(now, pool, target)
+		n.setOwner(now, pool, owner && mayOwn)
 	}
 	for _, pool := range n.ownedPools() {
 		n.dispatchers[pool].SetMembers(now, members)
