Wait in one place

The pause that a context ends stood four times in the daemon, and the map of those who wait for a decision twice, in the loop and in the ledger's driver. Both are in daemon/process/wait now; nothing else changed.

--- a/daemon/connection/platform/client.go
+++ b/daemon/connection/platform/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 )
 
 const (
@@ -140,7 +142,7 @@
 		case !transient(err):
 			return object, err
 		default:
-			if err := sleep(ctx, pauses.after(err)); err != nil {
+			if err := wait.Sleep(ctx, pauses.after(err)); err != nil {
 				return Object{}, err
 			}
 		}
--- a/daemon/connection/platform/retry.go
+++ b/daemon/connection/platform/retry.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 )
 
 // Retry paces the attempts of one call: exponential backoff with full jitter.
@@ -50,7 +52,7 @@
 		if err == nil || !repeatable(err) || n >= r.Attempts {
 			return err
 		}
-		if sleep(ctx, pauses.after(err)) != nil {
+		if wait.Sleep(ctx, pauses.after(err)) != nil {
 			return err
 		}
 	}
@@ -61,14 +63,3 @@
 
 // withoutEffect reports whether a write may be repeated after err.
 func withoutEffect(err error) bool { return errors.Is(err, ErrRateLimited) }
-
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/daemon/connection/platform/settle.go
+++ b/daemon/connection/platform/settle.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 )
 
 // ErrUnconfirmed is returned by Settle if it cannot be told whether the write
@@ -48,7 +50,7 @@
 			return 0, errors.Wrap(ErrConflict, "another write was first")
 		}
 		// The write may still be under way, so its absence proves nothing.
-		if n >= retry.Attempts || sleep(ctx, pauses.after(err)) != nil {
+		if n >= retry.Attempts || wait.Sleep(ctx, pauses.after(err)) != nil {
 			return 0, errors.Mark(errors.Wrap(err, "write not confirmed"), ErrUnconfirmed)
 		}
 	}
--- a/daemon/process/app/drain.go
+++ b/daemon/process/app/drain.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 )
@@ -90,12 +91,8 @@
 }
 
 func (d *drainer) pause(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-d.group.Done():
-	}
+	// The caller looks at the group itself.
+	_ = wait.Sleep(d.group, pause)
 }
 
 // addCallers adds the callers' server. After a drain it ends with the run
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
@@ -61,8 +62,7 @@
 	// done is closed when Run ends.
 	done chan struct{}
 
-	mu      sync.Mutex
-	waiters map[uuid.UUID]chan claim.Verdict
+	waiters wait.Map[uuid.UUID, claim.Verdict]
 }
 
 // New returns a ledger that does not run yet.
@@ -77,9 +77,8 @@
 		}),
 		events: make(chan core.Event, ringEvents),
 		// A shard has one call under way at most, so this ring never fills.
-		calls:   make(chan core.Action, core.Shards),
-		done:    make(chan struct{}),
-		waiters: make(map[uuid.UUID]chan claim.Verdict),
+		calls: make(chan core.Action, core.Shards),
+		done:  make(chan struct{}),
 	}
 	l.owners.Store(&core.Owners{})
 	l.settled.Store(true)
@@ -144,12 +143,12 @@
 	if !bounded {
 		deadline = time.Now().Add(longestWait)
 	}
-	decided := l.await(c.Attempt)
+	decided := l.waiters.Await(c.Attempt)
 	l.settled.Store(false)
 	select {
 	case l.events <- core.Submit{Claim: c, Deadline: deadline}:
 	default:
-		l.forget(c.Attempt)
+		l.waiters.Forget(c.Attempt)
 		return claim.Verdict{Refusal: core.Overloaded()}
 	}
 	select {
@@ -227,27 +226,8 @@
 	}
 }
 
-func (l *Ledger) await(attempt uuid.UUID) chan claim.Verdict {
-	decided := make(chan claim.Verdict, 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.waiters[attempt] = decided
-	return decided
-}
-
-func (l *Ledger) forget(attempt uuid.UUID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.waiters, attempt)
-}
-
 // resolve ends the wait of a claim.
 func (l *Ledger) resolve(d core.Decide) {
-	l.mu.Lock()
-	decided, waiting := l.waiters[d.Attempt]
-	delete(l.waiters, d.Attempt)
-	l.mu.Unlock()
-	if waiting {
-		decided <- d.Verdict
-	}
+	// A claim that was given up has no waiter any more.
+	l.waiters.Resolve(d.Attempt, d.Verdict)
 }
--- a/daemon/process/ledger/ledger_test.go
+++ b/daemon/process/ledger/ledger_test.go
@@ -126,7 +126,7 @@
 	if got.Refusal == nil || got.Refusal.Execution != request.Unknown || got.Refusal.RetryAfter == 0 {
 		t.Errorf("got %+v, want a refusal that says when to come back", got)
 	}
-	if len(l.waiters) != 0 {
+	if l.waiters.Len() != 0 {
 		t.Error("a refused claim is still waited for")
 	}
 }
--- a/daemon/process/ledger/stats.go
+++ b/daemon/process/ledger/stats.go
@@ -58,9 +58,7 @@
 
 // Stats returns the present totals.
 func (l *Ledger) Stats() Stats {
-	l.mu.Lock()
-	waiting := len(l.waiters)
-	l.mu.Unlock()
+	waiting := l.waiters.Len()
 	shards := 0
 	for _, owner := range l.owners.Load() {
 		if owner == (core.Owner{VM: l.options.VM}) {
--- a/daemon/process/ledger/sweep.go
+++ b/daemon/process/ledger/sweep.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 )
 
@@ -32,7 +33,7 @@
 		for shard := range swept {
 			l.sweepShard(ctx, core.Shard(shard), &swept[shard])
 		}
-		if err := pause(ctx, sweepInterval); err != nil {
+		if err := wait.Sleep(ctx, sweepInterval); err != nil {
 			return err
 		}
 	}
@@ -73,7 +74,7 @@
 			return err
 		}
 	}
-	return pause(ctx, sweepPause)
+	return wait.Sleep(ctx, sweepPause)
 }
 
 // remove removes an object. Another daemon may have been first.
@@ -85,16 +86,5 @@
 	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
 		return errors.Wrapf(err, "remove %s", name)
 	}
-	return pause(ctx, sweepPause)
-}
-
-func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return wait.Sleep(ctx, sweepPause)
 }
--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -6,12 +6,12 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/slots"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
@@ -67,8 +67,7 @@
 	// done is closed when Run ends.
 	done chan struct{}
 
-	mu      sync.Mutex
-	waiters map[request.ID]chan decision
+	waiters wait.Map[request.ID, decision]
 }
 
 // decision ends a request's wait: exactly one field is set.
@@ -83,7 +82,6 @@
 		options: options,
 		events:  make(chan node.Event, ringEvents),
 		done:    make(chan struct{}),
-		waiters: make(map[request.ID]chan decision),
 	}
 }
 
@@ -140,8 +138,8 @@
 // Acquire waits until the fleet grants an upstream for the ticket, refuses it
 // or ctx ends.
 func (l *Loop) Acquire(ctx context.Context, ticket request.Ticket) (request.Grant, *request.Refusal) {
-	decided := l.await(ticket.ID)
-	defer l.forget(ticket.ID)
+	decided := l.waiters.Await(ticket.ID)
+	defer l.waiters.Forget(ticket.ID)
 	if !l.offer(node.Submit{Ticket: ticket}) {
 		return request.Grant{}, &request.Refusal{
 			Reason:     request.ReasonQueueFull,
@@ -160,7 +158,7 @@
 // abandon ends a wait whose ctx has ended. A grant that came at the same time
 // is handed back.
 func (l *Loop) abandon(ctx context.Context, id request.ID, decided <-chan decision) (request.Grant, *request.Refusal) {
-	l.forget(id)
+	l.waiters.Forget(id)
 	select {
 	case d := <-decided:
 		if d.grant != nil {
@@ -203,20 +201,6 @@
 	}
 }
 
-func (l *Loop) await(id request.ID) chan decision {
-	decided := make(chan decision, 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.waiters[id] = decided
-	return decided
-}
-
-func (l *Loop) forget(id request.ID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.waiters, id)
-}
-
 // carryOut does what the node decided.
 func (l *Loop) carryOut(ctx context.Context) {
 	for actions := l.options.Node.Ready(); len(actions) > 0; actions = l.options.Node.Ready() {
@@ -255,15 +239,7 @@
 
 // resolve ends a wait. A grant that nobody waits for any more is handed back.
 func (l *Loop) resolve(id request.ID, d decision) {
-	l.mu.Lock()
-	decided, waiting := l.waiters[id]
-	delete(l.waiters, id)
-	l.mu.Unlock()
-	if waiting {
-		decided <- d
-		return
-	}
-	if d.grant != nil {
+	if !l.waiters.Resolve(id, d) && d.grant != nil {
 		l.options.Node.Step(time.Now(), node.End{Finish: unused(*d.grant)})
 	}
 }
--- a/daemon/process/loop/loop_test.go
+++ b/daemon/process/loop/loop_test.go
@@ -73,7 +73,7 @@
 	l.Post(node.Configure{Config: configOf(t)})
 	l.step()
 	ticket := ticketOf(l)
-	decided := l.await(ticket.ID)
+	decided := l.waiters.Await(ticket.ID)
 	grant := request.Grant{ID: ticket.ID, Attempt: 1, Pool: ticket.Pool, Upstream: version.NewUpstreamID("u")}
 	l.resolve(ticket.ID, decision{grant: &grant})
 	ended, cancel := context.WithCancel(t.Context())
--- a/daemon/version/follow/watch.go
+++ b/daemon/version/follow/watch.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
 	"github.com/trefoilwell/trefoilwell/fleet/version/distribute"
@@ -65,7 +66,7 @@
 			if ctx.Err() == nil {
 				f.options.Log.Warn("configuration watch", "error", err)
 			}
-			sleep(ctx, rand.N(pause))
+			_ = wait.Sleep(ctx, rand.N(pause))
 			pause = min(2*pause, retryMax)
 			continue
 		}
@@ -106,7 +107,7 @@
 // harmless.
 func (f *Follower) absorb(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, absorbInterval/2+rand.N(absorbInterval/2))
+		_ = wait.Sleep(ctx, absorbInterval/2+rand.N(absorbInterval/2))
 		status := f.Status()
 		if !status.Watching || len(status.Orders) == 0 {
 			continue
@@ -121,12 +122,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
