Look for the own VM in the platform's list twice a second after a start

Cause: a daemon owns no role until the list has its VM, or for 10 s. With 340 VMs the list is read every 36 s, so a daemon whose first read came too early would have gone by its peers, of whom it may know none. Change: reads are 0.5 s apart until a list has the daemon, 20 of them at most.

--- a/daemon/process/app/directory.go
+++ b/daemon/process/app/directory.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 const (
@@ -16,12 +19,17 @@
 	// directoryPerVM is added to that time for each VM in the list, so that
 	// the bytes a second stay the same as the fleet grows.
 	directoryPerVM = 100 * time.Millisecond
+	// unlistedPause is the time between reads while a list lacks this daemon's
+	// own VM, which owns no role until it is listed.
+	unlistedPause = 500 * time.Millisecond
+	// unlistedReads bounds the reads at that pace.
+	unlistedReads = int(membership.UnlistedTime / unlistedPause)
 )
 
 // followDirectory hands the platform's list of VMs to the decision core. While
 // the platform is away, the last list stays.
 func (a *App) followDirectory(ctx context.Context) error {
-	var pace pace
+	pace := pace{self: a.settings.VM}
 	for {
 		vms, err := a.client.VMs(ctx)
 		if err != nil {
@@ -29,35 +37,46 @@
 		} else {
 			a.loop.Post(node.Directory{VMs: membersOf(vms)})
 		}
-		timer := time.NewTimer(pace.after(len(vms), err))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := wait.Sleep(ctx, pace.after(vms, err)); err != nil {
+			return err
 		}
 	}
 }
 
 // pace spaces the reads of the list. It keeps the size of the last list, since a
 // large fleet must not call a platform in trouble more often than a healthy one.
-type pace struct{ listed int }
+type pace struct {
+	self   version.VMID
+	listed int
+	// found is set once a list had the daemon's own VM, and missed counts the
+	// lists before that.
+	found  bool
+	missed int
+}
 
 // after returns the time until the next read.
-func (p *pace) after(listed int, err error) time.Duration {
+func (p *pace) after(vms []platform.VM, err error) time.Duration {
 	if err == nil {
-		p.listed = listed
+		p.note(vms)
+		if !p.found && p.missed < unlistedReads {
+			return spread(unlistedPause)
+		}
 	}
-	return directoryPause(p.listed)
+	return spread(directoryMin + time.Duration(p.listed)*directoryPerVM)
 }
 
-// directoryPause returns when to read the list again. It varies by a quarter,
-// so that daemons that start together do not read together.
-func directoryPause(vms int) time.Duration {
-	pause := directoryMin + time.Duration(vms)*directoryPerVM
-	return pause*3/4 + rand.N(pause/2)
+func (p *pace) note(vms []platform.VM) {
+	p.listed = len(vms)
+	p.found = p.found || slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == p.self })
+	if !p.found {
+		p.missed++
+	}
 }
 
+// spread varies a pause by a quarter, so that daemons that start together do
+// not read together.
+func spread(pause time.Duration) time.Duration { return pause*3/4 + rand.N(pause/2) }
+
 func membersOf(vms []platform.VM) []membership.VM {
 	members := make([]membership.VM, 0, len(vms))
 	for _, vm := range vms {
