--- a/daemon/process/metrics/metrics.go
+++ b/daemon/process/metrics/metrics.go
@@ -128,6 +128,13 @@
 	CrossRegionBytes uint64               `json:"cross_region_bytes"`
 	Members          map[string]int       `json:"members"`
 	Pools            map[string]poolValue `json:"pools"`
+	// Service is by account.
+	Service map[string]serviceValue `json:"service"`
+}
+
+type serviceValue struct {
+	LevelUnits   float64 `json:"level_units"`
+	CountedUnits float64 `json:"counted_units"`
 }
 
 type poolValue struct {
@@ -170,6 +177,13 @@
 		CrossRegionBytes: stats.CrossRegionBytes,
 		Members:          make(map[string]int),
 		Pools:            make(map[string]poolValue),
+		Service:          make(map[string]serviceValue),
+	}
+	for _, account := range stats.Service {
+		value.Service[names.account(account.Account)] = serviceValue{
+			LevelUnits:   account.Level,
+			CountedUnits: account.Counted,
+		}
 	}
 	for _, member := range stats.Members {
 		value.Members[stateName(member.State)]++
--- a/daemon/process/metrics/metrics_test.go
+++ b/daemon/process/metrics/metrics_test.go
@@ -34,6 +34,7 @@
 		Version: 9,
 		Entry:   node.EntryStats{Waiting: 4, Running: 2},
 		Members: []membership.Member{{VM: "a"}, {VM: "b", State: membership.Lapsed}},
+		Service: []node.ServiceStats{{Account: account, Level: 250, Counted: 100}},
 		Pools: []node.PoolStats{{
 			Pool:      pool,
 			Waiting:   4,
@@ -81,6 +82,7 @@
 		"fleet/version":                                    9.0,
 		"fleet/members/lapsed":                             1.0,
 		"fleet/pools/polish/accounts/crews/waiting":        4.0,
+		"fleet/service/crews/level_units":                  250.0,
 		"fleet/pools/polish/accounts/crews/oldest_seconds": 1.5,
 	}
 	for path, want := range tests {
@@ -123,5 +125,5 @@
 
 // namedByConfiguration lists the objects whose keys are configured names.
 var namedByConfiguration = map[string]bool{
-	"requests_refused": true, "members": true, "pools": true, "accounts": true, "upstreams": true,
+	"requests_refused": true, "members": true, "pools": true, "accounts": true, "upstreams": true, "service": true,
 }
--- a/fleet/process/node/stats.go
+++ b/fleet/process/node/stats.go
@@ -20,6 +20,8 @@
 	Entry   EntryStats
 	// Pools lists the pools dispatched here, by ID.
 	Pools []PoolStats
+	// Service lists what this daemon's dispatchers counted for each account.
+	Service []ServiceStats
 	// Members lists the VMs of the own data centre, by name.
 	Members []membership.Member
 	// CrossRegionBytes counts request bodies and estimated answers that
@@ -37,6 +39,16 @@
 	Running int
 }
 
+// ServiceStats describes the service of one account.
+type ServiceStats struct {
+	Account version.AccountID
+	// Level is the account's service over the whole fleet divided by its
+	// weight, as known here, in cost units.
+	Level float64
+	// Counted is the part of it that was granted here.
+	Counted float64
+}
+
 // PoolStats describes one dispatcher.
 type PoolStats struct {
 	Pool version.PoolID
@@ -97,6 +109,7 @@
 	for _, pool := range n.ownedPools() {
 		stats.Pools = append(stats.Pools, n.poolStats(now, pool))
 	}
+	stats.Service = n.serviceStats()
 	for _, member := range n.view.Members {
 		if member.DataCentre == n.options.DataCentre {
 			stats.Members = append(stats.Members, member)
@@ -126,3 +139,16 @@
 	}
 	return stats
 }
+
+func (n *Node) serviceStats() []ServiceStats {
+	var all []ServiceStats
+	for _, id := range n.sums.meter.Accounts() {
+		own := n.sums.meter.Own(id)
+		all = append(all, ServiceStats{
+			Account: id,
+			Level:   n.sums.meter.Level(id),
+			Counted: own.Charged - own.Returned,
+		})
+	}
+	return all
+}
--- a/fleet/process/service/meter.go
+++ b/fleet/process/service/meter.go
@@ -176,6 +176,9 @@
 	return Count{}
 }
 
+// Accounts returns the accounts that this meter has counted for, in order.
+func (m *Meter) Accounts() []version.AccountID { return m.ids() }
+
 // Changes implements Levels.
 func (m *Meter) Changes(cursor uint64) ([]version.AccountID, uint64, bool) {
 	next := m.forgotten + uint64(len(m.changed))
