Put claims on the time line

The way of a request with an idempotency key showed its grant and its end but not what the ledger said in between; the kind of event was there and nobody recorded it. The test with real processes looks for the event.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -188,6 +188,7 @@
 		Scheme:     a.dialling.upstreamScheme,
 	})
 	a.handler = serve.New(serve.Options{
+		Claimed:    a.recordClaim,
 		Fleet:      a.loop,
 		Relay:      relayer,
 		Ledger:     a.ledger,
--- a/daemon/process/app/ledger.go
+++ b/daemon/process/app/ledger.go
@@ -7,8 +7,11 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
+	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
@@ -79,6 +82,19 @@
 	return core.NewOwners(self, dataCentres, membership.NewView(members))
 }
 
+// recordClaim puts what the ledger said of a claim on the time line.
+func (a *App) recordClaim(c serve.Claimed) {
+	a.timeline.Record(time.Now(), timeline.Event{
+		Kind:     timeline.KindClaimed,
+		Request:  request.Key{Entry: a.settings.VM, Incarnation: a.incarnation, ID: c.Grant.ID},
+		Attempt:  c.Grant.Attempt,
+		Account:  c.Account,
+		Pool:     c.Grant.Pool,
+		Upstream: c.Grant.Upstream,
+		Detail:   c.Verdict,
+	})
+}
+
 func memberOf(m operator.Member) membership.Member {
 	return membership.Member{VM: m.VM, DataCentre: m.DataCentre, Incarnation: m.Incarnation}
 }
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -27,6 +27,7 @@
 		Attempt: attempt.Attempt,
 	}
 	verdict := c.claim(asked)
+	c.note(attempt.Grant, verdict)
 	if verdict.Run == nil {
 		carrier.Settle(carrier.Unused(attempt.Grant))
 		c.withoutRun(verdict)
@@ -104,6 +105,27 @@
 	return c.handler.options.Ledger.Claim(ctx, asked)
 }
 
+// note tells what the ledger said.
+func (c *call) note(grant request.Grant, verdict claim.Verdict) {
+	if c.handler.options.Claimed == nil {
+		return
+	}
+	c.handler.options.Claimed(Claimed{Grant: grant, Account: c.account, Verdict: nameOf(verdict)})
+}
+
+func nameOf(verdict claim.Verdict) string {
+	switch {
+	case verdict.Run != nil:
+		return "run"
+	case verdict.Replay != nil:
+		return "replay"
+	case verdict.Refusal != nil:
+		return string(verdict.Refusal.Reason)
+	default:
+		return "none"
+	}
+}
+
 // withoutRun answers a request that the ledger does not let run.
 func (c *call) withoutRun(verdict claim.Verdict) {
 	switch {
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -60,6 +60,14 @@
 	Refused(reason request.Reason)
 }
 
+// Claimed is what the ledger said of one claim.
+type Claimed struct {
+	Grant   request.Grant
+	Account version.AccountID
+	// Verdict is "run", "replay" or the reason of a refusal.
+	Verdict string
+}
+
 // Options set up a Handler.
 type Options struct {
 	Fleet Fleet
@@ -67,6 +75,9 @@
 	// Ledger claims requests with an idempotency key; without one they are
 	// refused.
 	Ledger Ledger
+	// Claimed is told what the ledger said of each claim; default nothing. It
+	// must not block.
+	Claimed func(Claimed)
 	// Counter counts final answers; default none.
 	Counter Counter
 	// VM and DataCentre tell whether operators have taken this daemon out.
--- a/fleet/process/timeline/timeline.go
+++ b/fleet/process/timeline/timeline.go
@@ -32,7 +32,7 @@
 	KindFinished Kind = "finished"
 	// KindRefused is a request refused by this router.
 	KindRefused Kind = "refused"
-	// KindClaimed is a claim recorded in the ledger.
+	// KindClaimed is what the ledger said of a claim; the detail is its verdict.
 	KindClaimed Kind = "claimed"
 	// KindRegistered is an entry that registered with a dispatcher.
 	KindRegistered Kind = "registered"
--- a/lab/fleetproc/ledger_test.go
+++ b/lab/fleetproc/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/service"
 )
@@ -110,6 +111,9 @@
 	if answer.err != nil || answer.status != http.StatusOK {
 		t.Fatalf("the call got %+v", answer)
 	}
+	if claims := first.events(t, timeline.KindClaimed); claims != 1 {
+		t.Errorf("%d claims on the time line, want 1", claims)
+	}
 	first.Signal(t, syscall.SIGTERM)
 	if code := first.Wait(); code != 0 {
 		t.Errorf("the daemon ended with %d", code)
