Make a seed give the same run

Probes were concluded in a map's order, so two waiting retries of one place could be answered in either order. They are concluded in the order of their attempts now; 100 seeds run twice give the same outcomes.

--- a/fleet/process/ledger/probe.go
+++ b/fleet/process/ledger/probe.go
@@ -120,7 +120,8 @@
 // concludeProbes answers those that follow a lost attempt whose outcome the
 // store does not have either. The read was issued at a time.
 func (w *writer) concludeProbes(b *book, issued time.Time) {
-	for attempt, p := range b.probes {
+	for _, attempt := range sortedProbes(b) {
+		p := b.probes[attempt]
 		if p.lost.IsZero() || p.lost.After(issued) {
 			continue
 		}
--- a/lab/ledgercheck/schedule_test.go
+++ b/lab/ledgercheck/schedule_test.go
@@ -1,6 +1,9 @@
 package ledgercheck
 
-import "testing"
+import (
+	"reflect"
+	"testing"
+)
 
 func TestSchedules(t *testing.T) {
 	t.Parallel()
@@ -47,3 +50,13 @@
 		}
 	}
 }
+
+// TestASeedGivesTheSameRun lets a failed seed be run again.
+func TestASeedGivesTheSameRun(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(100) {
+		if first, again := Schedule(seed, Break{}), Schedule(seed, Break{}); !reflect.DeepEqual(first, again) {
+			t.Errorf("seed %d: %+v, then %+v", seed, first, again)
+		}
+	}
+}
