Hold utilisation to its target in every scenario, restarts included

The bound was left out where a VM restarts, on the explanation that lost requests run on at their upstreams.

--- a/lab/bench/figures.go
+++ b/lab/bench/figures.go
@@ -31,18 +31,6 @@
 	"presets":         true,
 }
 
-// conservingScenarios are those in which every slot is known to the fleet.
-// After a restart or a silent return to cold, slots are held by work that no
-// daemon sees any more.
-var conservingScenarios = map[string]bool{
-	"steady":          true,
-	"data-centre-out": true,
-	"partition":       true,
-	"flood":           true,
-	"flood-of-large":  true,
-	"presets":         true,
-}
-
 // Figures derives the report's figures from results.
 func Figures(results []measure.Result) []Figure {
 	var figures []Figure
@@ -69,15 +57,12 @@
 	if r.Scenario == "growing" {
 		return figures
 	}
-	figures = append(figures, Figure{
-		Name: name("fairness-gap"), Unit: "cost units", Value: r.Gap, Bound: r.Bound,
-	})
-	if conservingScenarios[r.Scenario] {
-		figures = append(figures, Figure{
+	figures = append(figures,
+		Figure{Name: name("fairness-gap"), Unit: "cost units", Value: r.Gap, Bound: r.Bound},
+		Figure{
 			Name: name("utilisation"), Unit: "fraction", Value: r.Utilisation,
 			Bound: utilisationTarget, Higher: true,
 		})
-	}
 	if r.Scenario == "data-centre-out" {
 		figures = append(figures, Figure{
 			Name: name("new-work-while-out"), Unit: "grants", Value: float64(r.NewWorkWhileOut),
