Build the end of an unused grant in one place

The loop, the relay and the dispatcher's spilling each built the same Finish for a grant that is handed back. It is request.Grant.Unused now; behaviour is the same, and no test was changed.

--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -162,7 +162,7 @@
 	select {
 	case d := <-decided:
 		if d.grant != nil {
-			l.End(unused(*d.grant))
+			l.End(d.grant.Unused())
 		}
 	default:
 		l.Post(node.Withdraw{ID: id})
@@ -240,17 +240,7 @@
 // resolve ends a wait. A grant that nobody waits for any more is handed back.
 func (l *Loop) resolve(id request.ID, d decision) {
 	if !l.waiters.Resolve(id, d) && d.grant != nil {
-		l.options.Node.Step(time.Now(), node.End{Finish: unused(*d.grant)})
-	}
-}
-
-func unused(grant request.Grant) request.Finish {
-	return request.Finish{
-		ID:       grant.ID,
-		Attempt:  grant.Attempt,
-		Pool:     grant.Pool,
-		Upstream: grant.Upstream,
-		Outcome:  request.OutcomeUnused,
+		l.options.Node.Step(time.Now(), node.End{Finish: d.grant.Unused()})
 	}
 }
 
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -177,13 +177,7 @@
 
 // Unused is the Result of a grant that is handed back.
 func (r *Relay) Unused(grant request.Grant) Result {
-	return Result{NotRun: true, finish: request.Finish{
-		ID:       grant.ID,
-		Attempt:  grant.Attempt,
-		Pool:     grant.Pool,
-		Upstream: grant.Upstream,
-		Outcome:  request.OutcomeUnused,
-	}}
+	return Result{NotRun: true, finish: grant.Unused()}
 }
 
 // finish describes the attempt's end for its dispatcher.
--- a/fleet/process/dispatcher/spill.go
+++ b/fleet/process/dispatcher/spill.go
@@ -228,7 +228,7 @@
 	}
 	r := d.registrationOf(placed.key)
 	if r == nil {
-		p.end(now, grant.ID, unused(grant), 0)
+		p.end(now, grant.ID, grant.Unused(), 0)
 		return
 	}
 	ticket := placed.item.Ticket
@@ -292,13 +292,3 @@
 		}
 	}
 }
-
-func unused(grant request.Grant) request.Finish {
-	return request.Finish{
-		ID:       grant.ID,
-		Attempt:  grant.Attempt,
-		Pool:     grant.Pool,
-		Upstream: grant.Upstream,
-		Outcome:  request.OutcomeUnused,
-	}
-}
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -74,6 +74,17 @@
 	Upstream version.UpstreamID
 }
 
+// Unused returns the end of a grant that is handed back.
+func (g Grant) Unused() Finish {
+	return Finish{
+		ID:       g.ID,
+		Attempt:  g.Attempt,
+		Pool:     g.Pool,
+		Upstream: g.Upstream,
+		Outcome:  OutcomeUnused,
+	}
+}
+
 // Outcome tells how an attempt ended.
 type Outcome uint8
 
