--- a/daemon/cmd/trefoilwell/main.go
+++ b/daemon/cmd/trefoilwell/main.go
@@ -12,8 +12,10 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/app"
+	"github.com/trefoilwell/trefoilwell/daemon/process/edge"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/lab/demo"
+	"github.com/trefoilwell/trefoilwell/platform"
 )
 
 const (
@@ -26,10 +28,13 @@
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 }
 
-// serveCommand runs the daemon.
+// serveCommand runs the daemon, on the users' platform or with settings of its
+// own.
 type serveCommand struct {
-	globals  *globals
-	Settings string `long:"settings" short:"s" required:"true" description:"settings file (TOML)"`
+	globals          *globals
+	Settings         string `long:"settings" short:"s" description:"settings file of the product (TOML); takes precedence over the platform's"`
+	PlatformSettings string `long:"platform-settings" description:"settings file of the users' platform; default the one that the platform names"`
+	MetricsPort      int    `long:"metrics-port" default:"0" description:"port of the VM that serves metrics on the users' platform; 0 does not"`
 }
 
 // checkCommand checks a settings file.
@@ -75,6 +80,9 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
+	if c.Settings == "" {
+		return c.onPlatform()
+	}
 	loaded, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -88,6 +96,28 @@
 	return daemon.Run(ctx)
 }
 
+// onPlatform runs the daemon on the users' platform.
+func (c *serveCommand) onPlatform() error {
+	path := c.PlatformSettings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	if path == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "give --settings or --platform-settings"}
+	}
+	daemon, err := edge.New(edge.Options{
+		SettingsPath: path,
+		MetricsPort:  c.MetricsPort,
+		LogLevel:     logLevel(c.globals.LogLevel),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	return daemon.Run(ctx)
+}
+
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
 	_, err := settings.Load(c.Settings)
@@ -110,9 +140,13 @@
 }
 
 func newLogger(level string) *slog.Logger {
-	var parsed slog.Level
-	if err := parsed.UnmarshalText([]byte(level)); err != nil {
-		parsed = slog.LevelInfo
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(level)}))
+}
+
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		return slog.LevelInfo
 	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: parsed}))
+	return level
 }
--- /dev/null
+++ b/daemon/process/edge/drain.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+const (
+	// noticeTime is how long the balancer may take to send no new connections:
+	// it asks once a second and acts on the second failure.
+	noticeTime = 3 * time.Second
+	// killMargin is kept back from the platform's grace for the last answers
+	// and the exit.
+	killMargin = 600 * time.Millisecond
+	// pollInterval is how often the drain looks for requests.
+	pollInterval = 50 * time.Millisecond
+	// lastBytesTime bounds the sending of the last bytes of answers.
+	lastBytesTime = 300 * time.Millisecond
+	// leaveTimeout bounds the removal of the registration.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// errDrained ends the run group of a daemon that has drained.
+var errDrained = errors.New("drained")
+
+// addDrain adds the duty that drains the daemon once ctx ends: not ready and
+// every answer the last of its connection, while requests are still served;
+// then, when none is left or the grace is over, the end.
+func (e *Edge) addDrain(group *run.Group, ctx context.Context) {
+	over, stop := context.WithCancel(context.Background())
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			return e.drain(over)
+		case <-over.Done():
+			return over.Err()
+		}
+	}, func(error) { stop() })
+}
+
+func (e *Edge) drain(over context.Context) error {
+	began := time.Now()
+	e.leaving.Store(true)
+	e.handler.Leave()
+	e.log.Info("stopping", "requests", e.handler.Held())
+	e.unregister(over)
+	last := began.Add(e.settings.Load().Bounds.Grace - killMargin)
+	for time.Now().Before(last) {
+		if time.Since(began) >= noticeTime && e.handler.Held() == 0 {
+			break
+		}
+		if err := wait.Sleep(over, pollInterval); err != nil {
+			return err
+		}
+	}
+	left := e.handler.Held()
+	ctx, cancel := context.WithTimeout(over, lastBytesTime)
+	defer cancel()
+	if err := e.callers.http.Shutdown(ctx); err != nil {
+		e.log.Warn("requests are cut off at the end of the grace", "requests", left)
+	}
+	return errDrained
+}
+
+// unregister removes this process from the members. If the store does not
+// answer, a successor with the same name takes the entry over.
+func (e *Edge) unregister(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	name := string(e.settings.Load().VM)
+	if err := e.store.Delete(call, platform.KindMember, name); err != nil {
+		e.log.Warn("registration remains", "error", err)
+	}
+}
--- /dev/null
+++ b/daemon/process/edge/edge.go
@@ -0,0 +1,269 @@
+// Package edge wires a daemon on the users' platform: callers come through the
+// platform's balancer, upstreams and operators write to its metadata store.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
+	"github.com/trefoilwell/trefoilwell/daemon/process/logsink"
+	"github.com/trefoilwell/trefoilwell/daemon/process/placing"
+	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
+	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
+	"github.com/trefoilwell/trefoilwell/daemon/version/mirror"
+	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
+	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+const (
+	// freshMargin is kept back from the bound on revoked keys for what passes
+	// between the check and the sending of a request.
+	freshMargin = 500 * time.Millisecond
+	// memoryShare is the part of the VM's memory that the garbage collector
+	// aims to stay below; the rest is for stacks and the kernel's buffers.
+	memoryShare = 0.7
+	// heldShare is the part of the VM's memory that bodies may take.
+	heldShare = 0.3
+	// callersIdleTimeout closes a caller's connection without a request. It is
+	// longer than any bound that a configuration has set, because a caller that
+	// uses a connection to the end of its bound must not find it closed.
+	callersIdleTimeout = 2 * time.Minute
+	// storeConnections bounds the connections to the store: one for each watch
+	// and one for reads.
+	storeConnections = 8
+)
+
+// Options set up an Edge.
+type Options struct {
+	// SettingsPath is the platform's settings file.
+	SettingsPath string
+	// MetricsPort serves metrics on the VM's address; 0 does not.
+	MetricsPort int
+	// LogLevel is the lowest level that is logged.
+	LogLevel slog.Level
+}
+
+// Edge is one daemon.
+type Edge struct {
+	options  Options
+	settings atomic.Pointer[platform.Settings]
+	sink     *logsink.Sink
+	log      *slog.Logger
+
+	store   *platform.Store
+	storing *http.Transport
+	mirror  *mirror.Mirror
+	placing *placing.Manager
+	handler *serve.General
+	metrics *metrics
+
+	callers   server
+	readiness server
+	observed  *server
+	leaving   atomic.Bool
+}
+
+// server is an HTTP server with its bound listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// New reads the settings, binds the listeners and wires the daemon.
+func New(options Options) (*Edge, error) {
+	settings, err := platform.LoadSettings(options.SettingsPath)
+	if err != nil {
+		return nil, err
+	}
+	e := &Edge{options: options, sink: logsink.New(os.Stdout, logsink.DefaultBytes), metrics: newMetrics()}
+	e.settings.Store(settings)
+	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
+		With("vm", settings.VM)
+	limitResources(settings)
+	e.placing = placing.New(placement.New(placement.Options{
+		VM:          settings.VM,
+		DataCentre:  settings.DataCentre,
+		Regions:     settings.DataCentres,
+		ColdOverage: settings.Bounds.ColdOverage,
+		ColdSlack:   settings.Bounds.ColdSlack,
+	}))
+	e.storing = &http.Transport{MaxIdleConnsPerHost: storeConnections, DisableCompression: true}
+	e.store = platform.NewStore(settings.Store, e.storing)
+	e.mirror = mirror.New(mirror.Options{
+		Store: e.store,
+		Clock: clock.Boot,
+		Apply: e.apply,
+		Lost:  e.storing.CloseIdleConnections,
+		Log:   e.log,
+	})
+	e.handler = e.newHandler(settings)
+	return e, e.listen(settings)
+}
+
+// limitResources keeps the runtime within the VM.
+func limitResources(settings *platform.Settings) {
+	if settings.Cores > 0 {
+		runtime.GOMAXPROCS(settings.Cores)
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+}
+
+func (e *Edge) newHandler(settings *platform.Settings) *serve.General {
+	return serve.NewGeneral(serve.GeneralOptions{
+		Fleet: e.placing,
+		Relay: relay.New(relay.Options{
+			Accounting: e.placing,
+			Transport:  upstream.NewTransport(nil),
+			Dialect:    platform.Dialect{},
+			General:    true,
+			Begun:      e.placing.Begun,
+		}),
+		Incoming:     platform.Incoming,
+		Fresh:        e.fresh,
+		Counter:      e.metrics,
+		Retry:        e.retryOptions,
+		MaxHeldBytes: int64(heldShare * float64(settings.MemoryBytes)),
+		Finished:     e.metrics.finished,
+		Log:          e.log,
+	})
+}
+
+func (e *Edge) listen(settings *platform.Settings) error {
+	handler := serve.NewServer(e.handler)
+	handler.IdleTimeout = callersIdleTimeout
+	var err error
+	if e.callers, err = newServer(handler, settings.Callers); err != nil {
+		return errors.Wrap(err, "callers listener")
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: time.Second}
+	if e.readiness, err = newServer(ready, settings.Readiness); err != nil {
+		return errors.Wrap(err, "readiness listener")
+	}
+	if e.options.MetricsPort == 0 {
+		return nil
+	}
+	address := net.JoinHostPort(settings.IP, port(e.options.MetricsPort))
+	observed, err := newServer(&http.Server{Handler: e.metrics, ReadHeaderTimeout: time.Second}, address)
+	if err != nil {
+		return errors.Wrap(err, "metrics listener")
+	}
+	e.observed = &observed
+	return nil
+}
+
+func newServer(http *http.Server, address string) (server, error) {
+	listener, err := net.Listen("tcp", address)
+	return server{http: http, listener: listener}, err
+}
+
+// Run serves until ctx ends and the requests have then ended.
+func (e *Edge) Run(ctx context.Context) error {
+	settings := e.settings.Load()
+	e.log.Info("started", "callers", settings.Callers, "store", settings.Store,
+		"data_centre", settings.DataCentre, "first_start", settings.FirstStart)
+	var group run.Group
+	e.addDrain(&group, ctx)
+	// What serves requests outlasts ctx until the drain is done.
+	ctx = context.WithoutCancel(ctx)
+	e.callers.add(&group)
+	e.readiness.add(&group)
+	if e.observed != nil {
+		e.observed.add(&group)
+	}
+	addDuty(&group, ctx, e.mirror.FollowConfig)
+	addDuty(&group, ctx, e.mirror.FollowUpstreams)
+	addDuty(&group, ctx, e.mirror.FollowEvacuations)
+	addDuty(&group, ctx, e.mirror.FollowMembers)
+	addDuty(&group, ctx, e.register)
+	addDuty(&group, ctx, e.followSettings)
+	addDuty(&group, ctx, e.sink.Run)
+	err := group.Run()
+	e.log.Info("stopped")
+	e.sink.Flush()
+	if errors.IsAny(err, errDrained, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (s server) add(group *run.Group) {
+	group.Add(func() error {
+		return s.http.Serve(s.listener)
+	}, func(error) {
+		s.http.Close()
+	})
+}
+
+func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return duty(ctx) }, func(error) { cancel() })
+}
+
+// apply takes a new state of the store.
+func (e *Edge) apply(config *version.Config, members []version.VMID) {
+	e.placing.Configure(config, len(members))
+	e.log.Debug("state in force", "version", config.Number, "upstreams", len(config.Upstreams),
+		"out", config.Out.DataCentres, "members", len(members))
+}
+
+// fresh reports whether API keys may be trusted, and how old the confirmation
+// of the configuration is.
+func (e *Edge) fresh() (bool, time.Duration) {
+	age := clock.Boot().Sub(e.mirror.Confirmed())
+	bound := e.settings.Load().Bounds.Revoke
+	return bound == 0 || age < bound-freshMargin, age
+}
+
+// retryOptions is this process's part of the fleet's retry budget.
+func (e *Edge) retryOptions() retry.WindowOptions {
+	bounds := e.settings.Load().Bounds
+	return retry.WindowOptions{
+		Length: bounds.RetryWindow,
+		Ratio:  bounds.RetryRatio * retryShare,
+		Slack:  bounds.RetrySlack / slackParts,
+	}
+}
+
+const (
+	// retryShare is the part of the permitted ratio that is used, because the
+	// permitted window need not match this process's.
+	retryShare = 0.8
+	// slackParts is how many processes the permitted number is split over. It
+	// exceeds the processes of the smallest fleet with those that replace
+	// others.
+	slackParts = 16
+)
+
+// ready answers the balancer.
+func (e *Edge) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadinessPath {
+		http.NotFound(w, r)
+		return
+	}
+	fresh, _ := e.fresh()
+	if e.leaving.Load() || e.placing.Config() == nil || !fresh {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+var _ relay.Accounting = (*placing.Manager)(nil)
+
+var _ serve.Counter = (*metrics)(nil)
--- a/daemon/request/relay/event.go
+++ b/daemon/request/relay/event.go
@@ -22,6 +22,8 @@
 	text []byte
 	// data is what its data lines carry; nil if it has none.
 	data []byte
+	// id is the event's identifier; nil if it has none.
+	id []byte
 }
 
 // last reports whether the event ends the stream.
@@ -34,6 +36,7 @@
 	reader *bufio.Reader
 	text   []byte
 	data   []byte
+	id     []byte
 }
 
 // newEventReader returns a reader that must be released.
@@ -54,10 +57,11 @@
 
 // next returns the next whole event, valid until the following call. A stream
 // that ends gives ErrCut, whether between events or inside one: the caller of
-// next stops at the last event.
+// next stops at the last event. Between events the error is io.EOF too if the
+// body had its proper end.
 func (r *eventReader) next() (event, error) {
-	r.text, r.data = r.text[:0], r.data[:0]
-	hasData := false
+	r.text, r.data, r.id = r.text[:0], r.data[:0], r.id[:0]
+	hasData, hasID := false, false
 	for {
 		line, err := r.line()
 		if err != nil {
@@ -66,6 +70,10 @@
 		if len(line) == 0 {
 			break
 		}
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			r.id = append(r.id[:0], bytes.TrimPrefix(value, []byte(" "))...)
+			hasID = true
+		}
 		if value, found := bytes.CutPrefix(line, []byte("data:")); found {
 			if hasData {
 				r.data = append(r.data, '\n')
@@ -74,10 +82,14 @@
 			hasData = true
 		}
 	}
-	if !hasData {
-		return event{text: r.text}, nil
+	next := event{text: r.text}
+	if hasData {
+		next.data = r.data
+	}
+	if hasID {
+		next.id = r.id
 	}
-	return event{text: r.text, data: r.data}, nil
+	return next, nil
 }
 
 // line adds a line to the event's text and returns it without its end.
@@ -92,6 +104,9 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if err != nil && len(r.text) > 0 {
+			return nil, errors.Wrapf(ErrCut, "inside an event: %v", err)
+		}
 		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "read event"), ErrCut)
 		}
--- a/daemon/request/relay/header.go
+++ b/daemon/request/relay/header.go
@@ -10,9 +10,6 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// ownPrefix starts the names of the router's own headers.
-const ownPrefix = "X-Trefoilwell-"
-
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
 var hopHeaders = map[string]bool{
 	"Connection":          true,
@@ -26,21 +23,12 @@
 	"Upgrade":             true,
 }
 
-// keptBack are a caller's headers that no upstream may see: the API key, what
-// the body's framing says anew, and what only a router may say.
-var keptBack = map[string]bool{
-	"Authorization":        true,
-	"Content-Length":       true,
-	"Expect":               true,
-	upstream.HeaderAttempt: true,
-	upstream.HeaderFencing: true,
-	upstream.HeaderNotRun:  true,
-}
-
+// copyRequestHeader copies a caller's headers but for those of one connection
+// and the length, which the body's framing says anew.
 func copyRequestHeader(to, from http.Header, kind version.PoolKind) {
 	dropped := connectionHeaders(from)
 	for name, values := range from {
-		if hopHeaders[name] || keptBack[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+		if hopHeaders[name] || dropped[name] || name == "Content-Length" {
 			continue
 		}
 		to[name] = values
@@ -58,7 +46,7 @@
 func copyAnswerHeader(to, from http.Header) {
 	dropped := connectionHeaders(from)
 	for name, values := range from {
-		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, upstream.OwnPrefix) {
 			continue
 		}
 		switch name {
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -57,6 +56,16 @@
 	// SlowReader is how long a caller may take to accept a piece of the
 	// answer; default 30 s.
 	SlowReader time.Duration
+	// Dialect is how upstreams are spoken to; default upstream.Native.
+	Dialect upstream.Dialect
+	// General is set for upstreams that are sent requests of any form. They
+	// take the caller's Host, may answer without a length, end a stream with
+	// the answer's body, and serve nothing beside the request itself: another
+	// upstream continues a stream, and closing the connection cancels it.
+	General bool
+	// Begun is told when an answer begins, with the load that it tells or nil;
+	// default nothing. It must not block.
+	Begun func(grant request.Grant, load *request.Load)
 }
 
 const (
@@ -80,6 +89,12 @@
 	if options.SlowReader == 0 {
 		options.SlowReader = defaultSlowReader
 	}
+	if options.Dialect == nil {
+		options.Dialect = upstream.Native{}
+	}
+	if options.Begun == nil {
+		options.Begun = func(request.Grant, *request.Load) {}
+	}
 	return &Relay{options: options}
 }
 
@@ -91,10 +106,16 @@
 	// Request is the caller's request; its body has been read into Body.
 	Request *http.Request
 	Body    []byte
-	// Attempt identifies the attempt in the whole fleet.
-	Attempt uuid.UUID
+	// Out is what the upstream is told beside the caller's request. Its ID
+	// identifies the attempt. Instance and Left are filled in when it is sent.
+	Out request.Outgoing
 	// AnswerBy is when the answer must have begun.
 	AnswerBy time.Time
+	// EndBy is when the answer must have ended; zero sets no bound.
+	EndBy time.Time
+	// Rest continues a stream that broke off at another upstream; nil begins
+	// an answer.
+	Rest *Rest
 	// Stream is set if the caller asked for a stream of events. Its first one
 	// must come within the stall timeout.
 	Stream bool
@@ -134,12 +155,24 @@
 	Retry bool
 	// Answer is the whole answer, for Call.Record.
 	Answer *claim.Answer
+	// Rest is what another upstream needs to continue the stream, with
+	// EndBroken; nil if nothing can.
+	Rest *Rest
+	// Err says why the attempt failed; nil if it did not.
+	Err error
 
 	finish request.Finish
 	// cancel is the attempt to cancel at its upstream.
 	cancel *attempt
 }
 
+// Rest is a stream of which a part was relayed.
+type Rest struct {
+	out *callerWriter
+	// LastEvent is the identifier of the last event that was relayed.
+	LastEvent string
+}
+
 // attempt is one attempt on its way.
 type attempt struct {
 	relay   *Relay
@@ -155,12 +188,16 @@
 func (r *Relay) Do(w http.ResponseWriter, call Call) Result {
 	a := &attempt{relay: r, call: call, started: time.Now()}
 	a.out = newCallerWriter(w, call, r.options.SlowReader)
+	if call.Rest != nil {
+		a.out = call.Rest.out
+	}
 	a.meter = newMeter(r.options.Accounting, call)
 	target, known := r.options.Accounting.Config().Upstreams[call.Grant.Upstream]
 	if !known {
 		return a.unsent(ErrUnconfigured, request.OutcomeUnused)
 	}
 	a.target = target
+	a.call.Out.Instance = target.Instance
 	result := a.run()
 	result.finish = a.finish(result.finish.Outcome)
 	return result
@@ -210,7 +247,7 @@
 		sent := probe.Seal()
 		err = a.cause(ctx, err)
 		if !sent {
-			return a.unsent(err, request.OutcomeBroken)
+			return a.unsent(err, request.OutcomeUnreachable)
 		}
 		return a.failed(err)
 	}
@@ -220,21 +257,35 @@
 
 // answer relays the answer according to its form.
 func (a *attempt) answer(response *http.Response, timer *stallTimer) Result {
-	if response.Header.Get(upstream.HeaderAttempt) != a.call.Attempt.String() {
+	dialect := a.relay.options.Dialect
+	if !dialect.Echoes(response.Header, a.call.Out) {
 		return a.failed(ErrCrossed)
 	}
 	if response.StatusCode < http.StatusOK {
 		return a.failed(errors.Wrapf(ErrCut, "final status %d", response.StatusCode))
 	}
-	if refusedBeforeRun(response) {
+	if dialect.NotRun(response.StatusCode, response.Header) {
 		return a.refusedByUpstream(response)
 	}
-	if a.call.Kind == version.PoolModel && isEventStream(response) {
+	a.begun(response)
+	switch {
+	case a.call.Kind == version.PoolModel && isEventStream(response):
 		return a.stream(response, timer)
+	case a.call.Rest != nil:
+		return a.failed(errors.Wrapf(ErrCut, "stream was continued with status %d", response.StatusCode))
 	}
 	return a.whole(response, timer)
 }
 
+// begun tells that the answer has begun.
+func (a *attempt) begun(response *http.Response) {
+	if load, told := a.relay.options.Dialect.Load(response.Header); told {
+		a.relay.options.Begun(a.call.Grant, &load)
+		return
+	}
+	a.relay.options.Begun(a.call.Grant, nil)
+}
+
 // context returns the context of one of the attempt's calls, which ends with
 // cause if the upstream sends nothing within limit. An attempt that is
 // recorded outlives its caller.
@@ -243,7 +294,7 @@
 	if a.call.Record {
 		parent = context.WithoutCancel(parent)
 	}
-	return newStallTimer(parent, limit, cause)
+	return newStallTimer(parent, limit, cause, a.call.EndBy)
 }
 
 // firstContext bounds the wait for the beginning of the answer. An attempt that
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -40,13 +39,14 @@
 		Refusal: refusal,
 		NotRun:  true,
 		Retry:   !errors.IsAny(err, ErrLate, ErrPermitOver),
+		Err:     err,
 		finish:  a.finish(outcome),
 	}
 }
 
 // failed ends an attempt that was sent and of which nothing was written.
 func (a *attempt) failed(err error) Result {
-	result := Result{Ending: EndRefused, cancel: a}
+	result := Result{Ending: EndRefused, cancel: a, Err: err}
 	result.finish.Outcome = request.OutcomeBroken
 	switch {
 	case errors.Is(err, ErrCallerGone):
@@ -106,15 +106,6 @@
 	return false
 }
 
-// refusedBeforeRun reports whether the upstream promises that nothing ran.
-func refusedBeforeRun(response *http.Response) bool {
-	switch response.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return response.Header.Get(upstream.HeaderNotRun) == "true"
-	}
-	return false
-}
-
 func (a *attempt) refusedByUpstream(response *http.Response) Result {
 	result := Result{
 		Ending: EndRefused,
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
 )
 
@@ -31,11 +32,13 @@
 	first *http.Response
 	// events counts the events with data that were written.
 	events int
+	// lastEvent is the identifier of the last event that was written.
+	lastEvent string
 }
 
 // stream relays an answer of events, whole events only.
 func (a *attempt) stream(response *http.Response, timer *stallTimer) Result {
-	s := &streaming{attempt: a, first: response}
+	s := &streaming{attempt: a, first: response, lastEvent: a.call.Out.LastEvent}
 	err := s.pump(response, timer)
 	for failures := 0; s.resumable(err) && failures < maxResumes; failures++ {
 		before := s.events
@@ -52,14 +55,32 @@
 		return a.gone()
 	case !a.out.begun:
 		return a.failed(err)
+	case s.relay.options.General:
+		return s.interrupted(err)
 	}
 	s.breakOff()
 	return a.broken()
 }
 
+// interrupted ends an attempt that broke off in the midst of a stream, which
+// another upstream may continue unless time is up.
+func (s *streaming) interrupted(err error) Result {
+	result := s.broken()
+	result.Err = err
+	if errors.Is(err, ErrLate) {
+		result.finish.Outcome = request.OutcomeCancelled
+		return result
+	}
+	result.Rest = &Rest{out: s.out, LastEvent: s.lastEvent}
+	return result
+}
+
 // resumable reports whether the same upstream is asked for the rest. One that
 // stalled before the first event is left for another one.
 func (s *streaming) resumable(err error) bool {
+	if s.relay.options.General {
+		return false
+	}
 	if errors.Is(err, ErrStalled) {
 		return s.out.begun || s.call.Record
 	}
@@ -73,6 +94,9 @@
 	defer reader.release()
 	for {
 		next, err := reader.next()
+		if errors.Is(err, io.EOF) && s.relay.options.General {
+			return nil
+		}
 		if err != nil {
 			return s.cause(response.Request.Context(), err)
 		}
@@ -80,7 +104,7 @@
 		if err := s.relayEvent(next, !reader.pending()); err != nil {
 			return err
 		}
-		if next.last() {
+		if next.last() && !s.relay.options.General {
 			timer.progress(drainTimeout)
 			// The answer is whole; reading on only frees the connection.
 			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, readBytes))
@@ -103,6 +127,9 @@
 			return err
 		}
 	}
+	if next.id != nil {
+		s.lastEvent = string(next.id)
+	}
 	if next.data != nil && !next.last() {
 		s.events++
 		s.meter.event(next.data)
@@ -122,7 +149,7 @@
 	}
 	ctx, timer := s.resumeContext()
 	defer timer.stop()
-	target := s.url(upstream.PathAttempts + s.call.Attempt.String() +
+	target := s.url(upstream.PathAttempts + s.call.Out.ID +
 		"?" + upstream.QueryOffset + "=" + strconv.Itoa(s.events))
 	out, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -159,7 +186,7 @@
 	if !isEventStream(response) {
 		return errors.Wrapf(ErrCut, "resume was answered with status %d", response.StatusCode)
 	}
-	if response.Header.Get(upstream.HeaderAttempt) != s.call.Attempt.String() {
+	if !s.relay.options.Dialect.Echoes(response.Header, s.call.Out) {
 		return errors.Wrap(ErrCut, "resume got another attempt's answer")
 	}
 	return nil
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -44,7 +44,7 @@
 
 // whole relays an answer that is no stream of events.
 func (a *attempt) whole(response *http.Response, timer *stallTimer) Result {
-	if unframed(response) {
+	if unframed(response) && !a.relay.options.General {
 		return a.failed(errors.Wrap(ErrCut, "answer without a length"))
 	}
 	if a.call.Kind == version.PoolService {
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -108,18 +108,19 @@
 // answer.
 func (c *call) attempt(grant request.Grant) bool {
 	carrier := c.handler.options.Relay
+	id := uuid.New()
 	attempt := relay.Call{
 		Grant:    grant,
 		Account:  c.account,
 		Kind:     c.pool.Kind,
 		Request:  c.r,
 		Body:     c.body,
-		Attempt:  uuid.New(),
+		Out:      request.Outgoing{ID: id.String()},
 		AnswerBy: c.answerTime(),
 		Stream:   c.stream,
 	}
 	if c.key != nil {
-		return c.claimed(attempt)
+		return c.claimed(attempt, id)
 	}
 	result := carrier.Do(c.w, attempt)
 	if c.mayRetry(result) {
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
@@ -18,13 +20,13 @@
 
 // claimed runs the only attempt of a request with an idempotency key. The
 // caller has its final answer when it returns true.
-func (c *call) claimed(attempt relay.Call) bool {
+func (c *call) claimed(attempt relay.Call, id uuid.UUID) bool {
 	carrier := c.handler.options.Relay
 	asked := claim.Claim{
 		Account: c.account,
 		Key:     *c.key,
 		Request: digest(c.r.Method, c.r.URL.RequestURI(), c.body),
-		Attempt: attempt.Attempt,
+		Attempt: id,
 	}
 	verdict := c.claim(asked)
 	c.note(attempt.Grant, verdict)
--- /dev/null
+++ b/daemon/version/mirror/kind.go
@@ -0,0 +1,98 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+// kind is the copy of one kind of objects.
+type kind struct {
+	name    string
+	entries map[string]*entry
+	// missing are entries that were there before an outage and not after it.
+	// They are kept until missingUntil, by the mirror's clock.
+	missing      map[string]bool
+	missingUntil time.Time
+}
+
+// entry is one object.
+type entry struct {
+	object  platform.Object
+	decoded bool
+	// upstream is what a registration describes; nil if it is malformed.
+	upstream *version.Upstream
+}
+
+func newKind(name string) *kind {
+	return &kind{name: name, entries: make(map[string]*entry), missing: make(map[string]bool)}
+}
+
+// replace takes a whole list and reports whether anything changed. With
+// keepMissing, entries that the list lacks are kept until then.
+func (k *kind) replace(snapshot platform.Snapshot, keepMissing bool, until time.Time) bool {
+	listed := make(map[string]bool, len(snapshot.Objects))
+	changed := false
+	for _, object := range snapshot.Objects {
+		listed[object.Name] = true
+		changed = k.put(object) || changed
+	}
+	for name := range k.entries {
+		switch {
+		case listed[name], k.missing[name] && keepMissing:
+		case keepMissing:
+			k.missing[name] = true
+			k.missingUntil = until
+		default:
+			k.remove(name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// change takes the changes of a watch and reports whether there was any.
+func (k *kind) change(changes platform.Snapshot) bool {
+	changed := false
+	for _, object := range changes.Objects {
+		if object.Deleted {
+			_, present := k.entries[object.Name]
+			k.remove(object.Name)
+			changed = changed || present
+			continue
+		}
+		changed = k.put(object) || changed
+	}
+	return changed
+}
+
+// dropMissing removes the entries that did not come back in time.
+func (k *kind) dropMissing(now time.Time) bool {
+	if len(k.missing) == 0 || now.Before(k.missingUntil) {
+		return false
+	}
+	for name := range k.missing {
+		k.remove(name)
+	}
+	return true
+}
+
+// put takes an object unless it is known or older than what is known.
+func (k *kind) put(object platform.Object) bool {
+	if object.Name == "" {
+		return false
+	}
+	delete(k.missing, object.Name)
+	known := k.entries[object.Name]
+	if known != nil && object.Revision <= known.object.Revision {
+		return false
+	}
+	k.entries[object.Name] = &entry{object: object}
+	return true
+}
+
+func (k *kind) remove(name string) {
+	delete(k.entries, name)
+	delete(k.missing, name)
+}
--- /dev/null
+++ b/daemon/version/mirror/mirror.go
@@ -0,0 +1,317 @@
+// Package mirror keeps a copy of what the metadata store says: the operators'
+// configuration, the registered upstreams, the data centres that are emptied
+// and the processes of the fleet.
+//
+// The configuration is read again and again, because a read that the store
+// answers proves that nothing newer existed when it was asked; a watch that
+// brings nothing proves nothing. The other kinds are watched.
+package mirror
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+const (
+	// readInterval is how often the configuration is read. It leaves more than
+	// half of the shortest bound on a change, 2.5 s, to a slow store.
+	readInterval = 900 * time.Millisecond
+	// firstInterval is how often it is read before the first one is known.
+	firstInterval = 150 * time.Millisecond
+	// callTimeout bounds a call. A store that is slow by a factor of a hundred
+	// answers in 0.4 s.
+	callTimeout = 1200 * time.Millisecond
+	// watchWait is how long the store may hold a watch. A connection that has
+	// gone silent is noticed after this and callTimeout.
+	watchWait = 2500 * time.Millisecond
+	// retryMin and retryMax bound the pause after a call that failed.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// returnTime is how long after an outage registrations that lapsed in it may
+	// take to come back.
+	returnTime = 1800 * time.Millisecond
+)
+
+// Store is the metadata store.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	List(ctx context.Context, kind string) (platform.Snapshot, error)
+	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (platform.Snapshot, error)
+}
+
+// Options set up a Mirror.
+type Options struct {
+	Store Store
+	// Clock must run while the VM is suspended.
+	Clock clock.Clock
+	// Apply is given each new state, in order.
+	Apply func(config *version.Config, members []version.VMID)
+	// Lost is told that a call failed, so that the next one takes a new
+	// connection.
+	Lost func()
+	Log  *slog.Logger
+}
+
+// Mirror follows the store. It is safe for concurrent use.
+type Mirror struct {
+	options Options
+
+	mu sync.Mutex
+	// base is the newest configuration, without upstreams; nil before the
+	// first.
+	base     *version.Config
+	spec     []byte
+	revision uint64
+	// confirmed is when the newest read of the configuration that succeeded was
+	// begun; zero before the first.
+	confirmed time.Time
+	available bool
+	upstreams *kind
+	evacuated *kind
+	members   *kind
+}
+
+// New returns a mirror that knows nothing.
+func New(options Options) *Mirror {
+	m := &Mirror{options: options, available: true}
+	m.upstreams = newKind(platform.KindUpstream)
+	m.evacuated = newKind(platform.KindEvacuation)
+	m.members = newKind(platform.KindMember)
+	return m
+}
+
+// Confirmed returns when the configuration in force was certainly the newest,
+// by the mirror's clock.
+func (m *Mirror) Confirmed() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmed
+}
+
+// FollowConfig reads the configuration until ctx ends.
+func (m *Mirror) FollowConfig(ctx context.Context) error {
+	for {
+		pause := m.readConfig(ctx)
+		if err := wait.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+// readConfig reads the configuration once and returns the pause until the next
+// time.
+func (m *Mirror) readConfig(ctx context.Context) time.Duration {
+	began := m.options.Clock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	object, err := m.options.Store.Get(call, platform.KindConfig, platform.ConfigName)
+	cancel()
+	if errors.Is(err, platform.ErrNotFound) {
+		m.reached(true)
+		return firstInterval
+	}
+	if err != nil {
+		m.failed("configuration", err)
+		return retryPause()
+	}
+	m.reached(true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if began.After(m.confirmed) {
+		m.confirmed = began
+	}
+	if object.Revision == m.revision && bytes.Equal(object.Spec, m.spec) {
+		return readInterval
+	}
+	m.takeConfig(object)
+	return readInterval
+}
+
+// takeConfig takes a configuration that differs from the one in force, unless
+// it is older or malformed.
+func (m *Mirror) takeConfig(object platform.Object) {
+	m.spec, m.revision = object.Spec, object.Revision
+	config, err := platform.DecodeConfig(object.Spec)
+	if err != nil {
+		m.options.Log.Error("configuration is malformed, the last one stays in force",
+			"revision", object.Revision, "error", err)
+		return
+	}
+	if m.base != nil && config.Number <= m.base.Number {
+		m.options.Log.Warn("configuration is older than the one in force",
+			"version", config.Number, "in_force", m.base.Number)
+		return
+	}
+	m.base = config
+	m.options.Log.Info("configuration in force", "version", config.Number,
+		"revision", object.Revision, "accounts", len(config.Accounts), "services", len(config.Pools))
+	m.publish()
+}
+
+// FollowUpstreams watches the registered upstreams until ctx ends.
+func (m *Mirror) FollowUpstreams(ctx context.Context) error { return m.follow(ctx, m.upstreams) }
+
+// FollowEvacuations watches the data centres that are emptied until ctx ends.
+func (m *Mirror) FollowEvacuations(ctx context.Context) error { return m.follow(ctx, m.evacuated) }
+
+// FollowMembers watches the processes of the fleet until ctx ends.
+func (m *Mirror) FollowMembers(ctx context.Context) error { return m.follow(ctx, m.members) }
+
+// follow keeps a kind up to date: it lists it, watches it from there, and lists
+// it again when a watch fails.
+func (m *Mirror) follow(ctx context.Context, k *kind) error {
+	outage := false
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		snapshot, err := m.options.Store.List(call, k.name)
+		cancel()
+		if err == nil {
+			m.reached(false)
+			m.replace(k, snapshot, outage)
+			err = m.watch(ctx, k, snapshot.Revision)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		// A forgotten history only means that changes were missed.
+		outage = !errors.Is(err, platform.ErrHistoryGone)
+		if outage {
+			m.failed(k.name, err)
+			if err := wait.Sleep(ctx, retryPause()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// watch takes the changes of a kind until a call fails.
+func (m *Mirror) watch(ctx context.Context, k *kind, revision uint64) error {
+	for {
+		hold := m.hold(k)
+		call, cancel := context.WithTimeout(ctx, hold+callTimeout)
+		changes, err := m.options.Store.Watch(call, k.name, revision, hold)
+		cancel()
+		if err != nil {
+			return err
+		}
+		m.change(k, changes)
+		revision = max(revision, changes.Revision)
+	}
+}
+
+// hold returns how long the next watch may wait: not past the time when missing
+// entries are given up.
+func (m *Mirror) hold(k *kind) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(k.missing) == 0 {
+		return watchWait
+	}
+	return min(max(k.missingUntil.Sub(m.options.Clock()), retryMin), watchWait)
+}
+
+func (m *Mirror) replace(k *kind, snapshot platform.Snapshot, outage bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock()
+	changed := k.replace(snapshot, outage && k.name == platform.KindUpstream, now.Add(returnTime))
+	m.settle(k, now, changed)
+}
+
+func (m *Mirror) change(k *kind, changes platform.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settle(k, m.options.Clock(), k.change(changes))
+}
+
+// settle decodes what is new and publishes the result.
+func (m *Mirror) settle(k *kind, now time.Time, changed bool) {
+	if k.dropMissing(now) {
+		changed = true
+	}
+	if !changed {
+		return
+	}
+	if k.name == platform.KindUpstream {
+		m.decodeUpstreams(k)
+	}
+	m.publish()
+}
+
+func (m *Mirror) decodeUpstreams(k *kind) {
+	for name, entry := range k.entries {
+		if entry.decoded {
+			continue
+		}
+		entry.decoded = true
+		upstream, err := platform.DecodeUpstream(name, entry.object.Spec, time.Now())
+		if err != nil {
+			m.options.Log.Warn("registration is malformed, the upstream gets no work",
+				"upstream", name, "revision", entry.object.Revision, "error", err)
+			continue
+		}
+		entry.upstream = upstream
+		m.options.Log.Info("upstream registered", "upstream", name, "address", upstream.Address,
+			"data_centre", upstream.DataCentre, "draining", upstream.Draining,
+			"cold", !upstream.ColdUntil.IsZero(), "revision", entry.object.Revision)
+	}
+}
+
+// publish hands the present state to Apply.
+func (m *Mirror) publish() {
+	if m.base == nil {
+		return
+	}
+	upstreams := make(map[version.UpstreamID]*version.Upstream)
+	for entry := range maps.Values(m.upstreams.entries) {
+		if entry.upstream != nil {
+			upstreams[entry.upstream.ID] = entry.upstream
+		}
+	}
+	var out version.OutOfService
+	for name := range m.evacuated.entries {
+		out.DataCentres = append(out.DataCentres, version.DataCentreID(name))
+	}
+	var members []version.VMID
+	for name := range m.members.entries {
+		members = append(members, version.VMID(name))
+	}
+	m.options.Apply(m.base.WithUpstreams(upstreams, out), members)
+}
+
+// reached notes that the store answered.
+func (m *Mirror) reached(config bool) {
+	if !config {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.available {
+		m.available = true
+		m.options.Log.Info("store answers again")
+	}
+}
+
+// failed notes a call without success.
+func (m *Mirror) failed(what string, err error) {
+	m.options.Lost()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.available {
+		m.available = false
+		m.options.Log.Warn("store does not answer", "call", what, "error", err)
+	}
+}
+
+func retryPause() time.Duration { return retryMin + rand.N(retryMax-retryMin) }
--- a/fleet/connection/slots/warmth.go
+++ b/fleet/connection/slots/warmth.go
@@ -104,7 +104,7 @@
 func (t *Table) learn(now time.Time, s *state, info held, finish request.Finish) {
 	current := info.ejections == s.warmth.ejections
 	switch finish.Outcome {
-	case request.OutcomeRefused, request.OutcomeBroken:
+	case request.OutcomeRefused, request.OutcomeBroken, request.OutcomeUnreachable:
 		if current {
 			s.warmth.eject(now)
 			s.returnCold()
--- /dev/null
+++ b/fleet/process/placement/choose.go
@@ -0,0 +1,267 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// firstTokenTime is how long an idle engine takes to answer an empty prompt.
+	firstTokenTime = 60 * time.Millisecond
+	// readShare is the part of an engine's work that goes into reading prompts
+	// while others generate, relative to the rate of the fleet that the
+	// configuration tells, which counts generated tokens too.
+	readShare = 1.7
+	// defaultReadRate is the tokens a second that an engine reads if the
+	// configuration tells nothing.
+	defaultReadRate = 50_000
+	// defaultOutput is the generated tokens expected without a bound or a hint.
+	defaultOutput = 128
+	// crossRegionTime and crossCentreTime are the one-way times that are
+	// assumed between data centres.
+	crossRegionTime = 8 * time.Millisecond
+	crossCentreTime = time.Millisecond
+	// bytesTime makes bytes that leave the region comparable with time: so much
+	// for each byte of the body.
+	bytesTime = 400 * time.Nanosecond
+	// homeTokens is the length of shared parts from which a prompt has a home
+	// upstream: reading them again takes longer than a way across regions.
+	homeTokens = 1024
+	// failurePenalty is what a certain failure counts as, in time.
+	failurePenalty = 2 * time.Second
+	// plainTime is how long a call of a plain service is expected to take.
+	plainTime = 60 * time.Millisecond
+	// objectiveShare is the part of the objective within which the predicted
+	// beginning has to lie; the rest absorbs what the prediction misses.
+	objectiveShare = 0.9
+	// batchShare and memoryShare are the parts of an engine's batch and memory
+	// that are filled by choice.
+	batchShare  = 0.95
+	memoryShare = 0.9
+)
+
+// candidate is an upstream that could run a request.
+type candidate struct {
+	*upstream
+	// begin is the predicted time until the answer begins here.
+	begin time.Duration
+	// read is the part of it in which the engine reads the prompt.
+	read     time.Duration
+	uncached int
+	// score is begin with penalties; the lowest is chosen.
+	score time.Duration
+	// full is set if the upstream has no room for the request.
+	full bool
+}
+
+// choose returns the best upstream for a ticket.
+func (p *Placer) choose(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
+	if p.config == nil {
+		return candidate{}, &request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotRun}
+	}
+	candidates := p.candidates(now, ticket)
+	if len(candidates) == 0 {
+		return candidate{}, &request.Refusal{
+			Reason: request.ReasonNoUpstream, Execution: request.NotRun, RetryAfter: noUpstreamRetryAfter,
+		}
+	}
+	best := slices.MinFunc(candidates, func(a, b candidate) int {
+		if a.full != b.full {
+			if a.full {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+	if refusal := p.admit(now, ticket, best); refusal != nil {
+		return candidate{}, refusal
+	}
+	return best, nil
+}
+
+// noUpstreamRetryAfter is when to come back if no upstream may be used.
+const noUpstreamRetryAfter = 500 * time.Millisecond
+
+// candidates returns the upstreams that may run the ticket.
+func (p *Placer) candidates(now time.Time, ticket request.Ticket) []candidate {
+	home := p.home(ticket)
+	var list []candidate
+	for _, u := range p.byPool[ticket.Pool] {
+		if !p.usable(now, u, ticket) {
+			continue
+		}
+		list = append(list, p.assess(now, u, ticket, u.ID == home))
+	}
+	return list
+}
+
+func (p *Placer) usable(now time.Time, u *upstream, ticket request.Ticket) bool {
+	switch {
+	case u.Draining, p.config.UpstreamOut(u.Upstream):
+		return false
+	case ticket.Avoid == u.ID, slices.Contains(ticket.Avoided, u.ID):
+		return false
+	case ticket.Regions != nil && !slices.Contains(ticket.Regions, u.region):
+		return false
+	case !u.health.ok(now), u.silent(now):
+		return false
+	}
+	return u.gate.allows(now, p.coldLimit(u.pool))
+}
+
+// coldLimit is this VM's part of what a cold upstream may get in any second.
+func (p *Placer) coldLimit(pool *version.Pool) float64 {
+	if pool.SlowStart.PerSecond <= 0 {
+		return 1 << 20
+	}
+	total := pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
+	return total / float64(p.members)
+}
+
+// assess predicts how a request would fare at an upstream.
+func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, home bool) candidate {
+	c := candidate{upstream: u}
+	net := p.network(u)
+	pace := u.currentPace(now)
+	if u.pool.Engine != nil {
+		c.uncached = u.unkept(ticket, home)
+		read := float64(c.uncached) / p.readRate(u.pool) * float64(time.Second)
+		c.read = time.Duration(read * pace)
+		wait := max(u.free.Sub(now), 0)
+		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
+		c.full = u.engineFull(now, ticket)
+	} else {
+		over := u.running(now) + 1 - u.slots()
+		c.begin = time.Duration(float64(plainTime)*pace) + net
+		if over > 0 {
+			c.begin += time.Duration(float64(over) / float64(u.slots()) * float64(plainTime) * pace)
+		}
+		c.full = over > u.slots()
+		// Of idle upstreams the least loaded is taken.
+		c.score += time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainTime))
+	}
+	c.score += c.begin + time.Duration(u.health.failures*float64(failurePenalty))
+	if u.region != p.region() {
+		c.score += time.Duration(ticket.BodyBytes) * bytesTime
+	}
+	return c
+}
+
+// engineFull reports whether the engine's batch or memory is used up.
+func (u *upstream) engineFull(now time.Time, ticket request.Ticket) bool {
+	engine := u.pool.Engine
+	if float64(u.running(now)+1) > batchShare*float64(engine.Batch) {
+		return true
+	}
+	need := promptTokens(ticket) + outputTokens(ticket)
+	return float64(u.memory()+need) > memoryShare*float64(engine.KVTokens)
+}
+
+// unkept returns how many tokens of the prompt the engine has to read. Other
+// VMs send the prompts that share a long part to its home too, so the home is
+// taken to keep the parts.
+func (u *upstream) unkept(ticket request.Ticket, home bool) int {
+	if ticket.Prompt == nil {
+		return ticket.BodyBytes / request.BytesPerToken
+	}
+	kept := u.cache.kept(ticket.Prompt.Parts)
+	if home {
+		kept = max(kept, sharedTokens(ticket.Prompt))
+	}
+	return max(ticket.Prompt.Tokens-kept, 0)
+}
+
+// home returns the upstream whose cache is to hold the prompt's shared parts, by
+// rendezvous hashing; 0 for a prompt that shares little.
+func (p *Placer) home(ticket request.Ticket) version.UpstreamID {
+	if ticket.Prompt == nil || sharedTokens(ticket.Prompt) < homeTokens {
+		return 0
+	}
+	shared := ticket.Prompt.Parts[len(ticket.Prompt.Parts)-2].ID
+	var best version.UpstreamID
+	var bestScore uint64
+	for _, u := range p.byPool[ticket.Pool] {
+		if u.Draining || p.config.UpstreamOut(u.Upstream) {
+			continue
+		}
+		if score := rendezvous(shared, u.ID); score > bestScore {
+			best, bestScore = u.ID, score
+		}
+	}
+	return best
+}
+
+func rendezvous(part uint64, id version.UpstreamID) uint64 {
+	var key [12]byte
+	for i := range 8 {
+		key[i] = byte(part >> (8 * i))
+	}
+	for i := range 4 {
+		key[8+i] = byte(uint32(id) >> (8 * i))
+	}
+	return xxhash.Sum64(key[:])
+}
+
+// readRate is the prompt tokens a second that an engine of the pool reads.
+func (p *Placer) readRate(pool *version.Pool) float64 {
+	engines := len(p.byPool[pool.ID])
+	if p.config.Limits.TokensPerSecond <= 0 || engines == 0 {
+		return defaultReadRate
+	}
+	return readShare * p.config.Limits.TokensPerSecond / float64(max(engines, 1))
+}
+
+// network is the time that a request and its answer are on their way.
+func (p *Placer) network(u *upstream) time.Duration {
+	switch {
+	case u.region != p.region():
+		return 2 * crossRegionTime
+	case u.DataCentre != p.options.DataCentre:
+		return 2 * crossCentreTime
+	}
+	return 0
+}
+
+func (p *Placer) region() version.RegionID { return p.options.Regions[p.options.DataCentre] }
+
+func sharedTokens(prompt *request.Prompt) int {
+	total := 0
+	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
+		total += part.Tokens
+	}
+	return total
+}
+
+func promptTokens(ticket request.Ticket) int {
+	if ticket.Prompt == nil {
+		return ticket.BodyBytes / request.BytesPerToken
+	}
+	return ticket.Prompt.Tokens
+}
+
+func outputTokens(ticket request.Ticket) int {
+	switch {
+	case ticket.Prompt == nil:
+		return defaultOutput
+	case ticket.Prompt.OutputHint > 0:
+		return min(ticket.Prompt.OutputHint, ticket.Prompt.MaxOutput)
+	}
+	return ticket.Prompt.MaxOutput
+}
+
+// cost is the service that a request is: a token read counts once and a token
+// generated twice.
+func cost(ticket request.Ticket) float64 {
+	return float64(promptTokens(ticket) + 2*outputTokens(ticket))
+}
+
+func sortByID(list []*upstream) {
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/fleet/process/placement/upstream.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+const (
+	// paceMemory is the weight of the newest answer in an upstream's pace.
+	paceMemory = 0.2
+	// paceMin and paceMax bound the pace.
+	paceMin = 0.5
+	paceMax = 20
+	// paceHalfLife is how long it takes until half of a slow pace is forgotten,
+	// so that an upstream without work is tried again.
+	paceHalfLife = 2 * time.Second
+	// backlogGain is how far an answer's beginning corrects the backlog.
+	backlogGain = 0.5
+	// reportTime is how long a report of load is used.
+	reportTime = 500 * time.Millisecond
+)
+
+// flight is a granted attempt.
+type flight struct {
+	ticket    request.Ticket
+	sent      time.Time
+	predicted time.Time
+	begun     bool
+	// uncached is how many prompt tokens the engine has to read.
+	uncached int
+}
+
+// upstream is what this VM knows of one upstream.
+type upstream struct {
+	*version.Upstream
+	pool    *version.Pool
+	region  version.RegionID
+	flights map[request.ID]*flight
+	cache   *cache
+	gate    coldGate
+	health  health
+	// free is when the engine has read every prompt that was sent to it.
+	free time.Time
+	// pace is the time that answers take to begin, relative to prediction.
+	pace   float64
+	paceAt time.Time
+	// report is the newest load that the upstream told.
+	report     request.Load
+	reportedAt time.Time
+	// others is the load that other VMs told of.
+	others map[version.VMID]told
+}
+
+// told is the load of one VM on an upstream.
+type told struct {
+	running int
+	at      time.Time
+}
+
+func newUpstream(described *version.Upstream, pool *version.Pool, region version.RegionID) *upstream {
+	u := &upstream{
+		Upstream: described,
+		pool:     pool,
+		region:   region,
+		flights:  make(map[request.ID]*flight),
+		pace:     1,
+		others:   make(map[version.VMID]told),
+	}
+	if pool.Engine != nil {
+		u.cache = newCache(pool.Engine.KVTokens)
+	}
+	return u
+}
+
+// slots is how many requests the upstream runs at once.
+func (u *upstream) slots() int {
+	if u.Slots > 0 {
+		return u.Slots
+	}
+	return 1
+}
+
+// running estimates the requests at the upstream from all VMs.
+func (u *upstream) running(now time.Time) int {
+	total := len(u.flights)
+	heard := 0
+	for vm, load := range u.others {
+		if now.Sub(load.at) > othersTime {
+			delete(u.others, vm)
+			continue
+		}
+		heard += load.running
+	}
+	total += heard
+	if heard == 0 && now.Sub(u.reportedAt) <= reportTime {
+		return max(total, u.report.Running+u.report.Waiting)
+	}
+	return total
+}
+
+// currentPace returns the pace, with what is old forgotten.
+func (u *upstream) currentPace(now time.Time) float64 {
+	age := now.Sub(u.paceAt)
+	if age <= 0 {
+		return u.pace
+	}
+	return 1 + (u.pace-1)*halve(age, paceHalfLife)
+}
+
+// learn corrects pace and backlog by an answer that began.
+func (u *upstream) learn(now time.Time, f *flight, net time.Duration) {
+	expected := f.predicted.Sub(f.sent)
+	took := now.Sub(f.sent)
+	if expected <= 0 {
+		return
+	}
+	pace := u.currentPace(now)
+	ratio := float64(took-net) / max(float64(expected-net), float64(time.Millisecond))
+	// The prediction contains the pace of then; what is new is the ratio to it.
+	u.pace = clamp(pace*(1-paceMemory)+pace*ratio*paceMemory, paceMin, paceMax)
+	u.paceAt = now
+	late := now.Sub(f.predicted)
+	u.free = u.free.Add(time.Duration(backlogGain * float64(late)))
+	if u.unread() == 0 && u.free.After(now) {
+		u.free = now
+	}
+}
+
+// unread counts this VM's requests whose answer has not begun.
+func (u *upstream) unread() int {
+	count := 0
+	for _, f := range u.flights {
+		if !f.begun {
+			count++
+		}
+	}
+	return count
+}
+
+// silent reports whether an answer is long overdue.
+func (u *upstream) silent(now time.Time) bool {
+	for _, f := range u.flights {
+		if f.begun {
+			continue
+		}
+		if now.Sub(f.sent) > silenceFactor*f.predicted.Sub(f.sent)+silenceSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// memory returns the tokens that this VM has running at the upstream.
+func (u *upstream) memory() int {
+	tokens := 0
+	for _, f := range u.flights {
+		tokens += promptTokens(f.ticket) + outputTokens(f.ticket)
+	}
+	return tokens
+}
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -61,6 +61,15 @@
 	Attempt Attempt
 	// BodyBytes is the size of the body. It stays with the entry too.
 	BodyBytes int
+	// Prompt describes the prompt of a model request; nil if it is unknown.
+	Prompt *Prompt
+	// Objective is how long from now the answer's beginning is worth most; 0
+	// is no objective.
+	Objective time.Duration
+	// Regions are where the request may be served; nil is anywhere.
+	Regions []version.RegionID
+	// Avoided are further upstreams that failed this request.
+	Avoided []version.UpstreamID
 }
 
 // Attempt numbers the attempts of one request, from 1.
@@ -99,6 +108,8 @@
 	OutcomeBroken
 	// OutcomeCancelled is a caller that went away.
 	OutcomeCancelled
+	// OutcomeUnreachable is an upstream that took no connection.
+	OutcomeUnreachable
 )
 
 // Finish ends an attempt and frees its slot.
--- a/fleet/version/config.go
+++ b/fleet/version/config.go
@@ -35,6 +35,11 @@
 	KeyDigests []string
 	// MaxWaiting bounds the account's queued requests in one dispatcher.
 	MaxWaiting int
+	// Priority ranks the account's requests in place of their route's; nil
+	// leaves the route's.
+	Priority *int
+	// Regions are where the account's requests may be served; nil is anywhere.
+	Regions []RegionID
 }
 
 // Pool is a set of upstreams that can serve the same requests.
@@ -52,6 +57,13 @@
 	NonRepeatable []string
 	// ExpectedFirstToken is the first-token time of a healthy warm upstream.
 	ExpectedFirstToken time.Duration
+	// Engine describes the engines of a PoolModel that tells of them, or nil.
+	Engine *Engine
+	// SlowStart bounds what cold upstreams get.
+	SlowStart SlowStart
+	// MaxConnections bounds the connections of all callers to one upstream; 0
+	// is unknown.
+	MaxConnections int
 }
 
 // Upstream is one back end that a team owns.
@@ -71,6 +83,15 @@
 	// ChecksFencing is set if the upstream refuses an order whose fencing
 	// number is lower than one it has seen.
 	ChecksFencing bool
+	// Instance names the process behind Address; one that starts later at the
+	// same address has another name.
+	Instance string
+	// Slots is how many requests the upstream runs at once; 0 is unknown.
+	Slots int
+	// Draining is set once the upstream is about to leave.
+	Draining bool
+	// ColdUntil is when the upstream is warm by its own account; zero if it is.
+	ColdUntil time.Time
 }
 
 // DataCentre is a failure domain with its own VMs and upstreams.
@@ -109,6 +130,10 @@
 	Upstreams   map[UpstreamID]*Upstream
 	DataCentres map[DataCentreID]*DataCentre
 	Out         OutOfService
+	// Routes finds the route of a request by host and path; nil without any.
+	Routes *RouteTable
+	// Limits bound what callers may send.
+	Limits CallerLimits
 
 	outNames         OutNames
 	accountsByDigest map[string]*Account
@@ -132,6 +157,15 @@
 	}
 }
 
+// WithUpstreams returns the configuration with other upstreams and out of
+// service sets. It shares everything else.
+func (c *Config) WithUpstreams(upstreams map[UpstreamID]*Upstream, out OutOfService) *Config {
+	changed := *c
+	changed.Upstreams = upstreams
+	changed.Out = out
+	return &changed
+}
+
 // KeyDigest returns the hex SHA-256 digest under which an API key is stored.
 func KeyDigest(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/test.sh
+++ b/test.sh
@@ -3,10 +3,10 @@
 # A test listed in KNOWN-RED.txt is skipped here and named at the end.
 set -euo pipefail
 cd "$(dirname "$0")"
-packages=(./fleet/... ./daemon/... ./lab/...)
+packages=(./fleet/... ./daemon/... ./platform/... ./lab/...)
 
 echo "== format"
-unformatted=$(go tool gofumpt -l fleet daemon lab)
+unformatted=$(go tool gofumpt -l fleet daemon platform lab)
 if [ -n "$unformatted" ]; then
   echo "not formatted with gofumpt:"
   echo "$unformatted"
