Tell the other VMs of the work sent to upstreams, and share between accounts

A prompt went to any engine with a short queue, so shared parts were read again.

Change: VMs tell each other running, unread and read tokens by upstream and tokens by account; prompts with shared parts have a home engine; when the prediction fills the objective, accounts over their max-min share are refused first. On SIGTERM new requests are refused after 2.8 s instead of being cut at the end of the grace.

--- a/daemon/connection/peer/link.go
+++ b/daemon/connection/peer/link.go
@@ -25,8 +25,8 @@
 }
 
 // keepAlive ends the link when the other end does not answer.
-func (l *link) keepAlive(ctx context.Context) {
-	ticker := time.NewTicker(aliveInterval)
+func (l *link) keepAlive(ctx context.Context, interval, timeout time.Duration) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -34,15 +34,15 @@
 			return
 		case <-ticker.C:
 		}
-		if err := l.ping(ctx); err != nil {
+		if err := l.ping(ctx, timeout); err != nil {
 			l.close()
 			return
 		}
 	}
 }
 
-func (l *link) ping(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+func (l *link) ping(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return errors.Wrap(l.conn.Ping(ctx), "ping peer")
 }
--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -36,8 +36,7 @@
 	// redialMin and redialMax bound the pause before a link is dialled again.
 	redialMin = 100 * time.Millisecond
 	redialMax = 2 * time.Second
-	// aliveInterval is how often an open link is tried, and aliveTimeout how
-	// long the other end has to answer.
+	// aliveInterval and aliveTimeout are the defaults of Options.
 	aliveInterval = 4 * time.Second
 	aliveTimeout  = 3 * time.Second
 )
@@ -68,7 +67,11 @@
 	Handler Handler
 	// Hello returns this daemon's first message.
 	Hello func() wire.Hello
-	Log   *slog.Logger
+	// AliveInterval is how often an open link is tried, and AliveTimeout how
+	// long the other end has to answer; default aliveInterval and aliveTimeout.
+	AliveInterval time.Duration
+	AliveTimeout  time.Duration
+	Log           *slog.Logger
 }
 
 // Manager owns the links. It is safe for concurrent use.
@@ -84,6 +87,12 @@
 
 // New returns a manager without links.
 func New(options Options) *Manager {
+	if options.AliveInterval == 0 {
+		options.AliveInterval = aliveInterval
+	}
+	if options.AliveTimeout == 0 {
+		options.AliveTimeout = aliveTimeout
+	}
 	return &Manager{
 		options: options,
 		links:   make(map[version.VMID]*link),
@@ -235,7 +244,7 @@
 	m.options.Handler.LinkUp(hello)
 	defer m.options.Handler.LinkDown(hello)
 	go l.write(ctx)
-	go l.keepAlive(ctx)
+	go l.keepAlive(ctx, m.options.AliveInterval, m.options.AliveTimeout)
 	l.read(ctx, m.options.Handler)
 }
 
--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -14,7 +14,7 @@
 const (
 	// noticeTime is how long the balancer may take to send no new connections:
 	// it asks once a second and acts on the second failure.
-	noticeTime = 3 * time.Second
+	noticeTime = 2800 * time.Millisecond
 	// killMargin is kept back from the platform's grace for the last answers
 	// and the exit.
 	killMargin = 600 * time.Millisecond
@@ -31,7 +31,8 @@
 
 // addDrain adds the duty that drains the daemon once ctx ends: not ready and
 // every answer the last of its connection, while requests are still served;
-// then, when none is left or the grace is over, the end.
+// then idle connections end and new requests are refused; when none is left, or
+// the grace is over, the end.
 func (e *Edge) addDrain(group *run.Group, ctx context.Context) {
 	over, stop := context.WithCancel(context.Background())
 	group.Add(func() error {
@@ -50,11 +51,13 @@
 	e.handler.Leave()
 	e.log.Info("stopping", "requests", e.handler.Held())
 	e.unregister(over)
+	if err := wait.Sleep(over, noticeTime); err != nil {
+		return err
+	}
+	e.handler.Close()
+	e.callers.http.SetKeepAlivesEnabled(false)
 	last := began.Add(e.settings.Load().Bounds.Grace - killMargin)
-	for time.Now().Before(last) {
-		if time.Since(began) >= noticeTime && e.handler.Held() == 0 {
-			break
-		}
+	for time.Now().Before(last) && e.handler.Held() > 0 {
 		if err := wait.Sleep(over, pollInterval); err != nil {
 			return err
 		}
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/logsink"
@@ -73,8 +74,16 @@
 
 	callers   server
 	readiness server
+	linked    server
 	observed  *server
 	leaving   atomic.Bool
+
+	// incarnation tells this process from earlier ones of the VM.
+	incarnation uint64
+	// peers is nil until the fleet's secret is known.
+	peers atomic.Pointer[peer.Manager]
+	// members are the processes of the fleet; nil before the first list.
+	members atomic.Pointer[map[version.VMID]member]
 }
 
 // server is an HTTP server with its bound listener.
@@ -89,7 +98,12 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Edge{options: options, sink: logsink.New(os.Stdout, logsink.DefaultBytes), metrics: newMetrics()}
+	e := &Edge{
+		options:     options,
+		sink:        logsink.New(os.Stdout, logsink.DefaultBytes),
+		metrics:     newMetrics(),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
 	e.settings.Store(settings)
 	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
@@ -100,15 +114,17 @@
 		Regions:     settings.DataCentres,
 		ColdOverage: settings.Bounds.ColdOverage,
 		ColdSlack:   settings.Bounds.ColdSlack,
+		ShareWindow: settings.Bounds.ShareWindow,
 	}))
 	e.storing = &http.Transport{MaxIdleConnsPerHost: storeConnections, DisableCompression: true}
 	e.store = platform.NewStore(settings.Store, e.storing)
 	e.mirror = mirror.New(mirror.Options{
-		Store: e.store,
-		Clock: clock.Boot,
-		Apply: e.apply,
-		Lost:  e.storing.CloseIdleConnections,
-		Log:   e.log,
+		Store:   e.store,
+		Clock:   clock.Boot,
+		Apply:   e.apply,
+		Members: e.setMembers,
+		Lost:    e.storing.CloseIdleConnections,
+		Log:     e.log,
 	})
 	e.handler = e.newHandler(settings)
 	return e, e.listen(settings)
@@ -155,6 +171,10 @@
 	if e.readiness, err = newServer(ready, settings.Readiness); err != nil {
 		return errors.Wrap(err, "readiness listener")
 	}
+	links := &http.Server{Handler: http.HandlerFunc(e.acceptLink), ReadHeaderTimeout: time.Second}
+	if e.linked, err = newServer(links, net.JoinHostPort(settings.IP, port(settings.PeerPort))); err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
 	if e.options.MetricsPort == 0 {
 		return nil
 	}
@@ -183,6 +203,7 @@
 	ctx = context.WithoutCancel(ctx)
 	e.callers.add(&group)
 	e.readiness.add(&group)
+	e.linked.add(&group)
 	if e.observed != nil {
 		e.observed.add(&group)
 	}
@@ -191,6 +212,7 @@
 	addDuty(&group, ctx, e.mirror.FollowEvacuations)
 	addDuty(&group, ctx, e.mirror.FollowMembers)
 	addDuty(&group, ctx, e.register)
+	addDuty(&group, ctx, e.link)
 	addDuty(&group, ctx, e.followSettings)
 	addDuty(&group, ctx, e.sink.Run)
 	err := group.Run()
@@ -215,11 +237,21 @@
 	group.Add(func() error { return duty(ctx) }, func(error) { cancel() })
 }
 
+// acceptLink accepts a link from another process.
+func (e *Edge) acceptLink(w http.ResponseWriter, r *http.Request) {
+	peers := e.peers.Load()
+	if peers == nil {
+		http.Error(w, "not linked yet", http.StatusServiceUnavailable)
+		return
+	}
+	peers.ServeHTTP(w, r)
+}
+
 // apply takes a new state of the store.
-func (e *Edge) apply(config *version.Config, members []version.VMID) {
-	e.placing.Configure(config, len(members))
+func (e *Edge) apply(config *version.Config) {
+	e.placing.Configure(config)
 	e.log.Debug("state in force", "version", config.Number, "upstreams", len(config.Upstreams),
-		"out", config.Out.DataCentres, "members", len(members))
+		"out", config.Out.DataCentres)
 }
 
 // fresh reports whether API keys may be trusted, and how old the confirmation
--- /dev/null
+++ b/daemon/process/edge/peers.go
@@ -0,0 +1,195 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+const (
+	// reportInterval is how often the other processes are told of this one's
+	// work. It is a tenth of the time to a first token that callers expect.
+	reportInterval = 40 * time.Millisecond
+	// reportsPerSecond bounds the messages that a process sends, and so also
+	// what it receives, in a large fleet.
+	reportsPerSecond = 200
+	// linkAliveInterval and linkAliveTimeout find a link that has gone silent.
+	linkAliveInterval = 2 * time.Second
+	linkAliveTimeout  = time.Second
+	// secretName is the object that holds the fleet's secret.
+	secretName = "secret"
+)
+
+// fleetSecret is what the processes of the fleet know each other by. The first
+// one to start draws it.
+type fleetSecret struct {
+	Secret string `json:"secret"`
+}
+
+func (e *Edge) newPeers(secret string) *peer.Manager {
+	settings := e.settings.Load()
+	return peer.New(peer.Options{
+		Secret:        secret,
+		Scheme:        "ws",
+		Handler:       (*peerHandler)(e),
+		AliveInterval: linkAliveInterval,
+		AliveTimeout:  linkAliveTimeout,
+		Hello: func() wire.Hello {
+			return wire.Hello{
+				VM:          settings.VM,
+				DataCentre:  settings.DataCentre,
+				Incarnation: e.incarnation,
+				Leaving:     e.leaving.Load(),
+			}
+		},
+		Log: e.log,
+	})
+}
+
+// link joins the other processes once the fleet's secret is known, and tells
+// them of this one's work until ctx ends.
+func (e *Edge) link(ctx context.Context) error {
+	secret, err := e.agreeSecret(ctx)
+	if err != nil {
+		return err
+	}
+	peers := e.newPeers(secret)
+	e.peers.Store(peers)
+	e.connect(ctx)
+	for {
+		if err := wait.Sleep(ctx, e.report(peers)); err != nil {
+			return err
+		}
+	}
+}
+
+// report sends this process's work to every other one and returns the pause
+// until the next time.
+func (e *Edge) report(peers *peer.Manager) time.Duration {
+	members := e.members.Load()
+	if members == nil || len(*members) == 0 {
+		return reportInterval
+	}
+	work := e.placing.Report()
+	for vm := range *members {
+		if vm != e.settings.Load().VM {
+			// A process without a link is told the totals later.
+			peers.Send(vm, work)
+		}
+	}
+	return max(reportInterval, time.Duration(len(*members))*time.Second/reportsPerSecond)
+}
+
+// agreeSecret returns the fleet's secret, which is drawn if there is none.
+func (e *Edge) agreeSecret(ctx context.Context) (string, error) {
+	for {
+		secret, err := e.readSecret(ctx)
+		if err == nil {
+			return secret, nil
+		}
+		e.log.Warn("fleet's secret is not known yet", "error", err)
+		if err := wait.Sleep(ctx, registerPause); err != nil {
+			return "", err
+		}
+	}
+}
+
+func (e *Edge) readSecret(ctx context.Context) (string, error) {
+	call, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	object, err := e.store.Get(call, platform.KindFleet, secretName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return e.drawSecret(call)
+	}
+	if err != nil {
+		return "", err
+	}
+	var known fleetSecret
+	if err := json.Unmarshal(object.Spec, &known); err != nil || known.Secret == "" {
+		return "", errors.Wrapf(platform.ErrMalformed, "fleet's secret: %v", err)
+	}
+	return known.Secret, nil
+}
+
+func (e *Edge) drawSecret(ctx context.Context) (string, error) {
+	drawn := fleetSecret{Secret: rand.Text()}
+	spec, err := json.Marshal(drawn)
+	if err != nil {
+		return "", errors.Wrap(err, "encode secret")
+	}
+	// If another process was first, the next read finds its secret.
+	if err := e.store.Create(ctx, platform.KindFleet, secretName, spec); err != nil {
+		return "", err
+	}
+	return drawn.Secret, nil
+}
+
+// setMembers takes the processes of the fleet.
+func (e *Edge) setMembers(specs map[version.VMID][]byte) {
+	members := make(map[version.VMID]member, len(specs))
+	for vm, spec := range specs {
+		var m member
+		if err := json.Unmarshal(spec, &m); err != nil || m.Peers == "" {
+			e.log.Warn("member is malformed", "member", vm, "error", err)
+			continue
+		}
+		members[vm] = m
+	}
+	before := e.members.Swap(&members)
+	e.placing.SetMembers(len(members))
+	e.log.Info("members", "count", len(members))
+	if peers := e.peers.Load(); peers != nil && before != nil {
+		for vm := range *before {
+			if _, stays := members[vm]; !stays {
+				peers.Disconnect(vm)
+			}
+		}
+	}
+	e.connect(context.Background())
+}
+
+// connect keeps links to the members that this process dials: those with a
+// higher name.
+func (e *Edge) connect(ctx context.Context) {
+	peers, members := e.peers.Load(), e.members.Load()
+	if peers == nil || members == nil {
+		return
+	}
+	for vm, m := range *members {
+		if vm > e.settings.Load().VM {
+			peers.Connect(ctx, vm, m.Peers)
+		}
+	}
+}
+
+// peerHandler takes what other processes say.
+type peerHandler Edge
+
+// LinkUp implements peer.Handler.
+func (h *peerHandler) LinkUp(hello wire.Hello) {
+	h.log.Info("linked", "peer", hello.VM, "incarnation", hello.Incarnation)
+}
+
+// Receive implements peer.Handler.
+func (h *peerHandler) Receive(from wire.Hello, messages []wire.Message) {
+	for _, message := range messages {
+		if work, is := message.(wire.Work); is {
+			h.placing.Hear(from.VM, work)
+		}
+	}
+}
+
+// LinkDown implements peer.Handler.
+func (h *peerHandler) LinkDown(hello wire.Hello) {
+	h.log.Info("link lost", "peer", hello.VM)
+	h.placing.Forget(hello.VM)
+}
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -24,12 +25,17 @@
 // New returns a manager of a placer that nobody else uses.
 func New(placer *placement.Placer) *Manager { return &Manager{placer: placer} }
 
-// Configure takes a configuration with its upstreams, and how many processes
-// the fleet has.
-func (m *Manager) Configure(config *version.Config, members int) {
+// SetMembers sets how many processes the fleet has.
+func (m *Manager) SetMembers(members int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.placer.SetMembers(members)
+}
+
+// Configure takes a configuration with its upstreams.
+func (m *Manager) Configure(config *version.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.placer.Configure(time.Now(), config)
 	m.config.Store(config)
 }
@@ -54,6 +60,27 @@
 	m.placer.Begun(time.Now(), grant.ID, grant.Upstream, load)
 }
 
+// Report returns what the other VMs are to know of this one's work.
+func (m *Manager) Report() wire.Work {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.placer.Report(time.Now())
+}
+
+// Hear takes what another VM said of its work.
+func (m *Manager) Hear(from version.VMID, work wire.Work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.placer.Hear(time.Now(), from, work)
+}
+
+// Forget drops what a VM said.
+func (m *Manager) Forget(from version.VMID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.placer.Forget(from)
+}
+
 // Charge implements relay.Accounting: service is charged when it is granted.
 func (m *Manager) Charge(request.ID, version.AccountID, request.Cost) {}
 
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -160,6 +160,8 @@
 	Rest *Rest
 	// Err says why the attempt failed; nil if it did not.
 	Err error
+	// Begun is the time until the answer began; 0 if it did not.
+	Begun time.Duration
 
 	finish request.Finish
 	// cancel is the attempt to cancel at its upstream.
@@ -182,6 +184,8 @@
 	meter   *meter
 	started time.Time
 	first   time.Duration
+	// began is when the answer's header came.
+	began time.Duration
 }
 
 // Do runs the attempt until its answer ends.
@@ -200,6 +204,7 @@
 	a.call.Out.Instance = target.Instance
 	result := a.run()
 	result.finish = a.finish(result.finish.Outcome)
+	result.Begun = a.began
 	return result
 }
 
@@ -279,6 +284,7 @@
 
 // begun tells that the answer has begun.
 func (a *attempt) begun(response *http.Response) {
+	a.began = time.Since(a.started)
 	if load, told := a.relay.options.Dialect.Load(response.Header); told {
 		a.relay.options.Begun(a.call.Grant, &load)
 		return
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -164,7 +164,11 @@
 
 // answer gives the caller what the last attempt ended with.
 func (p *passage) answer(grant request.Grant, result relay.Result) {
-	upstream := slog.String("upstream", p.upstreamName(grant.Upstream))
+	upstream := slog.Group("",
+		slog.String("upstream", p.upstreamName(grant.Upstream)),
+		slog.Int64("predicted_ms", grant.Predicted.Milliseconds()),
+		slog.Int64("begun_ms", result.Begun.Milliseconds()),
+		slog.Int("unread", grant.Unread))
 	switch result.Ending {
 	case relay.EndRefused:
 		p.giveUp(result.Refusal)
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -56,8 +56,11 @@
 	Store Store
 	// Clock must run while the VM is suspended.
 	Clock clock.Clock
-	// Apply is given each new state, in order.
-	Apply func(config *version.Config, members []version.VMID)
+	// Apply is given each new configuration with its upstreams, in order.
+	Apply func(config *version.Config)
+	// Members is given the processes of the fleet, by VM, each time that they
+	// change, with what each wrote of itself.
+	Members func(members map[version.VMID][]byte)
 	// Lost is told that a call failed, so that the next one takes a new
 	// connection.
 	Lost func()
@@ -243,12 +246,24 @@
 	if !changed {
 		return
 	}
-	if k.name == platform.KindUpstream {
+	switch k.name {
+	case platform.KindMember:
+		m.publishMembers()
+		return
+	case platform.KindUpstream:
 		m.decodeUpstreams(k)
 	}
 	m.publish()
 }
 
+func (m *Mirror) publishMembers() {
+	members := make(map[version.VMID][]byte, len(m.members.entries))
+	for name, entry := range m.members.entries {
+		members[version.VMID(name)] = entry.object.Spec
+	}
+	m.options.Members(members)
+}
+
 func (m *Mirror) decodeUpstreams(k *kind) {
 	for name, entry := range k.entries {
 		if entry.decoded {
@@ -283,11 +298,7 @@
 	for name := range m.evacuated.entries {
 		out.DataCentres = append(out.DataCentres, version.DataCentreID(name))
 	}
-	var members []version.VMID
-	for name := range m.members.entries {
-		members = append(members, version.VMID(name))
-	}
-	m.options.Apply(m.base.WithUpstreams(upstreams, out), members)
+	m.options.Apply(m.base.WithUpstreams(upstreams, out))
 }
 
 // reached notes that the store answered.
--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -93,6 +93,7 @@
 	spillDecoders,
 	configDecoders,
 	ledgerDecoders,
+	workDecoders,
 )
 
 func merge(tables ...map[Kind]decoder) map[Kind]decoder {
--- a/fleet/connection/wire/message.go
+++ b/fleet/connection/wire/message.go
@@ -12,8 +12,8 @@
 // Kind tags a message's type on the wire. Values are never reused.
 //
 // Kinds 1 to 19 are in dispatch.go, 20 to 29 in membership.go, 30 to 39 in
-// service.go, 40 to 49 in spill.go, 50 to 59 in config.go and 60 to 69 in
-// ledger.go.
+// service.go, 40 to 49 in spill.go, 50 to 59 in config.go, 60 to 69 in ledger.go
+// and 70 to 79 in work.go.
 type Kind uint8
 
 // Message is one typed message between two daemons.
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -30,9 +30,10 @@
 	// bytesTime makes bytes that leave the region comparable with time: so much
 	// for each byte of the body.
 	bytesTime = 400 * time.Nanosecond
-	// homeTokens is the length of shared parts from which a prompt has a home
-	// upstream: reading them again takes longer than a way across regions.
-	homeTokens = 1024
+	// rereadTime is what a token of a shared part counts as, beyond the time to
+	// read it, at an engine that does not keep it while another one does. It
+	// makes a prompt wait at its home rather than displace other parts elsewhere.
+	rereadTime = 80 * time.Microsecond
 	// failurePenalty is what a certain failure counts as, in time.
 	failurePenalty = 2 * time.Second
 	// plainTime is how long a call of a plain service is expected to take.
@@ -137,6 +138,10 @@
 		wait := max(u.free.Sub(now), 0)
 		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
 		c.full = u.engineFull(now, ticket)
+		if ticket.Prompt != nil {
+			own := ticket.Prompt.Tokens - sharedTokens(ticket.Prompt)
+			c.score += time.Duration(max(c.uncached-own, 0)) * rereadTime
+		}
 	} else {
 		over := u.running(now) + 1 - u.slots()
 		c.begin = time.Duration(float64(plainTime)*pace) + net
@@ -161,7 +166,7 @@
 		return true
 	}
 	need := promptTokens(ticket) + outputTokens(ticket)
-	return float64(u.memory()+need) > memoryShare*float64(engine.KVTokens)
+	return float64(u.memoryHere()+u.heard(now).memory+need) > memoryShare*float64(engine.KVTokens)
 }
 
 // unkept returns how many tokens of the prompt the engine has to read. Other
@@ -179,9 +184,9 @@
 }
 
 // home returns the upstream whose cache is to hold the prompt's shared parts, by
-// rendezvous hashing; 0 for a prompt that shares little.
+// rendezvous hashing; 0 for a prompt without any.
 func (p *Placer) home(ticket request.Ticket) version.UpstreamID {
-	if ticket.Prompt == nil || sharedTokens(ticket.Prompt) < homeTokens {
+	if ticket.Prompt == nil || len(ticket.Prompt.Parts) < 2 {
 		return 0
 	}
 	shared := ticket.Prompt.Parts[len(ticket.Prompt.Parts)-2].ID
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -13,7 +13,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// othersTime is how long a VM's word on its own load is used.
+// othersTime is how long a VM's word on its own work is used.
 const othersTime = time.Second
 
 // Options set up a Placer.
@@ -26,6 +26,9 @@
 	// all VMs together: a factor, and requests in any second.
 	ColdOverage float64
 	ColdSlack   float64
+	// ShareWindow is the time over which accounts share; default
+	// defaultShareWindow.
+	ShareWindow time.Duration
 }
 
 // Placer places the requests of one VM. It is not safe for concurrent use.
@@ -37,6 +40,7 @@
 	// members is how many VMs share the bounds of cold upstreams.
 	members  int
 	accounts *accounts
+	others   map[version.VMID]*told
 }
 
 // New returns a placer that knows no configuration.
@@ -46,7 +50,8 @@
 		upstreams: make(map[version.UpstreamID]*upstream),
 		byPool:    make(map[version.PoolID][]*upstream),
 		members:   1,
-		accounts:  newAccounts(),
+		accounts:  newAccounts(options.ShareWindow),
+		others:    make(map[version.VMID]*told),
 	}
 }
 
@@ -86,6 +91,9 @@
 
 // Place grants the ticket an upstream or refuses it. It reports one of both.
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
+	if ticket.Attempt <= 1 {
+		p.accounts.ask(now, ticket.Account, cost(ticket))
+	}
 	best, refusal := p.choose(now, ticket)
 	if refusal != nil {
 		return request.Grant{}, refusal
@@ -101,12 +109,20 @@
 	u.gate.count(now)
 	if u.cache != nil {
 		u.free = later(u.free, now).Add(best.read)
+		u.readTotal += uint64(best.uncached)
 		if ticket.Prompt != nil {
 			u.cache.read(ticket.Prompt.Parts)
 		}
 	}
-	p.accounts.charge(now, ticket.Account, cost(ticket))
-	return request.Grant{ID: ticket.ID, Attempt: ticket.Attempt, Pool: ticket.Pool, Upstream: u.ID}, nil
+	p.accounts.serve(now, ticket.Account, cost(ticket))
+	return request.Grant{
+		ID:        ticket.ID,
+		Attempt:   ticket.Attempt,
+		Pool:      ticket.Pool,
+		Upstream:  u.ID,
+		Predicted: best.begin,
+		Unread:    best.uncached,
+	}, nil
 }
 
 // Begun notes that the answer of a request has begun.
@@ -148,7 +164,7 @@
 			u.free = u.free.Add(-f.predicted.Sub(f.sent))
 		}
 	}
-	if u.unread() == 0 && len(u.others) == 0 {
+	if u.unreadHere() == 0 && u.heard(now).unread == 0 {
 		u.free = earlier(u.free, now)
 	}
 }
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -49,14 +49,10 @@
 	// report is the newest load that the upstream told.
 	report     request.Load
 	reportedAt time.Time
-	// others is the load that other VMs told of.
-	others map[version.VMID]told
-}
-
-// told is the load of one VM on an upstream.
-type told struct {
-	running int
-	at      time.Time
+	// readTotal is all prompt tokens that this VM gave the engine to read.
+	readTotal uint64
+	// others is the work that other VMs told of.
+	others map[version.VMID]load
 }
 
 func newUpstream(described *version.Upstream, pool *version.Pool, region version.RegionID) *upstream {
@@ -66,7 +62,7 @@
 		region:   region,
 		flights:  make(map[request.ID]*flight),
 		pace:     1,
-		others:   make(map[version.VMID]told),
+		others:   make(map[version.VMID]load),
 	}
 	if pool.Engine != nil {
 		u.cache = newCache(pool.Engine.KVTokens)
@@ -85,17 +81,25 @@
 // running estimates the requests at the upstream from all VMs.
 func (u *upstream) running(now time.Time) int {
 	total := len(u.flights)
-	heard := 0
-	for vm, load := range u.others {
-		if now.Sub(load.at) > othersTime {
+	heard := u.heard(now)
+	total += heard.running
+	if heard.running == 0 && now.Sub(u.reportedAt) <= reportTime {
+		return max(total, u.report.Running+u.report.Waiting)
+	}
+	return total
+}
+
+// heard sums what other VMs told of their work here.
+func (u *upstream) heard(now time.Time) load {
+	var total load
+	for vm, told := range u.others {
+		if now.Sub(told.at) > othersTime {
 			delete(u.others, vm)
 			continue
 		}
-		heard += load.running
-	}
-	total += heard
-	if heard == 0 && now.Sub(u.reportedAt) <= reportTime {
-		return max(total, u.report.Running+u.report.Waiting)
+		total.running += told.running
+		total.unread += told.unread
+		total.memory += told.memory
 	}
 	return total
 }
@@ -123,20 +127,21 @@
 	u.paceAt = now
 	late := now.Sub(f.predicted)
 	u.free = u.free.Add(time.Duration(backlogGain * float64(late)))
-	if u.unread() == 0 && u.free.After(now) {
-		u.free = now
+	if u.unreadHere() == 0 && u.heard(now).unread == 0 {
+		u.free = earlier(u.free, now)
 	}
 }
 
-// unread counts this VM's requests whose answer has not begun.
-func (u *upstream) unread() int {
-	count := 0
+// unreadHere returns the prompt tokens of this VM's requests whose answer has
+// not begun.
+func (u *upstream) unreadHere() int {
+	tokens := 0
 	for _, f := range u.flights {
 		if !f.begun {
-			count++
+			tokens += f.uncached
 		}
 	}
-	return count
+	return tokens
 }
 
 // silent reports whether an answer is long overdue.
@@ -152,8 +157,8 @@
 	return false
 }
 
-// memory returns the tokens that this VM has running at the upstream.
-func (u *upstream) memory() int {
+// memoryHere returns the tokens that this VM's requests may take at the upstream.
+func (u *upstream) memoryHere() int {
 	tokens := 0
 	for _, f := range u.flights {
 		tokens += promptTokens(f.ticket) + outputTokens(f.ticket)
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -81,6 +81,11 @@
 	Attempt  Attempt
 	Pool     version.PoolID
 	Upstream version.UpstreamID
+	// Predicted is when the answer should begin, from the grant on; 0 if nothing
+	// was predicted.
+	Predicted time.Duration
+	// Unread is the prompt tokens that the upstream is expected to read.
+	Unread int
 }
 
 // Unused returns the end of a grant that is handed back.
