Admit by the part of the objective that a prediction fills

Tried before: preferring any engine in time over the home.

Change: the limit falls from 0.9 of the objective to 0.6 at the account's share and 0.35 at twice of it, and by 0.6 for an engine that keeps none of the shared parts.

--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -38,9 +38,6 @@
 	failurePenalty = 2 * time.Second
 	// plainTime is how long a call of a plain service is expected to take.
 	plainTime = 60 * time.Millisecond
-	// objectiveShare is the part of the objective within which the predicted
-	// beginning has to lie; the rest absorbs what the prediction misses.
-	objectiveShare = 0.9
 	// batchShare and memoryShare are the parts of an engine's batch and memory
 	// that are filled by choice.
 	batchShare  = 0.95
@@ -59,6 +56,11 @@
 	score time.Duration
 	// full is set if the upstream has no room for the request.
 	full bool
+	// keptShare is the part of the prompt's shared parts that the engine keeps,
+	// 0 to 1.
+	keptShare float64
+	// limit is the latest beginning with which the request is admitted here.
+	limit time.Duration
 }
 
 // choose returns the best upstream for a ticket.
@@ -72,21 +74,31 @@
 			Reason: request.ReasonNoUpstream, Execution: request.NotRun, RetryAfter: noUpstreamRetryAfter,
 		}
 	}
+	used := p.accounts.shareUsed(now, ticket.Account)
+	for i := range candidates {
+		candidates[i].limit = beginLimit(ticket, candidates[i], used)
+	}
 	best := slices.MinFunc(candidates, func(a, b candidate) int {
-		if a.full != b.full {
-			if a.full {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.score, b.score)
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
 	})
-	if refusal := p.admit(now, ticket, best); refusal != nil {
+	if refusal := p.admit(ticket, best, used); refusal != nil {
 		return candidate{}, refusal
 	}
 	return best, nil
 }
 
+// rank orders candidates before their score does: those that begin in time, then
+// those that begin late, then those without room.
+func (c candidate) rank() int {
+	switch {
+	case c.full:
+		return 2
+	case c.begin > c.limit:
+		return 1
+	}
+	return 0
+}
+
 // noUpstreamRetryAfter is when to come back if no upstream may be used.
 const noUpstreamRetryAfter = 500 * time.Millisecond
 
@@ -138,9 +150,11 @@
 		wait := max(u.free.Sub(now), 0)
 		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
 		c.full = u.engineFull(now, ticket)
-		if ticket.Prompt != nil {
-			own := ticket.Prompt.Tokens - sharedTokens(ticket.Prompt)
-			c.score += time.Duration(max(c.uncached-own, 0)) * rereadTime
+		c.keptShare = 1
+		if shared := sharedTokens(ticket.Prompt); shared > 0 {
+			again := max(c.uncached-(ticket.Prompt.Tokens-shared), 0)
+			c.keptShare = 1 - float64(again)/float64(shared)
+			c.score += time.Duration(again) * rereadTime
 		}
 	} else {
 		over := u.running(now) + 1 - u.slots()
@@ -237,6 +251,9 @@
 func (p *Placer) region() version.RegionID { return p.options.Regions[p.options.DataCentre] }
 
 func sharedTokens(prompt *request.Prompt) int {
+	if prompt == nil {
+		return 0
+	}
 	total := 0
 	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
 		total += part.Tokens
