Bound predicted waits by what is unread, and what one answer teaches

Each late answer pushed the engine's queue back by half of its delay and counted as a pace of up to 20, so a VM with a few preempted answers refused everything, and had no answers to learn better from.

Ruled out: the account's region (none is set) and its share (0.3 to 0.9).

Change: a wait is no longer than reading all prompts whose answers have not begun; an answer counts as 0.4 to 3 times the pace and moves the queue by at most 60 ms.

--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -224,7 +224,10 @@
 	}
 	p.general.options.Counter.Refused(refusal.Reason)
 	p.log("refused", slog.Int("status", status), slog.String("reason", string(refusal.Reason)),
-		slog.String("detail", refusal.Detail), slog.Int64("retry_after_ms", after.Milliseconds()))
+		slog.String("detail", refusal.Detail), slog.Int64("retry_after_ms", after.Milliseconds()),
+		slog.Int64("predicted_ms", refusal.Predicted.Milliseconds()),
+		slog.Int64("limit_ms", refusal.Limit.Milliseconds()),
+		slog.Float64("share_used", refusal.ShareUsed))
 	writeJSON(p.w, status, refusalBody{Error: refusalError{
 		Type:      refusal.Reason,
 		Message:   refusal.Detail,
--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -48,24 +48,35 @@
 // admit refuses a request that cannot be served in time even at the best
 // upstream, or whose account has had its share while others wait.
 func (p *Placer) admit(ticket request.Ticket, best candidate, used float64) *request.Refusal {
+	refusal := &request.Refusal{
+		Reason:    request.ReasonQueueFull,
+		Execution: request.NotRun,
+		Predicted: best.begin,
+		Limit:     best.limit,
+		ShareUsed: used,
+	}
 	switch {
 	case best.full:
-		return overloaded(request.ReasonQueueFull, best.begin)
+		refusal.Detail = "every upstream is full"
+		refusal.RetryAfter = retryAfter(best.begin)
 	case ticket.Wait > 0 && best.begin > ticket.Wait:
-		return overloaded(request.ReasonQueueFull, best.begin-ticket.Wait)
+		refusal.Detail = "no answer would begin before the deadline"
+		refusal.RetryAfter = retryAfter(best.begin - ticket.Wait)
 	case best.begin <= best.limit:
 		return nil
-	case used > 1:
-		return overloaded(request.ReasonAccountQueueFull, best.begin-best.limit)
+	default:
+		refusal.Detail = "too much work is waiting"
+		refusal.RetryAfter = retryAfter(best.begin - best.limit)
+		if used > 1 {
+			refusal.Reason = request.ReasonAccountQueueFull
+			refusal.Detail = "the account has had its share while others wait"
+		}
 	}
-	return overloaded(request.ReasonQueueFull, best.begin-best.limit)
+	return refusal
 }
 
-// overloaded refuses a request until the work that is ahead of it is done.
-func overloaded(reason request.Reason, excess time.Duration) *request.Refusal {
-	return &request.Refusal{
-		Reason:     reason,
-		Execution:  request.NotRun,
-		RetryAfter: min(max(excess, minRetryAfter), maxRetryAfter),
-	}
+// retryAfter returns when a refused caller may come back: when the work that was
+// too much is done.
+func retryAfter(excess time.Duration) time.Duration {
+	return min(max(excess, minRetryAfter), maxRetryAfter)
 }
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -147,7 +147,7 @@
 		c.uncached = u.unkept(ticket, home)
 		read := float64(c.uncached) / p.readRate(u.pool) * float64(time.Second)
 		c.read = time.Duration(read * pace)
-		wait := max(u.free.Sub(now), 0)
+		wait := p.wait(now, u, pace)
 		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
 		c.full = u.engineFull(now, ticket)
 		c.keptShare = 1
@@ -173,6 +173,14 @@
 	return c
 }
 
+// wait predicts how long an engine reads what was sent to it before. It is not
+// longer than reading everything takes whose answer has not begun.
+func (p *Placer) wait(now time.Time, u *upstream, pace float64) time.Duration {
+	queued := max(u.free.Sub(now), 0)
+	unread := float64(u.unreadHere()+u.heard(now).unread) / p.readRate(u.pool)
+	return min(queued, time.Duration(unread*pace*float64(time.Second)))
+}
+
 // engineFull reports whether the engine's batch or memory is used up.
 func (u *upstream) engineFull(now time.Time, ticket request.Ticket) bool {
 	engine := u.pool.Engine
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -9,15 +9,21 @@
 
 const (
 	// paceMemory is the weight of the newest answer in an upstream's pace.
-	paceMemory = 0.2
+	paceMemory = 0.15
+	// ratioMin and ratioMax bound what a single answer says of the pace: one
+	// that was preempted is late by any factor.
+	ratioMin = 0.4
+	ratioMax = 3
 	// paceMin and paceMax bound the pace.
-	paceMin = 0.5
-	paceMax = 20
+	paceMin = 0.6
+	paceMax = 8
 	// paceHalfLife is how long it takes until half of a slow pace is forgotten,
 	// so that an upstream without work is tried again.
 	paceHalfLife = 2 * time.Second
-	// backlogGain is how far an answer's beginning corrects the backlog.
-	backlogGain = 0.5
+	// backlogGain is how far an answer's beginning corrects the backlog, and
+	// backlogStep bounds the correction.
+	backlogGain = 0.3
+	backlogStep = 60 * time.Millisecond
 	// reportTime is how long a report of load is used.
 	reportTime = 500 * time.Millisecond
 )
@@ -122,11 +128,12 @@
 	}
 	pace := u.currentPace(now)
 	ratio := float64(took-net) / max(float64(expected-net), float64(time.Millisecond))
+	ratio = clamp(ratio, ratioMin, ratioMax)
 	// The prediction contains the pace of then; what is new is the ratio to it.
 	u.pace = clamp(pace*(1-paceMemory)+pace*ratio*paceMemory, paceMin, paceMax)
 	u.paceAt = now
-	late := now.Sub(f.predicted)
-	u.free = u.free.Add(time.Duration(backlogGain * float64(late)))
+	late := backlogGain * float64(now.Sub(f.predicted))
+	u.free = u.free.Add(time.Duration(clamp(late, -float64(backlogStep), float64(backlogStep))))
 	if u.unreadHere() == 0 && u.heard(now).unread == 0 {
 		u.free = earlier(u.free, now)
 	}
--- a/fleet/request/refusal.go
+++ b/fleet/request/refusal.go
@@ -66,6 +66,12 @@
 	RetryAfter time.Duration
 	// Detail is one sentence for a person.
 	Detail string
+	// Predicted, Limit and ShareUsed are what a refusal was decided by, if it was
+	// by a prediction: when the answer would have begun at the best upstream, by
+	// when it had to, and how much of its share the account has had.
+	Predicted time.Duration
+	Limit     time.Duration
+	ShareUsed float64
 }
 
 // Error makes a Refusal usable as an error value.
