Report over hubs in large fleets, look at a sample of large pools

Cause: on grown Queensland each of 69 VMs told 68 others of its work 3 times a second and woke for every registration of a member; processors were saturated (0.10 cores of 0.19 on the busiest), requests waited seconds before they were read, and 9 processes ran out of memory.

Change: two hubs a data centre sum reports; watches gather changes; a pool of more than 16 upstreams is sampled beside three homes of the part, and sums of other VMs' loads are kept. Parts of a cold upstream's bound are whole requests that rendezvous hashing gives to VMs.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	"github.com/trefoilwell/trefoilwell/daemon/version/mirror"
+	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
 	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -82,8 +83,11 @@
 	incarnation uint64
 	// peers is nil until the fleet's secret is known.
 	peers atomic.Pointer[peer.Manager]
-	// members are the processes of the fleet; nil before the first list.
-	members atomic.Pointer[map[version.VMID]member]
+	// linksTo are the addresses of the processes to keep links with; nil before
+	// the first list of members.
+	linksTo atomic.Pointer[map[version.VMID]string]
+	// fleetSize is how many processes the fleet has.
+	fleetSize atomic.Int64
 }
 
 // server is an HTTP server with its bound listener.
@@ -115,7 +119,7 @@
 		ColdOverage: settings.Bounds.ColdOverage,
 		ColdSlack:   settings.Bounds.ColdSlack,
 		ShareWindow: settings.Bounds.ShareWindow,
-	}))
+	}), exchange.New(settings.VM))
 	e.storing = &http.Transport{MaxIdleConnsPerHost: storeConnections, DisableCompression: true}
 	e.store = platform.NewStore(settings.Store, e.storing)
 	e.mirror = mirror.New(mirror.Options{
--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
@@ -19,9 +20,9 @@
 	// reportInterval is how often the other processes are told of this one's
 	// work. It is a tenth of the time to a first token that callers expect.
 	reportInterval = 40 * time.Millisecond
-	// reportsPerSecond bounds the messages that a process sends, and so also
-	// what it receives, in a large fleet.
-	reportsPerSecond = 200
+	// largeReportInterval is the same in a large fleet, where no single process
+	// changes much of the whole.
+	largeReportInterval = 120 * time.Millisecond
 	// linkAliveInterval and linkAliveTimeout find a link that has gone silent.
 	linkAliveInterval = 2 * time.Second
 	linkAliveTimeout  = time.Second
@@ -72,21 +73,18 @@
 	}
 }
 
-// report sends this process's work to every other one and returns the pause
-// until the next time.
+// report tells the others of this process's work and returns the pause until the
+// next time.
 func (e *Edge) report(peers *peer.Manager) time.Duration {
-	members := e.members.Load()
-	if members == nil || len(*members) == 0 {
-		return reportInterval
-	}
-	work := e.placing.Report()
-	for vm := range *members {
-		if vm != e.settings.Load().VM {
-			// A process without a link is told the totals later.
-			peers.Send(vm, work)
-		}
+	outbox := e.placing.Outbox()
+	for _, message := range outbox {
+		// A process without a link is told the totals later.
+		peers.Send(message.To, message.Work)
+	}
+	if e.fleetSize.Load() > exchange.MeshMembers {
+		return largeReportInterval
 	}
-	return max(reportInterval, time.Duration(len(*members))*time.Second/reportsPerSecond)
+	return reportInterval
 }
 
 // agreeSecret returns the fleet's secret, which is drawn if there is none.
@@ -135,21 +133,27 @@
 
 // setMembers takes the processes of the fleet.
 func (e *Edge) setMembers(specs map[version.VMID][]byte) {
-	members := make(map[version.VMID]member, len(specs))
+	addresses := make(map[version.VMID]string, len(specs))
+	members := make([]exchange.Member, 0, len(specs))
 	for vm, spec := range specs {
 		var m member
 		if err := json.Unmarshal(spec, &m); err != nil || m.Peers == "" {
 			e.log.Warn("member is malformed", "member", vm, "error", err)
 			continue
 		}
-		members[vm] = m
+		addresses[vm] = m.Peers
+		members = append(members, exchange.Member{VM: vm, DataCentre: m.DataCentre, Capacity: m.Cores})
+	}
+	linksTo := make(map[version.VMID]string)
+	for _, vm := range e.placing.SetMembers(members) {
+		linksTo[vm] = addresses[vm]
 	}
-	before := e.members.Swap(&members)
-	e.placing.SetMembers(len(members))
-	e.log.Info("members", "count", len(members))
+	before := e.linksTo.Swap(&linksTo)
+	e.fleetSize.Store(int64(len(members)))
+	e.log.Info("members", "count", len(members), "links", len(linksTo))
 	if peers := e.peers.Load(); peers != nil && before != nil {
 		for vm := range *before {
-			if _, stays := members[vm]; !stays {
+			if _, stays := linksTo[vm]; !stays {
 				peers.Disconnect(vm)
 			}
 		}
@@ -157,16 +161,16 @@
 	e.connect(context.Background())
 }
 
-// connect keeps links to the members that this process dials: those with a
-// higher name.
+// connect keeps links to the processes that this one dials: those with a higher
+// name.
 func (e *Edge) connect(ctx context.Context) {
-	peers, members := e.peers.Load(), e.members.Load()
-	if peers == nil || members == nil {
+	peers, linksTo := e.peers.Load(), e.linksTo.Load()
+	if peers == nil || linksTo == nil {
 		return
 	}
-	for vm, m := range *members {
+	for vm, address := range *linksTo {
 		if vm > e.settings.Load().VM {
-			peers.Connect(ctx, vm, m.Peers)
+			peers.Connect(ctx, vm, address)
 		}
 	}
 }
--- a/daemon/process/edge/register.go
+++ b/daemon/process/edge/register.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -28,8 +29,11 @@
 
 // member is what a process tells the others of itself.
 type member struct {
-	DataCentre string `json:"data_centre"`
-	Peers      string `json:"peers"`
+	DataCentre version.DataCentreID `json:"data_centre"`
+	// Peers is the host:port that accepts links.
+	Peers string `json:"peers"`
+	// Cores is the processor that the process may use.
+	Cores float64 `json:"cores"`
 }
 
 // register writes this process's entry among the members, until the store has
@@ -37,8 +41,9 @@
 func (e *Edge) register(ctx context.Context) error {
 	settings := e.settings.Load()
 	spec, err := json.Marshal(member{
-		DataCentre: string(settings.DataCentre),
+		DataCentre: settings.DataCentre,
 		Peers:      net.JoinHostPort(settings.IP, port(settings.PeerPort)),
+		Cores:      settings.ProcessorShare,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode member")
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -1,4 +1,5 @@
-// Package placing lets the goroutines of a daemon share one placement.Placer.
+// Package placing lets the goroutines of a daemon share one placement.Placer and
+// its exchange with other daemons.
 package placing
 
 import (
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -18,18 +20,28 @@
 	config atomic.Pointer[version.Config]
 	nextID atomic.Uint64
 
-	mu     sync.Mutex
-	placer *placement.Placer
+	mu       sync.Mutex
+	placer   *placement.Placer
+	exchange *exchange.Exchange
 }
 
-// New returns a manager of a placer that nobody else uses.
-func New(placer *placement.Placer) *Manager { return &Manager{placer: placer} }
+// New returns a manager of a placer and an exchange that nobody else uses.
+func New(placer *placement.Placer, exchange *exchange.Exchange) *Manager {
+	return &Manager{placer: placer, exchange: exchange}
+}
 
-// SetMembers sets how many processes the fleet has.
-func (m *Manager) SetMembers(members int) {
+// SetMembers takes the processes of the fleet and returns those to keep links
+// with.
+func (m *Manager) SetMembers(members []exchange.Member) []version.VMID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.placer.SetMembers(members)
+	names := make([]version.VMID, 0, len(members))
+	for _, member := range members {
+		names = append(names, member.VM)
+	}
+	m.placer.SetMembers(names)
+	m.exchange.SetMembers(members)
+	return m.exchange.Peers()
 }
 
 // Configure takes a configuration with its upstreams.
@@ -60,18 +72,20 @@
 	m.placer.Begun(time.Now(), grant.ID, grant.Upstream, load)
 }
 
-// Report returns what the other VMs are to know of this one's work.
-func (m *Manager) Report() wire.Work {
+// Outbox returns what other processes are to be told.
+func (m *Manager) Outbox() []exchange.Message {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.placer.Report(time.Now())
+	now := time.Now()
+	return m.exchange.Outbox(now, m.placer.Report(now))
 }
 
 // Hear takes what another VM said of its work.
 func (m *Manager) Hear(from version.VMID, work wire.Work) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.placer.Hear(time.Now(), from, work)
+	now := time.Now()
+	m.placer.Hear(now, from, work, m.exchange.Hear(now, from, work))
 }
 
 // Forget drops what a VM said.
--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -9,8 +9,11 @@
 
 // kind is the copy of one kind of objects.
 type kind struct {
-	name    string
-	entries map[string]*entry
+	name string
+	// wait is how long a watch may be held, and gather the pause after one that
+	// brought changes.
+	wait, gather time.Duration
+	entries      map[string]*entry
 	// missing are entries that were there before an outage and not after it.
 	// They are kept until missingUntil, by the mirror's clock.
 	missing      map[string]bool
@@ -25,8 +28,8 @@
 	upstream *version.Upstream
 }
 
-func newKind(name string) *kind {
-	return &kind{name: name, entries: make(map[string]*entry), missing: make(map[string]bool)}
+func newKind(name string, wait, gather time.Duration) *kind {
+	return &kind{name: name, wait: wait, gather: gather, entries: make(map[string]*entry), missing: make(map[string]bool)}
 }
 
 // replace takes a whole list and reports whether anything changed. With
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -33,9 +33,18 @@
 	// callTimeout bounds a call. A store that is slow by a factor of a hundred
 	// answers in 0.4 s.
 	callTimeout = 1200 * time.Millisecond
-	// watchWait is how long the store may hold a watch. A connection that has
-	// gone silent is noticed after this and callTimeout.
-	watchWait = 2500 * time.Millisecond
+	// watchWait is how long the store may hold a watch on upstreams and on data
+	// centres. A connection that has gone silent is noticed after this and
+	// callTimeout.
+	watchWait = 3 * time.Second
+	// membersWait is how long it may hold one on the members, whose changes are
+	// less urgent.
+	membersWait = 12 * time.Second
+	// gatherTime is the pause between two watches on upstreams and on data
+	// centres, in which changes gather: each watch is a call that is paid for.
+	gatherTime = 200 * time.Millisecond
+	// membersGatherTime is the same for the members.
+	membersGatherTime = 1500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a call that failed.
 	retryMin = 100 * time.Millisecond
 	retryMax = 400 * time.Millisecond
@@ -89,9 +98,9 @@
 // New returns a mirror that knows nothing.
 func New(options Options) *Mirror {
 	m := &Mirror{options: options, available: true}
-	m.upstreams = newKind(platform.KindUpstream)
-	m.evacuated = newKind(platform.KindEvacuation)
-	m.members = newKind(platform.KindMember)
+	m.upstreams = newKind(platform.KindUpstream, watchWait, gatherTime)
+	m.evacuated = newKind(platform.KindEvacuation, watchWait, gatherTime)
+	m.members = newKind(platform.KindMember, membersWait, membersGatherTime)
 	return m
 }
 
@@ -210,6 +219,11 @@
 		}
 		m.change(k, changes)
 		revision = max(revision, changes.Revision)
+		if len(changes.Objects) > 0 {
+			if err := wait.Sleep(ctx, k.gather); err != nil {
+				return err
+			}
+		}
 	}
 }
 
@@ -219,9 +233,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(k.missing) == 0 {
-		return watchWait
+		return k.wait
 	}
-	return min(max(k.missingUntil.Sub(m.options.Clock()), retryMin), watchWait)
+	return min(max(k.missingUntil.Sub(m.options.Clock()), retryMin), k.wait)
 }
 
 func (m *Mirror) replace(k *kind, snapshot platform.Snapshot, outage bool) {
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,9 @@
 	failurePenalty = 2 * time.Second
 	// plainTime is how long a call of a plain service is expected to take.
 	plainTime = 60 * time.Millisecond
+	// coldShare is the part of a cold upstream's bound that is used; the rest is
+	// for VMs that do not know of each other yet.
+	coldShare = 0.9
 	// batchShare and memoryShare are the parts of an engine's batch and memory
 	// that are filled by choice.
 	batchShare  = 0.95
@@ -104,13 +108,48 @@
 
 // candidates returns the upstreams that may run the ticket.
 func (p *Placer) candidates(now time.Time, ticket request.Ticket) []candidate {
-	home := p.home(ticket)
-	var list []candidate
-	for _, u := range p.byPool[ticket.Pool] {
-		if !p.usable(now, u, ticket) {
-			continue
+	pool := p.byPool[ticket.Pool]
+	homes := p.homes(ticket)
+	list := p.scratch[:0]
+	defer func() { p.scratch = list }()
+	if len(pool) <= sampled {
+		return p.assessAll(now, list, pool, ticket, homes[0])
+	}
+	for _, u := range homes {
+		if u != nil && p.usable(now, u, ticket) {
+			list = append(list, p.assess(now, u, ticket, u == homes[0]))
+		}
+	}
+	for range sampled {
+		p.turn = (p.turn + sampleStep) % len(pool)
+		if u := pool[p.turn]; !slices.Contains(homes[:], u) && p.usable(now, u, ticket) {
+			list = append(list, p.assess(now, u, ticket, false))
+		}
+	}
+	if len(list) == 0 {
+		return p.assessAll(now, list, pool, ticket, homes[0])
+	}
+	return list
+}
+
+const (
+	// sampled is how many upstreams of a large pool are looked at beside the
+	// homes. All VMs see much the same loads; a sample keeps them from all
+	// choosing the same upstream.
+	sampled = 16
+	// sampleStep walks through the pool in another order than its own. It is a
+	// prime.
+	sampleStep = 29
+	// homeCount is how many upstreams are the home of a part, the first one
+	// before the others.
+	homeCount = 3
+)
+
+func (p *Placer) assessAll(now time.Time, list []candidate, pool []*upstream, ticket request.Ticket, home *upstream) []candidate {
+	for _, u := range pool {
+		if p.usable(now, u, ticket) {
+			list = append(list, p.assess(now, u, ticket, u == home))
 		}
-		list = append(list, p.assess(now, u, ticket, u.ID == home))
 	}
 	return list
 }
@@ -126,16 +165,39 @@
 	case !u.health.ok(now), u.silent(now):
 		return false
 	}
-	return u.gate.allows(now, p.coldLimit(u.pool))
+	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(u))
 }
 
 // coldLimit is this VM's part of what a cold upstream may get in any second.
-func (p *Placer) coldLimit(pool *version.Pool) float64 {
-	if pool.SlowStart.PerSecond <= 0 {
-		return 1 << 20
+//
+// Each of the requests that may arrive in a second belongs to one VM: an even
+// part to all, and what is left to those that rendezvous hashing gives for the
+// upstream. So the parts of all VMs never exceed the whole.
+func (p *Placer) coldLimit(u *upstream) int {
+	if u.pool.SlowStart.PerSecond <= 0 {
+		return math.MaxInt
 	}
-	total := pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
-	return total / float64(p.members)
+	bound := u.pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
+	total := int(coldShare * bound)
+	if !slices.Contains(p.members, p.options.VM) {
+		// The others do not count on this VM yet.
+		return 0
+	}
+	even, left := total/len(p.members), total%len(p.members)
+	mine, before := memberRank(p.options.VM, u.ID), 0
+	for _, vm := range p.members {
+		if memberRank(vm, u.ID) < mine {
+			before++
+		}
+	}
+	if before < left {
+		even++
+	}
+	return even
+}
+
+func memberRank(vm version.VMID, id version.UpstreamID) uint64 {
+	return rendezvous(xxhash.Sum64String(string(vm)), id)
 }
 
 // assess predicts how a request would fare at an upstream.
@@ -177,7 +239,7 @@
 // longer than reading everything takes whose answer has not begun.
 func (p *Placer) wait(now time.Time, u *upstream, pace float64) time.Duration {
 	queued := max(u.free.Sub(now), 0)
-	unread := float64(u.unreadHere()+u.heard(now).unread) / p.readRate(u.pool)
+	unread := float64(u.unread+u.heard(now).unread) / p.readRate(u.pool)
 	return min(queued, time.Duration(unread*pace*float64(time.Second)))
 }
 
@@ -188,7 +250,7 @@
 		return true
 	}
 	need := promptTokens(ticket) + outputTokens(ticket)
-	return float64(u.memoryHere()+u.heard(now).memory+need) > memoryShare*float64(engine.KVTokens)
+	return float64(u.memory+u.heard(now).memory+need) > memoryShare*float64(engine.KVTokens)
 }
 
 // unkept returns how many tokens of the prompt the engine has to read. Other
@@ -205,21 +267,27 @@
 	return max(ticket.Prompt.Tokens-kept, 0)
 }
 
-// home returns the upstream whose cache is to hold the prompt's shared parts, by
-// rendezvous hashing; 0 for a prompt without any.
-func (p *Placer) home(ticket request.Ticket) version.UpstreamID {
+// homes returns the upstreams whose caches are to hold the prompt's shared parts,
+// by rendezvous hashing, best first; nil where there is none.
+func (p *Placer) homes(ticket request.Ticket) [homeCount]*upstream {
+	var best [homeCount]*upstream
+	var scores [homeCount]uint64
 	if ticket.Prompt == nil || len(ticket.Prompt.Parts) < 2 {
-		return 0
+		return best
 	}
 	shared := ticket.Prompt.Parts[len(ticket.Prompt.Parts)-2].ID
-	var best version.UpstreamID
-	var bestScore uint64
 	for _, u := range p.byPool[ticket.Pool] {
 		if u.Draining || p.config.UpstreamOut(u.Upstream) {
 			continue
 		}
-		if score := rendezvous(shared, u.ID); score > bestScore {
-			best, bestScore = u.ID, score
+		score := rendezvous(shared, u.ID)
+		for i := range best {
+			if best[i] == nil || score > scores[i] {
+				copy(best[i+1:], best[i:])
+				copy(scores[i+1:], scores[i:])
+				best[i], scores[i] = u, score
+				break
+			}
 		}
 	}
 	return best
--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -16,27 +16,19 @@
 // cold reports whether the upstream is cold.
 func (g *coldGate) cold(now time.Time) bool { return now.Before(g.until) }
 
-// allows reports whether another request may be sent. limit is this VM's part of
-// the requests in any window; below 1, requests keep a longer distance.
-func (g *coldGate) allows(now time.Time, limit float64) bool {
-	if !g.cold(now) {
-		return true
-	}
-	window := coldWindow
-	if limit < 1 {
-		window = time.Duration(float64(coldWindow) / max(limit, minColdLimit))
-	}
-	g.forget(now.Add(-window))
-	return float64(len(g.sent)) < max(limit, 1) && len(g.sent) < max(int(limit), 1)
+// allows reports whether another request may be sent, if limit of them may be in
+// any window.
+func (g *coldGate) allows(now time.Time, limit int) bool {
+	g.forget(now.Add(-coldWindow))
+	return len(g.sent) < limit
 }
 
-// minColdLimit keeps a little work going to a cold upstream from each VM of the
-// largest fleet, in requests a second.
-const minColdLimit = 0.1
-
 // count notes a request that is sent. Warm upstreams are counted too, because
 // they may turn cold within the window.
-func (g *coldGate) count(now time.Time) { g.sent = append(g.sent, now) }
+func (g *coldGate) count(now time.Time) {
+	g.forget(now.Add(-coldWindow))
+	g.sent = append(g.sent, now)
+}
 
 func (g *coldGate) forget(before time.Time) {
 	kept := g.sent[:0]
--- a/fleet/process/placement/others.go
+++ b/fleet/process/placement/others.go
@@ -9,7 +9,6 @@
 
 // told is what another VM said of its work.
 type told struct {
-	at       time.Time
 	read     map[version.UpstreamID]uint64
 	accounts map[version.AccountID]wire.AccountWork
 }
@@ -33,9 +32,9 @@
 			work.Upstreams = append(work.Upstreams, wire.UpstreamWork{
 				Upstream: u.ID,
 				Running:  uint32(len(u.flights)),
-				Unread:   uint32(u.unreadHere()),
+				Unread:   uint32(u.unread),
 				Read:     u.readTotal,
-				Memory:   uint32(u.memoryHere()),
+				Memory:   uint32(u.memory),
 			})
 		}
 	}
@@ -52,37 +51,39 @@
 	return work
 }
 
-// Hear takes what another VM said of its work.
-func (p *Placer) Hear(now time.Time, from version.VMID, work wire.Work) {
-	before := p.others[from]
-	next := &told{
-		at:       now,
-		read:     make(map[version.UpstreamID]uint64, len(work.Upstreams)),
-		accounts: make(map[version.AccountID]wire.AccountWork, len(work.Accounts)),
+// Hear takes what another VM said of its work. Without use, it is only noted as
+// the point from which a later one counts.
+func (p *Placer) Hear(now time.Time, from version.VMID, work wire.Work, use bool) {
+	before, counts := p.others[from], use
+	if before == nil {
+		before = &told{
+			read:     make(map[version.UpstreamID]uint64, len(work.Upstreams)),
+			accounts: make(map[version.AccountID]wire.AccountWork, len(work.Accounts)),
+		}
+		p.others[from], counts = before, false
 	}
 	for _, entry := range work.Upstreams {
-		next.read[entry.Upstream] = entry.Read
+		grown := since(before.read[entry.Upstream], entry.Read)
+		before.read[entry.Upstream] = entry.Read
 		u := p.upstreams[entry.Upstream]
-		if u == nil {
+		if u == nil || !use {
 			continue
 		}
-		u.others[from] = load{
+		u.hear(from, load{
 			running: int(entry.Running), unread: int(entry.Unread), memory: int(entry.Memory), at: now,
-		}
-		if before != nil && u.pool.Engine != nil {
-			p.queueRead(now, u, since(before.read[entry.Upstream], entry.Read))
+		})
+		if counts && u.pool.Engine != nil {
+			p.queueRead(now, u, grown)
 		}
 	}
 	for _, entry := range work.Accounts {
-		next.accounts[entry.Account] = entry
-		if before == nil {
-			continue
-		}
 		known := before.accounts[entry.Account]
-		p.accounts.add(now, entry.Account,
-			float64(since(known.Asked, entry.Asked)), float64(since(known.Served, entry.Served)))
+		before.accounts[entry.Account] = entry
+		if counts {
+			p.accounts.add(now, entry.Account,
+				float64(since(known.Asked, entry.Asked)), float64(since(known.Served, entry.Served)))
+		}
 	}
-	p.others[from] = next
 }
 
 // Forget drops what a VM said, after its link ended.
@@ -90,6 +91,7 @@
 	delete(p.others, vm)
 	for _, u := range p.upstreams {
 		delete(u.others, vm)
+		u.othersUntil = time.Time{}
 	}
 }
 
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -14,7 +14,7 @@
 )
 
 // othersTime is how long a VM's word on its own work is used.
-const othersTime = time.Second
+const othersTime = 800 * time.Millisecond
 
 // Options set up a Placer.
 type Options struct {
@@ -37,10 +37,14 @@
 	config    *version.Config
 	upstreams map[version.UpstreamID]*upstream
 	byPool    map[version.PoolID][]*upstream
-	// members is how many VMs share the bounds of cold upstreams.
-	members  int
+	// members are the VMs that share the bounds of cold upstreams.
+	members  []version.VMID
 	accounts *accounts
 	others   map[version.VMID]*told
+	// scratch is reused by each decision.
+	scratch []candidate
+	// turn moves the sample of engines in a large pool.
+	turn int
 }
 
 // New returns a placer that knows no configuration.
@@ -49,7 +53,6 @@
 		options:   options,
 		upstreams: make(map[version.UpstreamID]*upstream),
 		byPool:    make(map[version.PoolID][]*upstream),
-		members:   1,
 		accounts:  newAccounts(options.ShareWindow),
 		others:    make(map[version.VMID]*told),
 	}
@@ -86,8 +89,8 @@
 	}
 }
 
-// SetMembers sets how many VMs share the bounds of cold upstreams.
-func (p *Placer) SetMembers(members int) { p.members = max(members, 1) }
+// SetMembers sets the VMs that share the bounds of cold upstreams.
+func (p *Placer) SetMembers(members []version.VMID) { p.members = members }
 
 // Place grants the ticket an upstream or refuses it. It reports one of both.
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
@@ -105,7 +108,7 @@
 		predicted: now.Add(best.begin),
 		uncached:  best.uncached,
 	}
-	u.flights[ticket.ID] = f
+	u.take(f)
 	u.gate.count(now)
 	if u.cache != nil {
 		u.free = later(u.free, now).Add(best.read)
@@ -138,7 +141,7 @@
 	if f == nil || f.begun {
 		return
 	}
-	f.begun = true
+	u.begin(f)
 	u.learn(now, f, p.network(u))
 	u.health.succeeded()
 }
@@ -150,7 +153,9 @@
 		return
 	}
 	f := u.flights[finish.ID]
-	delete(u.flights, finish.ID)
+	if f != nil {
+		u.drop(f)
+	}
 	switch finish.Outcome {
 	case request.OutcomeDone:
 		u.health.succeeded()
@@ -164,7 +169,7 @@
 			u.free = u.free.Add(-f.predicted.Sub(f.sent))
 		}
 	}
-	if u.unreadHere() == 0 && u.heard(now).unread == 0 {
+	if u.unread == 0 && u.heard(now).unread == 0 {
 		u.free = earlier(u.free, now)
 	}
 }
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -55,10 +55,16 @@
 	// report is the newest load that the upstream told.
 	report     request.Load
 	reportedAt time.Time
+	// unread is the prompt tokens of flights whose answer has not begun, and
+	// memory the tokens that all flights may take.
+	unread, memory int
 	// readTotal is all prompt tokens that this VM gave the engine to read.
 	readTotal uint64
 	// others is the work that other VMs told of.
 	others map[version.VMID]load
+	// othersSum is the sum of others, which holds until othersUntil.
+	othersSum   load
+	othersUntil time.Time
 }
 
 func newUpstream(described *version.Upstream, pool *version.Pool, region version.RegionID) *upstream {
@@ -95,19 +101,30 @@
 	return total
 }
 
+// hear takes what another VM told of its work here.
+func (u *upstream) hear(from version.VMID, told load) {
+	u.others[from] = told
+	u.othersUntil = time.Time{}
+}
+
 // heard sums what other VMs told of their work here.
 func (u *upstream) heard(now time.Time) load {
-	var total load
+	if now.Before(u.othersUntil) {
+		return u.othersSum
+	}
+	u.othersSum, u.othersUntil = load{}, now.Add(othersTime)
 	for vm, told := range u.others {
-		if now.Sub(told.at) > othersTime {
+		until := told.at.Add(othersTime)
+		if !until.After(now) {
 			delete(u.others, vm)
 			continue
 		}
-		total.running += told.running
-		total.unread += told.unread
-		total.memory += told.memory
+		u.othersUntil = earlier(u.othersUntil, until)
+		u.othersSum.running += told.running
+		u.othersSum.unread += told.unread
+		u.othersSum.memory += told.memory
 	}
-	return total
+	return u.othersSum
 }
 
 // currentPace returns the pace, with what is old forgotten.
@@ -134,23 +151,11 @@
 	u.paceAt = now
 	late := backlogGain * float64(now.Sub(f.predicted))
 	u.free = u.free.Add(time.Duration(clamp(late, -float64(backlogStep), float64(backlogStep))))
-	if u.unreadHere() == 0 && u.heard(now).unread == 0 {
+	if u.unread == 0 && u.heard(now).unread == 0 {
 		u.free = earlier(u.free, now)
 	}
 }
 
-// unreadHere returns the prompt tokens of this VM's requests whose answer has
-// not begun.
-func (u *upstream) unreadHere() int {
-	tokens := 0
-	for _, f := range u.flights {
-		if !f.begun {
-			tokens += f.uncached
-		}
-	}
-	return tokens
-}
-
 // silent reports whether an answer is long overdue.
 func (u *upstream) silent(now time.Time) bool {
 	for _, f := range u.flights {
@@ -164,11 +169,24 @@
 	return false
 }
 
-// memoryHere returns the tokens that this VM's requests may take at the upstream.
-func (u *upstream) memoryHere() int {
-	tokens := 0
-	for _, f := range u.flights {
-		tokens += promptTokens(f.ticket) + outputTokens(f.ticket)
+// take adds a flight.
+func (u *upstream) take(f *flight) {
+	u.flights[f.ticket.ID] = f
+	u.unread += f.uncached
+	u.memory += promptTokens(f.ticket) + outputTokens(f.ticket)
+}
+
+// begin notes that a flight's answer has begun.
+func (u *upstream) begin(f *flight) {
+	f.begun = true
+	u.unread -= f.uncached
+}
+
+// drop removes a flight.
+func (u *upstream) drop(f *flight) {
+	if !f.begun {
+		u.begin(f)
 	}
-	return tokens
+	u.memory -= promptTokens(f.ticket) + outputTokens(f.ticket)
+	delete(u.flights, f.ticket.ID)
 }
