Shed requests when the process lags, keep no connection when there are many

Cause: edge-brisbane-b-7 of grown Queensland takes most requests of a large account. Its goroutines ran seconds late, so requests were sent on after their callers had left (GONE), and it ran out of descriptors and memory.

Change: a monitor measures how late timers fire; beyond 15 ms a request is refused unread and told to come back at once, to another router; beyond two fifths of the descriptors no connection is kept.

--- a/daemon/connection/upstream/transport.go
+++ b/daemon/connection/upstream/transport.go
@@ -11,10 +11,13 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 2 * time.Second
-	// idleTimeout closes a connection that nobody uses.
-	idleTimeout = 60 * time.Second
-	// maxIdlePerUpstream bounds the unused connections to one upstream.
+	// idleTimeout closes a connection that nobody uses. Upstreams may drop one
+	// without notice, and a request that is sent on it then may be lost.
+	idleTimeout = 8 * time.Second
+	// maxIdlePerUpstream and maxIdle bound the unused connections to one upstream
+	// and to all. A VM has about 4,000 descriptors, most of them for callers.
 	maxIdlePerUpstream = 64
+	maxIdle            = 600
 	// maxAnswerHeaderBytes bounds the headers of an answer.
 	maxAnswerHeaderBytes = 64 << 10
 )
@@ -43,6 +46,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		MaxIdleConns:           maxIdle,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
--- /dev/null
+++ b/daemon/process/edge/crowd.go
@@ -0,0 +1,35 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// callersShare is the part of the process's descriptors that callers'
+// connections may take before none is kept. Each request needs another one to
+// its upstream.
+const callersShare = 0.4
+
+// crowd counts the connections of callers.
+type crowd struct {
+	limit int64
+	open  atomic.Int64
+}
+
+func newCrowd(descriptors int) *crowd {
+	return &crowd{limit: int64(callersShare * float64(descriptors))}
+}
+
+// track is called by the callers' server at each change of a connection.
+func (c *crowd) track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// full reports whether no connection should be kept.
+func (c *crowd) full() bool { return c.limit > 0 && c.open.Load() > c.limit }
--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -15,6 +15,8 @@
 	// noticeTime is how long the balancer may take to send no new connections:
 	// it asks once a second and acts on the second failure.
 	noticeTime = 2800 * time.Millisecond
+	// noticeShare bounds noticeTime by a part of the grace, if that is short.
+	noticeShare = 0.4
 	// killMargin is kept back from the platform's grace for the last answers
 	// and the exit.
 	killMargin = 600 * time.Millisecond
@@ -51,12 +53,13 @@
 	e.handler.Leave()
 	e.log.Info("stopping", "requests", e.handler.Held())
 	e.unregister(over)
-	if err := wait.Sleep(over, noticeTime); err != nil {
+	grace := e.settings.Load().Bounds.Grace
+	if err := wait.Sleep(over, min(noticeTime, time.Duration(noticeShare*float64(grace)))); err != nil {
 		return err
 	}
 	e.handler.Close()
 	e.callers.http.SetKeepAlivesEnabled(false)
-	last := began.Add(e.settings.Load().Bounds.Grace - killMargin)
+	last := began.Add(grace - killMargin)
 	for time.Now().Before(last) && e.handler.Held() > 0 {
 		if err := wait.Sleep(over, pollInterval); err != nil {
 			return err
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
+	"github.com/trefoilwell/trefoilwell/daemon/process/lag"
 	"github.com/trefoilwell/trefoilwell/daemon/process/logsink"
 	"github.com/trefoilwell/trefoilwell/daemon/process/placing"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
@@ -72,6 +73,8 @@
 	placing *placing.Manager
 	handler *serve.General
 	metrics *metrics
+	lag     lag.Monitor
+	crowd   *crowd
 
 	callers   server
 	readiness server
@@ -112,6 +115,7 @@
 	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
 	limitResources(settings)
+	e.crowd = newCrowd(settings.MaxDescriptors)
 	e.placing = placing.New(placement.New(placement.Options{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -155,6 +159,9 @@
 			Begun:      e.placing.Begun,
 		}),
 		Incoming:     platform.Incoming,
+		RequestID:    platform.RequestID,
+		Lag:          e.lag.Lag,
+		Crowded:      e.crowd.full,
 		Fresh:        e.fresh,
 		Counter:      e.metrics,
 		Retry:        e.retryOptions,
@@ -167,23 +174,24 @@
 func (e *Edge) listen(settings *platform.Settings) error {
 	handler := serve.NewServer(e.handler)
 	handler.IdleTimeout = callersIdleTimeout
+	handler.ConnState = e.crowd.track
 	var err error
-	if e.callers, err = newServer(handler, settings.Callers); err != nil {
+	if e.callers, err = e.newServer(handler, settings.Callers); err != nil {
 		return errors.Wrap(err, "callers listener")
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: time.Second}
-	if e.readiness, err = newServer(ready, settings.Readiness); err != nil {
+	if e.readiness, err = e.newServer(ready, settings.Readiness); err != nil {
 		return errors.Wrap(err, "readiness listener")
 	}
 	links := &http.Server{Handler: http.HandlerFunc(e.acceptLink), ReadHeaderTimeout: time.Second}
-	if e.linked, err = newServer(links, net.JoinHostPort(settings.IP, port(settings.PeerPort))); err != nil {
+	if e.linked, err = e.newServer(links, net.JoinHostPort(settings.IP, port(settings.PeerPort))); err != nil {
 		return errors.Wrap(err, "peer listener")
 	}
 	if e.options.MetricsPort == 0 {
 		return nil
 	}
 	address := net.JoinHostPort(settings.IP, port(e.options.MetricsPort))
-	observed, err := newServer(&http.Server{Handler: e.metrics, ReadHeaderTimeout: time.Second}, address)
+	observed, err := e.newServer(&http.Server{Handler: e.metrics, ReadHeaderTimeout: time.Second}, address)
 	if err != nil {
 		return errors.Wrap(err, "metrics listener")
 	}
@@ -191,7 +199,8 @@
 	return nil
 }
 
-func newServer(http *http.Server, address string) (server, error) {
+func (e *Edge) newServer(http *http.Server, address string) (server, error) {
+	http.ErrorLog = slog.NewLogLogger(e.log.Handler(), slog.LevelWarn)
 	listener, err := net.Listen("tcp", address)
 	return server{http: http, listener: listener}, err
 }
@@ -217,6 +226,7 @@
 	addDuty(&group, ctx, e.mirror.FollowMembers)
 	addDuty(&group, ctx, e.register)
 	addDuty(&group, ctx, e.link)
+	addDuty(&group, ctx, e.lag.Run)
 	addDuty(&group, ctx, e.followSettings)
 	addDuty(&group, ctx, e.sink.Run)
 	err := group.Run()
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -23,6 +23,8 @@
 	Relay Relay
 	// Incoming reads a caller's headers.
 	Incoming func(http.Header) (request.Incoming, error)
+	// RequestID reads only the request's identifier.
+	RequestID func(http.Header) string
 	// Fresh reports whether the configuration in force is known to be so recent
 	// that API keys may be trusted, and how old it is.
 	Fresh func() (bool, time.Duration)
@@ -31,6 +33,11 @@
 	// Retry bounds the attempts beyond the first of each request, for each
 	// pool.
 	Retry func() retry.WindowOptions
+	// Lag returns how far the process is behind with its work; default 0.
+	Lag func() time.Duration
+	// Crowded reports whether there are so many connections of callers that none
+	// should be kept; default never.
+	Crowded func() bool
 	// MaxRequests bounds the requests that are held at once; default
 	// DefaultMaxRequests.
 	MaxRequests int
@@ -64,6 +71,12 @@
 	if options.MaxHeldBytes == 0 {
 		options.MaxHeldBytes = DefaultMaxHeldBytes
 	}
+	if options.Lag == nil {
+		options.Lag = func() time.Duration { return 0 }
+	}
+	if options.Crowded == nil {
+		options.Crowded = func() bool { return false }
+	}
 	if options.Finished == nil {
 		options.Finished = func(string, time.Duration) {}
 	}
@@ -93,9 +106,13 @@
 	// A request with both a length and chunks has its length dropped by the
 	// server. What follows it may be meant as part of it, so nothing that
 	// follows chunks is read as a request.
-	if g.leaving.Load() || len(r.TransferEncoding) > 0 {
+	if g.leaving.Load() || len(r.TransferEncoding) > 0 || g.options.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if refusal := p.shed(); refusal != nil {
+		p.refuse(refusal)
+		return
+	}
 	if refusal := p.admit(); refusal != nil {
 		p.refuse(refusal)
 		return
@@ -117,6 +134,33 @@
 	p.run()
 }
 
+const (
+	// shedLag is the lag beyond which requests are refused unread: a request passes
+	// some ten goroutines, each of which waits that long. Another router
+	// serves them sooner than this one, which has to keep up with those it has.
+	shedLag = 15 * time.Millisecond
+	// shedRetryAfter sends the caller to another router at once.
+	shedRetryAfter = 20 * time.Millisecond
+)
+
+// shed refuses a request if this process cannot keep up with its work.
+func (p *passage) shed() *request.Refusal {
+	lag := p.general.options.Lag()
+	if lag <= shedLag {
+		return nil
+	}
+	p.in.ID = p.general.options.RequestID(p.r.Header)
+	p.w.Header().Set("Connection", "close")
+	return &request.Refusal{
+		Reason:     request.ReasonQueueFull,
+		Execution:  request.NotRun,
+		RetryAfter: shedRetryAfter,
+		Detail:     "this router is behind with its work",
+		Predicted:  lag,
+		Limit:      shedLag,
+	}
+}
+
 // admit reads the request's headers and finds its route and account.
 func (p *passage) admit() *request.Refusal {
 	g := p.general
