--- /dev/null
+++ b/daemon/version/mirror/mirror_test.go
@@ -0,0 +1,169 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+// manual is a clock that a test moves.
+type manual struct{ now time.Time }
+
+func (c *manual) read() time.Time { return c.now }
+
+// fakeStore answers from memory.
+type fakeStore struct {
+	config   platform.Object
+	err      error
+	calls    int
+	snapshot platform.Snapshot
+}
+
+func (s *fakeStore) Get(context.Context, string, string) (platform.Object, error) {
+	s.calls++
+	return s.config, s.err
+}
+
+func (s *fakeStore) List(context.Context, string) (platform.Snapshot, error) {
+	s.calls++
+	return s.snapshot, s.err
+}
+
+func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) (platform.Snapshot, error) {
+	s.calls++
+	return platform.Snapshot{}, s.err
+}
+
+type fixture struct {
+	*Mirror
+	clock *manual
+	store *fakeStore
+	// applied is the newest state.
+	applied *version.Config
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: &manual{now: time.Unix(1000, 0)}, store: &fakeStore{}}
+	f.Mirror = New(Options{
+		Store:   f.store,
+		Clock:   f.clock.read,
+		Apply:   func(config *version.Config) { f.applied = config },
+		Members: func(map[version.VMID][]byte) {},
+		Lost:    func() {},
+		Log:     slog.New(slog.DiscardHandler),
+	})
+	return f
+}
+
+func configObject(number, revision uint64) platform.Object {
+	return platform.Object{Name: "main", Revision: revision, Spec: fmt.Appendf(nil, `{"version":%d}`, number)}
+}
+
+func registration(name string, revision uint64) platform.Object {
+	return platform.Object{Name: name, Revision: revision, Spec: []byte(
+		`{"service":"s","address":"10.0.0.1:80","zone":"dc","slots":8,"state":"ready"}`)}
+}
+
+func (f *fixture) names() map[string]bool {
+	names := make(map[string]bool)
+	for _, upstream := range f.applied.Upstreams {
+		names[upstream.Name] = true
+	}
+	return names
+}
+
+func TestAConfirmationCountsFromTheBeginningOfItsRead(t *testing.T) {
+	f := newFixture()
+	f.store.config = configObject(1, 10)
+	began := f.clock.now
+	f.readConfig(t.Context())
+	if !f.Confirmed().Equal(began) {
+		t.Errorf("confirmed at %v, asked at %v", f.Confirmed(), began)
+	}
+	f.clock.now = began.Add(time.Second)
+	f.store.err = platform.ErrBusy
+	f.readConfig(t.Context())
+	if !f.Confirmed().Equal(began) {
+		t.Error("a refused read confirms")
+	}
+}
+
+func TestAnOlderConfigurationIsNotTaken(t *testing.T) {
+	f := newFixture()
+	for _, object := range []platform.Object{configObject(5, 10), configObject(4, 11), {Name: "main", Revision: 12, Spec: []byte("x")}} {
+		f.store.config = object
+		f.readConfig(t.Context())
+	}
+	if f.applied.Number != 5 {
+		t.Errorf("version %d is in force", f.applied.Number)
+	}
+}
+
+func TestRegistrationsThatLapsedInAnOutageMayReturn(t *testing.T) {
+	f := newFixture()
+	f.store.config = configObject(1, 1)
+	f.readConfig(t.Context())
+	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2), registration("b", 3)}}, false)
+	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, true)
+	if names := f.names(); !names["b"] {
+		t.Fatal("a registration that lapsed in the outage is given up at once")
+	}
+	if hold := f.hold(f.upstreams); hold > returnTime {
+		t.Errorf("the next watch holds for %v", hold)
+	}
+	f.clock.now = f.clock.now.Add(returnTime)
+	f.change(f.upstreams, platform.Snapshot{})
+	if names := f.names(); names["b"] || !names["a"] {
+		t.Errorf("after the time to return: %v", names)
+	}
+	f.replace(f.upstreams, platform.Snapshot{}, false)
+	if names := f.names(); len(names) != 0 {
+		t.Errorf("after changes that were missed without an outage: %v", names)
+	}
+}
+
+func TestAnotherProcessReadsTheStore(t *testing.T) {
+	hub, leaf := newFixture(), newFixture()
+	hub.store.config = configObject(3, 30)
+	hub.readConfig(t.Context())
+	for _, k := range hub.kinds() {
+		hub.replace(k, platform.Snapshot{}, false)
+	}
+	hub.replace(hub.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
+	hub.clock.now = hub.clock.now.Add(700 * time.Millisecond)
+
+	exchange := func() {
+		t.Helper()
+		tell, known := hub.Tell(leaf.Ask())
+		if !known {
+			t.Fatal("the hub knows nothing")
+		}
+		leaf.Take(tell, leaf.clock.now)
+	}
+	exchange()
+	if leaf.applied == nil || leaf.applied.Number != 3 || !leaf.names()["a"] {
+		t.Fatalf("the leaf has %+v", leaf.applied)
+	}
+	exchange()
+	if want := leaf.clock.now.Add(-700 * time.Millisecond); !leaf.Confirmed().Equal(want) {
+		t.Errorf("confirmed at %v, want %v", leaf.Confirmed(), want)
+	}
+	if !leaf.Shared() {
+		t.Error("the leaf reads the store itself")
+	}
+	if _, known := leaf.Tell(hub.Ask()); known {
+		t.Error("the leaf passes on what it was told")
+	}
+	hub.clock.now = hub.clock.now.Add(configAgeMax)
+	before := leaf.Confirmed()
+	leaf.clock.now = leaf.clock.now.Add(2 * sharedTime)
+	exchange()
+	if leaf.Shared() || !leaf.Confirmed().Equal(before) {
+		t.Error("an old confirmation is taken")
+	}
+}
--- /dev/null
+++ b/fleet/process/placement/load_test.go
@@ -0,0 +1,335 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// engineRate is the prompt tokens a second that an engine of a test reads.
+const engineRate = 75_000
+
+// answer is an answer that will begin.
+type answer struct {
+	at    time.Time
+	sent  time.Time
+	grant request.Grant
+	from  version.AccountID
+}
+
+// demand drives a fleet whose engines read prompts one after the other.
+type demand struct {
+	*fleet
+	free    map[version.UpstreamID]time.Time
+	coming  []answer
+	refused map[version.AccountID]int
+	inTime  map[version.AccountID]int
+	late    int
+	sentTo  map[version.UpstreamID]int
+	// slow multiplies the reading time of an engine.
+	slow map[version.UpstreamID]float64
+}
+
+func newDemand(engines int) *demand {
+	return &demand{
+		fleet:   newFleet(engines, nil),
+		free:    make(map[version.UpstreamID]time.Time),
+		refused: make(map[version.AccountID]int),
+		inTime:  make(map[version.AccountID]int),
+		sentTo:  make(map[version.UpstreamID]int),
+		slow:    make(map[version.UpstreamID]float64),
+	}
+}
+
+// send offers a request to the placer and lets its engine read it.
+func (l *demand) send(ticket request.Ticket) bool {
+	grant, refusal := l.Place(l.now, ticket)
+	if refusal != nil {
+		l.refused[ticket.Account]++
+		return false
+	}
+	l.sentTo[grant.Upstream]++
+	slow := max(l.slow[grant.Upstream], 1)
+	begin := later(l.free[grant.Upstream], l.now).
+		Add(time.Duration(float64(grant.Unread) / engineRate * slow * float64(time.Second)))
+	l.free[grant.Upstream] = begin
+	l.coming = append(l.coming, answer{
+		at: begin.Add(time.Duration(slow * float64(firstTokenTime))), sent: l.now, grant: grant, from: ticket.Account,
+	})
+	return true
+}
+
+// pass lets time pass and answers begin.
+func (l *demand) pass(step time.Duration) {
+	l.now = l.now.Add(step)
+	l.coming = slices.DeleteFunc(l.coming, func(a answer) bool {
+		if a.at.After(l.now) {
+			return false
+		}
+		l.Begun(a.at, a.grant.ID, a.grant.Upstream, nil, 0)
+		l.End(a.at, request.Finish{ID: a.grant.ID, Upstream: a.grant.Upstream, Outcome: request.OutcomeDone})
+		if a.at.Sub(a.sent) <= testObjective {
+			l.inTime[a.from]++
+		} else {
+			l.late++
+		}
+		return true
+	})
+}
+
+func (l *demand) total(counts map[version.AccountID]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// Burst of long prompts: more than the engines read. What is admitted begins in
+// time, the rest is refused at once, and the engines stay busy.
+func TestABurstOfLongPromptsIsAdmittedUpToWhatIsReadInTime(t *testing.T) {
+	l := newDemand(6)
+	const seconds, perSecond, tokens = 6, 120, 9000
+	for i := range seconds * perSecond {
+		l.send(l.ticket(version.AccountID(i%8), uint64(i), 0, tokens))
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	served := l.total(l.inTime)
+	if l.late*20 > served {
+		t.Errorf("%d of %d admitted requests began late", l.late, served+l.late)
+	}
+	capacity := seconds * 6 * engineRate / tokens
+	if served < capacity*8/10 {
+		t.Errorf("%d served in time, the engines read %d", served, capacity)
+	}
+}
+
+// One account at many times its share: the others are served as without it, and
+// it gets what they leave.
+func TestAnAccountAtManyTimesItsShareIsRefusedFirst(t *testing.T) {
+	l := newDemand(6)
+	const seconds, perSecond = 8, 200
+	asked := make(map[version.AccountID]int)
+	for i := range seconds * perSecond {
+		account := version.AccountID(0)
+		if i%5 == 0 {
+			account = version.AccountID(1 + i/5%8)
+		}
+		asked[account]++
+		l.send(l.ticket(account, uint64(i), 0, 4500))
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	for account := version.AccountID(1); account <= 8; account++ {
+		if l.inTime[account]*10 < asked[account]*8 {
+			t.Errorf("account %d: %d of %d served in time", account, l.inTime[account], asked[account])
+		}
+	}
+	if l.inTime[0] < l.total(l.inTime)/4 {
+		t.Errorf("the large account got %d of %d", l.inTime[0], l.total(l.inTime))
+	}
+}
+
+// Hot session: all prompts share one part. Its home takes what it can in time,
+// and others take the rest rather than none.
+func TestAHotPartSpreadsBeyondItsHomeWhenItWouldBeLate(t *testing.T) {
+	l := newDemand(6)
+	const perSecond = 120
+	for range 4 * perSecond {
+		l.send(l.ticket(1, 42, 3000, 2500))
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	if len(l.sentTo) < 4 {
+		t.Errorf("only %d engines got work", len(l.sentTo))
+	}
+	if served := l.total(l.inTime); served*10 < 4*perSecond*8 {
+		t.Errorf("%d of %d served in time", served, 4*perSecond)
+	}
+}
+
+// A third of the engines gone: their prompts find other homes, and nothing is
+// sent to what is not there.
+func TestPromptsOfLostEnginesFindOtherHomes(t *testing.T) {
+	l := newDemand(9)
+	gone := make(map[version.UpstreamID]bool)
+	config := *l.config
+	config.Upstreams = make(map[version.UpstreamID]*version.Upstream)
+	for id, upstream := range l.config.Upstreams {
+		if upstream.DataCentre == "dc-2" {
+			gone[id] = true
+			continue
+		}
+		config.Upstreams[id] = upstream
+	}
+	l.Configure(l.now, &config)
+	const perSecond = 60
+	for i := range 3 * perSecond {
+		l.send(l.ticket(version.AccountID(i%8), uint64(i%40), 4000, 2500))
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	for id := range gone {
+		if l.sentTo[id] > 0 {
+			t.Errorf("%d requests went to an engine that is gone", l.sentTo[id])
+		}
+	}
+	if served := l.total(l.inTime); served*10 < 3*perSecond*9 {
+		t.Errorf("%d of %d served in time", served, 3*perSecond)
+	}
+}
+
+// Evacuation at peak: a data centre that is emptied gets nothing from the moment
+// on that it is known.
+func TestAnEvacuatedDataCentreGetsNothing(t *testing.T) {
+	l := newDemand(9)
+	l.Configure(l.now, l.config.WithUpstreams(l.config.Upstreams,
+		version.OutOfService{DataCentres: []version.DataCentreID{"dc-0"}}))
+	for i := range 100 {
+		l.send(l.ticket(1, uint64(i), 100, 1000))
+		l.pass(20 * time.Millisecond)
+	}
+	for id, n := range l.sentTo {
+		if l.config.Upstreams[id].DataCentre == "dc-0" {
+			t.Errorf("%d requests went to an evacuated data centre", n)
+		}
+	}
+}
+
+// A slow engine keeps its queue: it gets less work, and its answers begin in time.
+func TestASlowEngineGetsLessWork(t *testing.T) {
+	l := newDemand(4)
+	var slow version.UpstreamID
+	for id := range l.config.Upstreams {
+		slow = max(slow, id)
+	}
+	l.slow[slow] = 5
+	const perSecond = 50
+	for i := range 8 * perSecond {
+		l.send(l.ticket(version.AccountID(i%8), uint64(i), 0, 2500))
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	even := 8 * perSecond / 4
+	if l.sentTo[slow] > even*6/10 {
+		t.Errorf("the slow engine got %d of %d requests", l.sentTo[slow], 8*perSecond)
+	}
+	if l.late*10 > l.total(l.inTime) {
+		t.Errorf("%d answers began late", l.late)
+	}
+}
+
+// A VM whose few answers were late predicted waits of seconds at idle engines,
+// and refused everything (scale-2 of Queensland, edge-brisbane-a-1).
+func TestLateAnswersDoNotMakeIdleEnginesLookBusy(t *testing.T) {
+	l := newDemand(3)
+	for i := range 40 {
+		grant, refusal := l.Place(l.now, l.ticket(1, uint64(i), 0, 1000))
+		if refusal != nil {
+			t.Fatalf("request %d: %v", i, refusal)
+		}
+		// The engine preempted it.
+		l.now = l.now.Add(1500 * time.Millisecond)
+		l.Begun(l.now, grant.ID, grant.Upstream, nil, 0)
+		l.End(l.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+	}
+	l.now = l.now.Add(2 * time.Second)
+	if _, refusal := l.Place(l.now, l.ticket(1, 99, 0, 1000)); refusal != nil {
+		t.Errorf("an idle fleet refuses: predicted %v of %v", refusal.Predicted, refusal.Limit)
+	}
+}
+
+// What other VMs sent counts as a queue here too.
+func TestWorkOfOtherVMsCounts(t *testing.T) {
+	l := newDemand(1)
+	var only version.UpstreamID
+	for id := range l.config.Upstreams {
+		only = id
+	}
+	report := func(read uint64, unread uint32) wire.Work {
+		return wire.Work{Upstreams: []wire.UpstreamWork{{Upstream: only, Running: 5, Unread: unread, Read: read}}}
+	}
+	l.Hear(l.now, "vm-1", report(1_000_000, 0), true)
+	grant, refusal := l.Place(l.now, l.ticket(1, 1, 0, 1000))
+	if refusal != nil {
+		t.Fatalf("the first report is no new work: %v", refusal)
+	}
+	l.End(l.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeCancelled})
+	l.Hear(l.now, "vm-1", report(1_060_000, 60_000), true)
+	if _, refusal := l.Place(l.now, l.ticket(1, 2, 0, 1000)); refusal == nil {
+		t.Error("60,000 tokens of another VM are not seen")
+	}
+	l.Forget("vm-1")
+	l.now = l.now.Add(2 * time.Second)
+	if _, refusal := l.Place(l.now, l.ticket(1, 3, 0, 1000)); refusal != nil {
+		t.Errorf("work of a VM that is gone still counts: %v", refusal)
+	}
+}
+
+// Cold engine: all VMs together stay within what it bears in any second.
+func TestVMsTogetherStayWithinAColdLimit(t *testing.T) {
+	const perSecond, overage, slack = 22.0, 1.5, 5.0
+	for _, vms := range []int{1, 6, 7, 69} {
+		var members []version.VMID
+		for i := range vms {
+			members = append(members, version.VMID("vm-"+string(rune('A'+i))))
+		}
+		var sent []time.Time
+		var placers []*fleet
+		for _, vm := range members {
+			f := newFleet(1, func(pool *version.Pool, upstreams map[version.UpstreamID]*version.Upstream) {
+				pool.SlowStart = version.SlowStart{ColdTime: 3 * time.Second, PerSecond: perSecond}
+				for _, upstream := range upstreams {
+					upstream.ColdUntil = time.Unix(1010, 0)
+				}
+			})
+			f.options.VM = vm
+			f.SetMembers(members)
+			placers = append(placers, f)
+		}
+		for step := range 300 {
+			now := time.Unix(1000, 0).Add(time.Duration(step) * 10 * time.Millisecond)
+			for _, f := range placers {
+				if grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10)); refusal == nil {
+					sent = append(sent, now)
+					f.Begun(now, grant.ID, grant.Upstream, nil, 0)
+					f.End(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+				}
+			}
+		}
+		for i, at := range sent {
+			last, _ := slices.BinarySearchFunc(sent, at.Add(time.Second), time.Time.Compare)
+			if n := last - i; float64(n) > perSecond*overage+slack {
+				t.Fatalf("%d VMs sent %d requests in a second", vms, n)
+			}
+		}
+		if len(sent) < 30 {
+			t.Errorf("%d VMs sent only %d requests in 3 s", vms, len(sent))
+		}
+	}
+}
+
+// An engine that answers nothing any more gets nothing new; one that takes no
+// connection is left alone and counts as cold when it is back.
+func TestSilentAndUnreachableEnginesAreLeft(t *testing.T) {
+	l := newDemand(2)
+	first, _ := l.Place(l.now, l.ticket(1, 1, 0, 1000))
+	l.now = l.now.Add(2 * time.Second)
+	for i := range 5 {
+		grant, refusal := l.Place(l.now, l.ticket(1, uint64(2+i), 0, 100))
+		if refusal != nil || grant.Upstream == first.Upstream {
+			t.Fatalf("a silent engine got a request (%v)", refusal)
+		}
+		l.Begun(l.now, grant.ID, grant.Upstream, nil, 0)
+		l.End(l.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+	}
+	l.End(l.now, request.Finish{ID: first.ID, Upstream: first.Upstream, Outcome: request.OutcomeUnreachable})
+	if grant, _ := l.Place(l.now, l.ticket(1, 9, 0, 100)); grant.Upstream == first.Upstream {
+		t.Error("an unreachable engine got a request")
+	}
+}
--- a/lab/edge/harness_test.go
+++ b/lab/edge/harness_test.go
@@ -44,6 +44,7 @@
 	stopped   chan error
 	client    *http.Client
 	version   int
+	next      int
 }
 
 // bounds are the platform's bounds of a test, in the form of its settings.
@@ -186,6 +187,8 @@
 	status int
 	header http.Header
 	body   string
+	// last is set if the answer is the last one of its connection.
+	last bool
 	// err is set for an answer that broke off.
 	err error
 }
@@ -212,7 +215,7 @@
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
-	return reply{status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+	return reply{status: answer.StatusCode, header: answer.Header, body: string(body), last: answer.Close, err: err}
 }
 
 // runs returns what all upstreams ran under an identifier.
