Trust a home to keep its parts only after it had work for a while

Tried and reverted: telling the age of a request from how much shorter its deadline is than the longest of its route, and letting late requests yield.

--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -35,6 +35,9 @@
 	// read it, at an engine that does not keep it while another one does. It
 	// makes a prompt wait at its home rather than displace other parts elsewhere.
 	rereadTime = 80 * time.Microsecond
+	// homeTrustTime is how long an engine must have had work until the home of a
+	// part is taken to keep it: by then other VMs have sent most parts once.
+	homeTrustTime = 2 * time.Second
 	// failurePenalty is what a certain failure counts as, in time.
 	failurePenalty = 2 * time.Second
 	// plainTime is how long a call of a plain service is expected to take.
@@ -60,8 +63,10 @@
 	score time.Duration
 	// full is set if the upstream has no room for the request.
 	full bool
+	// home is set at the first home of the prompt's shared parts.
+	home bool
 	// keptShare is the part of the prompt's shared parts that the engine keeps,
-	// 0 to 1.
+	// 0 to 1; 1 at the home, which is where they are read first.
 	keptShare float64
 	// limit is the latest beginning with which the request is admitted here.
 	limit time.Duration
@@ -202,18 +207,18 @@
 
 // assess predicts how a request would fare at an upstream.
 func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, home bool) candidate {
-	c := candidate{upstream: u}
+	c := candidate{upstream: u, home: home}
 	net := p.network(u)
 	pace := u.currentPace(now)
 	if u.pool.Engine != nil {
-		c.uncached = u.unkept(ticket, home)
+		c.uncached = u.unkept(ticket, home && u.trusted(now))
 		read := float64(c.uncached) / p.readRate(u.pool) * float64(time.Second)
 		c.read = time.Duration(read * pace)
 		wait := p.wait(now, u, pace)
 		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
 		c.full = u.engineFull(now, ticket)
 		c.keptShare = 1
-		if shared := sharedTokens(ticket.Prompt); shared > 0 {
+		if shared := sharedTokens(ticket.Prompt); shared > 0 && !home {
 			again := max(c.uncached-(ticket.Prompt.Tokens-shared), 0)
 			c.keptShare = 1 - float64(again)/float64(shared)
 			c.score += time.Duration(again) * rereadTime
@@ -254,14 +259,14 @@
 }
 
 // unkept returns how many tokens of the prompt the engine has to read. Other
-// VMs send the prompts that share a long part to its home too, so the home is
-// taken to keep the parts.
-func (u *upstream) unkept(ticket request.Ticket, home bool) int {
+// VMs send the prompts that share a long part to its home too, so a home that is
+// trusted is taken to keep the parts.
+func (u *upstream) unkept(ticket request.Ticket, trusted bool) int {
 	if ticket.Prompt == nil {
 		return ticket.BodyBytes / request.BytesPerToken
 	}
 	kept := u.cache.kept(ticket.Prompt.Parts)
-	if home {
+	if trusted {
 		kept = max(kept, sharedTokens(ticket.Prompt))
 	}
 	return max(ticket.Prompt.Tokens-kept, 0)
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -333,3 +333,24 @@
 		t.Error("an unreachable engine got a request")
 	}
 }
+
+// Start of the day: no engine keeps anything yet, so a home has to read shared
+// parts like any other engine; later other VMs have sent them there.
+func TestAHomeIsTrustedToKeepItsPartsOnlyAfterAWhile(t *testing.T) {
+	const shared, own = 6000, 500
+	l := newDemand(3)
+	first, _ := l.Place(l.now, l.ticket(1, 1, shared, own))
+	if first.Unread != shared+own {
+		t.Errorf("at the start %d tokens are read, want %d", first.Unread, shared+own)
+	}
+	for range 30 {
+		l.pass(100 * time.Millisecond)
+		for part := range uint64(8) {
+			l.send(l.ticket(1, 100+part, 0, 100))
+		}
+	}
+	later, refusal := l.Place(l.now, l.ticket(1, 2, shared, own))
+	if refusal != nil || later.Unread != own {
+		t.Errorf("later %d tokens are read, want %d (%v)", later.Unread, own, refusal)
+	}
+}
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -58,6 +58,8 @@
 	// unread is the prompt tokens of flights whose answer has not begun, and
 	// memory the tokens that all flights may take.
 	unread, memory int
+	// worked is when the engine got its first work.
+	worked time.Time
 	// readTotal is all prompt tokens that this VM gave the engine to read.
 	readTotal uint64
 	// others is the work that other VMs told of.
@@ -171,11 +173,20 @@
 
 // take adds a flight.
 func (u *upstream) take(f *flight) {
+	if u.worked.IsZero() {
+		u.worked = f.sent
+	}
 	u.flights[f.ticket.ID] = f
 	u.unread += f.uncached
 	u.memory += promptTokens(f.ticket) + outputTokens(f.ticket)
 }
 
+// trusted reports whether the engine had work for long enough to keep the parts
+// whose home it is.
+func (u *upstream) trusted(now time.Time) bool {
+	return !u.worked.IsZero() && now.Sub(u.worked) >= homeTrustTime
+}
+
 // begin notes that a flight's answer has begun.
 func (u *upstream) begin(f *flight) {
 	f.begun = true
