--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -58,7 +58,7 @@
 	// unread is the prompt tokens of flights whose answer has not begun, and
 	// memory the tokens that all flights may take.
 	unread, memory int
-	// worked is when the engine got its first work.
+	// worked is when the engine got its first work that this VM knows of.
 	worked time.Time
 	// readTotal is all prompt tokens that this VM gave the engine to read.
 	readTotal uint64
@@ -105,6 +105,9 @@
 
 // hear takes what another VM told of its work here.
 func (u *upstream) hear(from version.VMID, told load) {
+	if u.worked.IsZero() && told.running > 0 {
+		u.worked = told.at
+	}
 	u.others[from] = told
 	u.othersUntil = time.Time{}
 }
