--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -343,6 +343,7 @@
 	if first.Unread != shared+own {
 		t.Errorf("at the start %d tokens are read, want %d", first.Unread, shared+own)
 	}
+	l.End(l.now, request.Finish{ID: first.ID, Upstream: first.Upstream, Outcome: request.OutcomeCancelled})
 	for range 30 {
 		l.pass(100 * time.Millisecond)
 		for part := range uint64(8) {
