--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -38,7 +38,12 @@
 		return math.MaxInt64
 	}
 	fill := freshFill - (freshFill-shareFill)*used
-	if used > 1 {
+	switch {
+	case ticket.Attempt > 1:
+		// The request was admitted before. If it may have run, no refusal could
+		// tell its caller to come back.
+		fill = freshFill
+	case used > 1:
 		fill = max(shareFill-(shareFill-minFill)*(used-1), minFill)
 	}
 	fill *= awayFill + (1-awayFill)*c.keptShare
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -135,6 +135,28 @@
 	}
 }
 
+// A further attempt is not refused for the share of its account: it was admitted
+// before (502 for a pick whose upstream reset the connection, trouble-1).
+func TestAFurtherAttemptIsNotRefusedForItsShare(t *testing.T) {
+	l := newDemand(1)
+	const perSecond = 60
+	for i := range 2 * perSecond {
+		l.send(l.ticket(1, uint64(i), 0, 2500))
+		l.pass(time.Second / perSecond)
+	}
+	for l.send(l.ticket(1, 1, 0, 2500)) {
+		continue
+	}
+	again := l.ticket(1, 2, 0, 2500)
+	if _, refusal := l.Place(l.now, again); refusal == nil {
+		t.Fatal("the account has room for more")
+	}
+	again.Attempt = 2
+	if _, refusal := l.Place(l.now, again); refusal != nil {
+		t.Errorf("refused: %v, predicted %v of %v", refusal, refusal.Predicted, refusal.Limit)
+	}
+}
+
 // Hot session: all prompts share one part. Its home takes what it can in time,
 // and others take the rest rather than none.
 func TestAHotPartSpreadsBeyondItsHomeWhenItWouldBeLate(t *testing.T) {
