--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -253,10 +253,18 @@
 	return err
 }
 
+// add adds the server to a group. After a shutdown it ends with the group and not
+// before, so that the shutdown can complete.
 func (s server) add(group *run.Group) {
+	ended := make(chan struct{})
 	group.Add(func() error {
-		return s.http.Serve(s.listener)
+		err := s.http.Serve(s.listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ended
+		}
+		return err
 	}, func(error) {
+		close(ended)
 		s.http.Close()
 	})
 }
