--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -325,7 +325,7 @@
 	return ask(window)
 }
 
-// logAttributes are the parts of a request's log line that every outcome has.
+// log writes the line of a request that got its final answer.
 func (p *passage) log(outcome string, attributes ...slog.Attr) {
 	took := time.Since(p.started)
 	p.general.options.Finished(outcome, took)
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -135,14 +135,14 @@
 	object, err := m.options.Store.Get(call, platform.KindConfig, platform.ConfigName)
 	cancel()
 	if errors.Is(err, platform.ErrNotFound) {
-		m.reached(true)
+		m.reached()
 		return firstInterval
 	}
 	if err != nil {
 		m.failed("configuration", err)
 		return retryPause()
 	}
-	m.reached(true)
+	m.reached()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if began.After(m.confirmed) {
@@ -201,7 +201,6 @@
 		snapshot, err := m.options.Store.List(call, k.name)
 		cancel()
 		if err == nil {
-			m.reached(false)
 			m.replace(k, snapshot, outage)
 			err = m.watch(ctx, k, snapshot.Revision)
 		}
@@ -342,11 +341,8 @@
 	m.options.Apply(m.base.WithUpstreams(upstreams, out))
 }
 
-// reached notes that the store answered.
-func (m *Mirror) reached(config bool) {
-	if !config {
-		return
-	}
+// reached notes that the store told the configuration.
+func (m *Mirror) reached() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.available {
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -2,55 +2,13 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-const (
-	// firstTokenTime is how long an idle engine takes to answer an empty prompt.
-	firstTokenTime = 60 * time.Millisecond
-	// readShare is the part of an engine's work that goes into reading prompts
-	// while others generate, relative to the rate of the fleet that the
-	// configuration tells, which counts generated tokens too.
-	readShare = 1.7
-	// defaultReadRate is the tokens a second that an engine reads if the
-	// configuration tells nothing.
-	defaultReadRate = 50_000
-	// defaultOutput is the generated tokens expected without a bound or a hint.
-	defaultOutput = 128
-	// crossRegionTime and crossCentreTime are the one-way times that are
-	// assumed between data centres.
-	crossRegionTime = 8 * time.Millisecond
-	crossCentreTime = time.Millisecond
-	// bytesTime makes bytes that leave the region comparable with time: so much
-	// for each byte of the body.
-	bytesTime = 400 * time.Nanosecond
-	// rereadTime is what a token of a shared part counts as, beyond the time to
-	// read it, at an engine that does not keep it while another one does. It
-	// makes a prompt wait at its home rather than displace other parts elsewhere.
-	rereadTime = 80 * time.Microsecond
-	// homeTrustTime is how long an engine must have had work until the home of a
-	// part is taken to keep it: by then other VMs have sent most parts once.
-	homeTrustTime = 2 * time.Second
-	// failurePenalty is what a certain failure counts as, in time.
-	failurePenalty = 2 * time.Second
-	// plainTime is how long a call of a plain service is expected to take.
-	plainTime = 60 * time.Millisecond
-	// coldShare is the part of a cold upstream's bound that is used; the rest is
-	// for VMs that do not know of each other yet.
-	coldShare = 0.9
-	// batchShare and memoryShare are the parts of an engine's batch and memory
-	// that are filled by choice.
-	batchShare  = 0.95
-	memoryShare = 0.9
-)
-
 // candidate is an upstream that could run a request.
 type candidate struct {
 	*upstream
@@ -148,9 +106,6 @@
 	// sampleStep walks through the pool in another order than its own. It is a
 	// prime.
 	sampleStep = 29
-	// homeCount is how many upstreams are the home of a part, the first one
-	// before the others.
-	homeCount = 3
 )
 
 func (p *Placer) assessAll(now time.Time, list []candidate, pool []*upstream, ticket request.Ticket, home *upstream) []candidate {
@@ -193,198 +148,8 @@
 	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(u))
 }
 
-// coldLimit is this VM's part of what a cold upstream may get in any second.
-//
-// Each of the requests that may arrive in a second belongs to one VM: an even
-// part to all, and what is left to those that rendezvous hashing gives for the
-// upstream. So the parts of all VMs never exceed the whole.
-func (p *Placer) coldLimit(u *upstream) int {
-	if u.pool.SlowStart.PerSecond <= 0 {
-		return math.MaxInt
-	}
-	bound := u.pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
-	total := int(coldShare * bound)
-	if !slices.Contains(p.members, p.options.VM) {
-		// The others do not count on this VM yet.
-		return 0
-	}
-	even, left := total/len(p.members), total%len(p.members)
-	mine, before := memberRank(p.options.VM, u.ID), 0
-	for _, vm := range p.members {
-		if memberRank(vm, u.ID) < mine {
-			before++
-		}
-	}
-	if before < left {
-		even++
-	}
-	return even
-}
-
-func memberRank(vm version.VMID, id version.UpstreamID) uint64 {
-	return rendezvous(xxhash.Sum64String(string(vm)), id)
-}
-
-// assess predicts how a request would fare at an upstream.
-func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, home bool) candidate {
-	c := candidate{upstream: u, home: home}
-	net := p.network(u)
-	pace := u.currentPace(now)
-	if u.pool.Engine != nil {
-		c.uncached = u.unkept(ticket, home && u.trusted(now))
-		read := float64(c.uncached) / p.readRate(u.pool) * float64(time.Second)
-		c.read = time.Duration(read * pace)
-		wait := p.wait(now, u, pace)
-		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
-		c.full = u.engineFull(now, ticket)
-		c.keptShare = 1
-		if shared := sharedTokens(ticket.Prompt); shared > 0 && !home {
-			again := max(c.uncached-(ticket.Prompt.Tokens-shared), 0)
-			c.keptShare = 1 - float64(again)/float64(shared)
-			c.score += time.Duration(again) * rereadTime
-		}
-	} else {
-		over := u.running(now) + 1 - u.slots()
-		c.begin = time.Duration(float64(plainTime)*pace) + net
-		if over > 0 {
-			c.begin += time.Duration(float64(over) / float64(u.slots()) * float64(plainTime) * pace)
-		}
-		c.full = over > u.slots()
-		// Of idle upstreams the least loaded is taken.
-		c.score += time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainTime))
-	}
-	c.score += c.begin + time.Duration(u.health.failures*float64(failurePenalty))
-	if u.region != p.region() {
-		c.score += time.Duration(ticket.BodyBytes) * bytesTime
-	}
-	return c
-}
-
-// wait predicts how long an engine reads what was sent to it before. It is not
-// longer than reading everything takes whose answer has not begun.
-func (p *Placer) wait(now time.Time, u *upstream, pace float64) time.Duration {
-	queued := max(u.free.Sub(now), 0)
-	unread := float64(u.unread+u.heard(now).unread) / p.readRate(u.pool)
-	return min(queued, time.Duration(unread*pace*float64(time.Second)))
-}
-
-// engineFull reports whether the engine's batch or memory is used up.
-func (u *upstream) engineFull(now time.Time, ticket request.Ticket) bool {
-	engine := u.pool.Engine
-	if float64(u.running(now)+1) > batchShare*float64(engine.Batch) {
-		return true
-	}
-	need := promptTokens(ticket) + outputTokens(ticket)
-	return float64(u.memory+u.heard(now).memory+need) > memoryShare*float64(engine.KVTokens)
-}
-
-// unkept returns how many tokens of the prompt the engine has to read. Other
-// VMs send the prompts that share a long part to its home too, so a home that is
-// trusted is taken to keep the parts.
-func (u *upstream) unkept(ticket request.Ticket, trusted bool) int {
-	if ticket.Prompt == nil {
-		return ticket.BodyBytes / request.BytesPerToken
-	}
-	kept := u.cache.kept(ticket.Prompt.Parts)
-	if trusted {
-		kept = max(kept, sharedTokens(ticket.Prompt))
-	}
-	return max(ticket.Prompt.Tokens-kept, 0)
-}
-
-// homes returns the upstreams whose caches are to hold the prompt's shared parts,
-// by rendezvous hashing, best first; nil where there is none.
-func (p *Placer) homes(ticket request.Ticket) [homeCount]*upstream {
-	var best [homeCount]*upstream
-	var scores [homeCount]uint64
-	if ticket.Prompt == nil || len(ticket.Prompt.Parts) < 2 {
-		return best
-	}
-	shared := ticket.Prompt.Parts[len(ticket.Prompt.Parts)-2].ID
-	for _, u := range p.byPool[ticket.Pool] {
-		if u.Draining || p.config.UpstreamOut(u.Upstream) {
-			continue
-		}
-		score := rendezvous(shared, u.ID)
-		for i := range best {
-			if best[i] == nil || score > scores[i] {
-				copy(best[i+1:], best[i:])
-				copy(scores[i+1:], scores[i:])
-				best[i], scores[i] = u, score
-				break
-			}
-		}
-	}
-	return best
-}
-
-func rendezvous(part uint64, id version.UpstreamID) uint64 {
-	var key [12]byte
-	for i := range 8 {
-		key[i] = byte(part >> (8 * i))
-	}
-	for i := range 4 {
-		key[8+i] = byte(uint32(id) >> (8 * i))
-	}
-	return xxhash.Sum64(key[:])
-}
-
-// readRate is the prompt tokens a second that an engine of the pool reads.
-func (p *Placer) readRate(pool *version.Pool) float64 {
-	engines := len(p.byPool[pool.ID])
-	if p.config.Limits.TokensPerSecond <= 0 || engines == 0 {
-		return defaultReadRate
-	}
-	return readShare * p.config.Limits.TokensPerSecond / float64(max(engines, 1))
-}
-
-// network is the time that a request and its answer are on their way.
-func (p *Placer) network(u *upstream) time.Duration {
-	switch {
-	case u.region != p.region():
-		return 2 * crossRegionTime
-	case u.DataCentre != p.options.DataCentre:
-		return 2 * crossCentreTime
-	}
-	return 0
-}
-
 func (p *Placer) region() version.RegionID { return p.options.Regions[p.options.DataCentre] }
 
-func sharedTokens(prompt *request.Prompt) int {
-	if prompt == nil {
-		return 0
-	}
-	total := 0
-	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
-		total += part.Tokens
-	}
-	return total
-}
-
-func promptTokens(ticket request.Ticket) int {
-	if ticket.Prompt == nil {
-		return ticket.BodyBytes / request.BytesPerToken
-	}
-	return ticket.Prompt.Tokens
-}
-
-func outputTokens(ticket request.Ticket) int {
-	switch {
-	case ticket.Prompt == nil:
-		return defaultOutput
-	case ticket.Prompt.OutputHint > 0:
-		return min(ticket.Prompt.OutputHint, ticket.Prompt.MaxOutput)
-	}
-	return ticket.Prompt.MaxOutput
-}
-
-// cost is the service that a request is: a token read counts once and a token
-// generated twice.
-func cost(ticket request.Ticket) float64 {
-	return float64(promptTokens(ticket) + 2*outputTokens(ticket))
-}
-
 func sortByID(list []*upstream) {
 	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -1,12 +1,24 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
 
 // coldWindow is the span in which requests to a cold upstream are counted: its
 // bound holds for any second, and requests sent a second apart may arrive
 // closer together.
 const coldWindow = 1100 * time.Millisecond
 
+// coldShare is the part of a cold upstream's bound that is used; the rest is
+// for VMs that do not know of each other yet.
+const coldShare = 0.9
+
 // coldGate keeps this VM's part of what a cold upstream bears.
 type coldGate struct {
 	until time.Time
@@ -37,3 +49,35 @@
 	}
 	g.sent = g.sent[old:]
 }
+
+// coldLimit is this VM's part of what a cold upstream may get in any second.
+//
+// Each of the requests that may arrive in a second belongs to one VM: an even
+// part to all, and what is left to those that rendezvous hashing gives for the
+// upstream. So the parts of all VMs never exceed the whole.
+func (p *Placer) coldLimit(u *upstream) int {
+	if u.pool.SlowStart.PerSecond <= 0 {
+		return math.MaxInt
+	}
+	bound := u.pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
+	total := int(coldShare * bound)
+	if !slices.Contains(p.members, p.options.VM) {
+		// The others do not count on this VM yet.
+		return 0
+	}
+	even, left := total/len(p.members), total%len(p.members)
+	mine, before := memberRank(p.options.VM, u.ID), 0
+	for _, vm := range p.members {
+		if memberRank(vm, u.ID) < mine {
+			before++
+		}
+	}
+	if before < left {
+		even++
+	}
+	return even
+}
+
+func memberRank(vm version.VMID, id version.UpstreamID) uint64 {
+	return rendezvous(xxhash.Sum64String(string(vm)), id)
+}
--- a/fleet/process/placement/health.go
+++ b/fleet/process/placement/health.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// unreachable notes an upstream that took no connection. It reports whether the
-// upstream was not ejected before.
+// unreachable notes an upstream that took no connection.
 func (h *health) unreachable(now time.Time) {
 	h.failures += failureMemory * (1 - h.failures)
 	h.eject(now)
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -192,14 +192,6 @@
 	}
 }
 
-// Running returns how many attempts this VM has at an upstream.
-func (p *Placer) Running(id version.UpstreamID) int {
-	if u := p.upstreams[id]; u != nil {
-		return len(u.flights)
-	}
-	return 0
-}
-
 // halve returns what is left of one after age.
 func halve(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
