Put nothing in force before upstreams and evacuations are known

A restarted daemon could also have sent to an evacuated data centre until that list came.

Change: the mirror publishes once both kinds were listed. Tests of the mirror list all kinds first; their assertions stay.

--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -18,6 +18,8 @@
 	// mark names the present state, and taken the state that another process told
 	// last.
 	mark, taken uint64
+	// listed is set once all objects of the kind were known.
+	listed bool
 	// heard is when the store last answered, by the mirror's clock.
 	heard time.Time
 	// missing are entries that were there before an outage and not after it.
@@ -41,15 +43,16 @@
 // replace takes a whole list and reports whether anything changed. With
 // keepMissing, entries that the list lacks are kept until then.
 func (k *kind) replace(snapshot platform.Snapshot, keepMissing bool, until time.Time) bool {
-	listed := make(map[string]bool, len(snapshot.Objects))
-	changed := false
+	present := make(map[string]bool, len(snapshot.Objects))
+	changed := !k.listed
+	k.listed = true
 	for _, object := range snapshot.Objects {
-		listed[object.Name] = true
+		present[object.Name] = true
 		changed = k.put(object) || changed
 	}
 	for name := range k.entries {
 		switch {
-		case listed[name], k.missing[name] && keepMissing:
+		case present[name], k.missing[name] && keepMissing:
 		case keepMissing:
 			k.missing[name] = true
 			k.missingUntil = until
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -325,7 +325,9 @@
 
 // publish hands the present state to Apply.
 func (m *Mirror) publish() {
-	if m.base == nil {
+	if m.base == nil || !m.upstreams.listed || !m.evacuated.listed {
+		// Without all of them, requests would be refused for want of upstreams, or
+		// sent to a data centre that is emptied.
 		return
 	}
 	upstreams := make(map[version.UpstreamID]*version.Upstream)
--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -60,6 +60,13 @@
 	return f
 }
 
+// list lets the mirror know all kinds, without any object.
+func (f *fixture) list() {
+	for _, k := range f.kinds() {
+		f.replace(k, platform.Snapshot{}, false)
+	}
+}
+
 func configObject(number, revision uint64) platform.Object {
 	return platform.Object{Name: "main", Revision: revision, Spec: fmt.Appendf(nil, `{"version":%d}`, number)}
 }
@@ -93,8 +100,25 @@
 	}
 }
 
+// A daemon was ready with a configuration and no upstreams yet, and refused its
+// first request (TestAnAnswerWithoutLengthIsWhole beside load).
+func TestNothingIsInForceBeforeUpstreamsAndEvacuationsAreKnown(t *testing.T) {
+	f := newFixture()
+	f.store.config = configObject(1, 1)
+	f.readConfig(t.Context())
+	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
+	if f.applied != nil {
+		t.Error("in force before the evacuated data centres are known")
+	}
+	f.replace(f.evacuated, platform.Snapshot{}, false)
+	if f.applied == nil || !f.names()["a"] {
+		t.Errorf("in force: %+v", f.applied)
+	}
+}
+
 func TestAnOlderConfigurationIsNotTaken(t *testing.T) {
 	f := newFixture()
+	f.list()
 	for _, object := range []platform.Object{configObject(5, 10), configObject(4, 11), {Name: "main", Revision: 12, Spec: []byte("x")}} {
 		f.store.config = object
 		f.readConfig(t.Context())
@@ -108,6 +132,7 @@
 	f := newFixture()
 	f.store.config = configObject(1, 1)
 	f.readConfig(t.Context())
+	f.list()
 	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2), registration("b", 3)}}, false)
 	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, true)
 	if names := f.names(); !names["b"] {
@@ -131,9 +156,7 @@
 	hub, leaf := newFixture(), newFixture()
 	hub.store.config = configObject(3, 30)
 	hub.readConfig(t.Context())
-	for _, k := range hub.kinds() {
-		hub.replace(k, platform.Snapshot{}, false)
-	}
+	hub.list()
 	hub.replace(hub.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
 	hub.clock.now = hub.clock.now.Add(700 * time.Millisecond)
 
