Give a stream without events its upstream's header

A caller resumed a stream after its last event; the upstream's answer had no events, so the relay never wrote a header, and the server sent a 200 of its own without the receipt.

The test fails without the change.

--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -50,6 +50,11 @@
 	a.meter.end()
 	switch {
 	case err == nil:
+		if !a.out.begun {
+			// A stream that is resumed after its last event has no events, and still
+			// its upstream's status and header.
+			a.out.begin(response.StatusCode, response.Header)
+		}
 		return a.done(EndRelayed, response.StatusCode)
 	case errors.Is(err, ErrCallerGone):
 		return a.gone()
--- a/lab/edge/path_test.go
+++ b/lab/edge/path_test.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// A caller that resumes after the last event got a success without the receipt
+// (hunt-1cd5-7 of Ribglue).
+func TestAStreamWithoutEventsHasItsUpstreamsHeader(t *testing.T) {
+	w := start(t, 1, nil)
+	last := map[string]string{"Last-Event-Id": strconv.Itoa(generalupstream.Events)}
+	got := w.do(call{path: "/resume-stream/x", id: "ended", header: last})
+	if got.status != http.StatusOK || got.body != "" || got.header.Get("X-Server-Seal") != generalupstream.Seal("ended") {
+		t.Errorf("got %+v", got)
+	}
+}
+
 func TestACallerThatLeavesEndsItsRun(t *testing.T) {
 	w := start(t, 1, nil)
 	w.setFaults(generalupstream.Faults{Delay: waitTime})
