Keep one copy of a total's growth and of the hub that speaks

placement and exchange both had the growth of a total, and exchange asked twice, in two loops, which hub of a data centre is heard.

--- a/fleet/connection/wire/work.go
+++ b/fleet/connection/wire/work.go
@@ -43,3 +43,12 @@
 
 // Kind implements Message.
 func (Work) Kind() Kind { return KindWork }
+
+// Growth returns by how much a total of Work grew. One that is lower than before
+// belongs to a process that started anew, from 0.
+func Growth(before, now uint64) uint64 {
+	if now < before {
+		return now
+	}
+	return now - before
+}
--- a/fleet/process/exchange/exchange.go
+++ b/fleet/process/exchange/exchange.go
@@ -192,11 +192,11 @@
 	return e.hubs[e.members[e.self].DataCentre]
 }
 
-// stands reports whether this VM is the hub that speaks for its data centre: the
-// other one does while it is heard.
-func (e *Exchange) stands(now time.Time) bool {
-	for _, hub := range e.hubs[e.members[e.self].DataCentre] {
-		if hub == e.self {
+// speaks reports whether a VM is the hub that speaks for its data centre: the first
+// one does while it is heard.
+func (e *Exchange) speaks(now time.Time, vm version.VMID) bool {
+	for _, hub := range e.hubs[e.members[vm].DataCentre] {
+		if hub == vm {
 			return true
 		}
 		if s := e.sources[hub]; s != nil && now.Sub(s.at) <= freshTime {
@@ -216,15 +216,7 @@
 		// does so too, beside the sums that it tells the others.
 		return true
 	}
-	for _, hub := range e.hubs[e.members[from].DataCentre] {
-		if hub == from {
-			return true
-		}
-		if s := e.sources[hub]; s != nil && now.Sub(s.at) <= freshTime {
-			return false
-		}
-	}
-	return false
+	return e.speaks(now, from)
 }
 
 func (e *Exchange) isLocal(vm version.VMID) bool {
@@ -238,7 +230,7 @@
 	if hub {
 		e.own.advance(own, &e.local)
 	}
-	stands := hub && e.stands(now)
+	stands := hub && e.speaks(now, e.self)
 	var abroad *wire.Work
 	var messages []Message
 	for _, vm := range e.peers {
--- a/fleet/process/exchange/totals.go
+++ b/fleet/process/exchange/totals.go
@@ -31,7 +31,7 @@
 // lower than before belongs to a process that started anew.
 func (t *totals) advance(work wire.Work, sums ...*totals) {
 	for _, entry := range work.Upstreams {
-		grown := since(t.read[entry.Upstream], entry.Read)
+		grown := wire.Growth(t.read[entry.Upstream], entry.Read)
 		t.read[entry.Upstream] = entry.Read
 		for _, sum := range sums {
 			sum.read[entry.Upstream] += grown
@@ -40,20 +40,13 @@
 	for _, entry := range work.Accounts {
 		before := t.accounts[entry.Account]
 		t.accounts[entry.Account] = tokens{asked: entry.Asked, served: entry.Served}
-		grown := tokens{asked: since(before.asked, entry.Asked), served: since(before.served, entry.Served)}
+		grown := tokens{asked: wire.Growth(before.asked, entry.Asked), served: wire.Growth(before.served, entry.Served)}
 		for _, sum := range sums {
 			sum.accounts[entry.Account] = sum.accounts[entry.Account].plus(grown)
 		}
 	}
 }
 
-func since(before, now uint64) uint64 {
-	if now < before {
-		return now
-	}
-	return now - before
-}
-
 func (t *totals) add(other totals) {
 	for id, n := range other.read {
 		t.read[id] += n
--- a/fleet/process/placement/others.go
+++ b/fleet/process/placement/others.go
@@ -63,7 +63,7 @@
 		p.others[from], counts = before, false
 	}
 	for _, entry := range work.Upstreams {
-		grown := since(before.read[entry.Upstream], entry.Read)
+		grown := wire.Growth(before.read[entry.Upstream], entry.Read)
 		before.read[entry.Upstream] = entry.Read
 		u := p.upstreams[entry.Upstream]
 		if u == nil || !use {
@@ -81,7 +81,7 @@
 		before.accounts[entry.Account] = entry
 		if counts {
 			p.accounts.add(now, entry.Account,
-				float64(since(known.Asked, entry.Asked)), float64(since(known.Served, entry.Served)))
+				float64(wire.Growth(known.Asked, entry.Asked)), float64(wire.Growth(known.Served, entry.Served)))
 		}
 	}
 }
@@ -100,11 +100,3 @@
 	read := float64(tokens) / p.readRate(u.pool) * float64(time.Second) * u.currentPace(now)
 	u.free = later(u.free, now).Add(time.Duration(read))
 }
-
-// since returns the growth of a total, which starts at 0 anew with its process.
-func since(before, now uint64) uint64 {
-	if now < before {
-		return now
-	}
-	return now - before
-}
