--- a/daemon/cmd/trefoilctl/command/daemons.go
+++ b/daemon/cmd/trefoilctl/command/daemons.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 )
 
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemons{scheme: "http", token: s.OperatorToken, http: &http.Client{Transport: platform.NewTransport(settings)}}
+	d := &daemons{scheme: "http", token: s.OperatorToken, http: &http.Client{Transport: objectstore.NewTransport(settings)}}
 	if s.OperatorTLS {
 		d.scheme = "https"
 	}
--- a/daemon/cmd/trefoilctl/command/settings.go
+++ b/daemon/cmd/trefoilctl/command/settings.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/tlsfiles"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/version/tomlfile"
@@ -83,7 +83,7 @@
 }
 
 // platform returns a client of the platform.
-func (s *session) platform() (*platform.Client, error) {
+func (s *session) platform() (*objectstore.Client, error) {
 	if s.PlatformURL == "" {
 		return nil, errors.Mark(errors.New("no platform: give --platform-url, TREFOILCTL_PLATFORM_URL or platform_url in the settings file"), errUsage)
 	}
@@ -91,10 +91,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return platform.New(platform.Options{
+	return objectstore.New(objectstore.Options{
 		URL:       s.PlatformURL,
 		Token:     s.PlatformToken,
-		Transport: platform.NewTransport(settings),
+		Transport: objectstore.NewTransport(settings),
 	}), nil
 }
 
--- a/daemon/connection/platform/platform.go
+++ b/daemon/connection/objectstore/objectstore.go
@@ -1,9 +1,6 @@
-// Package platform is the client of the platform's object API.
-//
-// The API is plain HTTP with conditional requests (RFC 9110): an object's
-// version is its ETag, a write carries If-Match or If-None-Match, and a watch
-// is a read that waits (Prefer: wait, RFC 7240) until the version is another.
-package platform
+// Package objectstore keeps values by key in the platform's metadata store, with
+// a budget of calls, retries and writes whose lost answers are resolved.
+package objectstore
 
 import (
 	"context"
@@ -19,21 +16,27 @@
 	// ErrConflict is returned if a write's precondition did not hold. The
 	// write had no effect.
 	ErrConflict = errors.New("precondition failed")
-	// ErrUnavailable is returned if the platform did not answer or refused for
+	// ErrUnavailable is returned if the store did not answer or refused for
 	// now. A write may have taken effect.
 	ErrUnavailable = errors.New("platform unavailable")
-	// ErrRateLimited is returned if the platform refused a call over its rate.
+	// ErrRateLimited is returned if the store refused a call over its rate.
 	// The call had no effect.
 	ErrRateLimited = errors.New("platform rate limit")
-	// ErrRejected is returned for a call that the platform will never accept.
+	// ErrRejected is returned for a call that the store will never accept.
 	ErrRejected = errors.New("platform rejected the call")
+
+	// errNoEffect marks a refusal that promises that nothing was done.
+	errNoEffect = errors.New("nothing was done")
+	// errHistoryGone is a watch from a revision that the store has forgotten.
+	errHistoryGone = errors.New("history is gone")
 )
 
 // ObjectVersion identifies one state of an object. It is 0 for an object that
 // does not exist.
 type ObjectVersion uint64
 
-// Object is a stored value.
+// Object is a stored value. The last part of its key, after the last slash, is
+// its name; what comes before groups objects that are listed together.
 type Object struct {
 	Key     string
 	Version ObjectVersion
@@ -52,7 +55,8 @@
 
 // VM is one row of the platform's list of VMs. The list lags.
 type VM struct {
-	ID         version.VMID         `json:"id"`
+	// ID is the object's name.
+	ID         version.VMID         `json:"-"`
 	DataCentre version.DataCentreID `json:"datacentre"`
 	// PeerAddress is the host:port of the VM's peer listener.
 	PeerAddress string  `json:"peer_address"`
@@ -68,7 +72,8 @@
 	Put(ctx context.Context, key string, value []byte, expected ObjectVersion) (ObjectVersion, error)
 	// Delete removes an object if its version is still expected.
 	Delete(ctx context.Context, key string, expected ObjectVersion) error
-	// List returns the keys with a prefix, in order.
+	// List returns the keys with a prefix, in order. The prefix has all parts
+	// of the keys but the last.
 	List(ctx context.Context, prefix string) ([]string, error)
 	// Watch waits until the object's version is other than known, and returns
 	// it. It returns ErrNotFound for an object that was deleted.
--- a/daemon/connection/platform/retry.go
+++ b/daemon/connection/objectstore/retry.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -20,6 +20,9 @@
 	Max time.Duration
 }
 
+// rateWindow is the span over which the store counts calls.
+const rateWindow = time.Second
+
 // DefaultRetry is used where Options give no Retry.
 var DefaultRetry = Retry{Attempts: 4, Min: 100 * time.Millisecond, Max: 5 * time.Second}
 
@@ -31,14 +34,12 @@
 
 func (r Retry) pauses() *pauses { return &pauses{longest: r.Min, max: r.Max} }
 
-// after returns the pause after an attempt that ended with err: at least what
-// the platform asked for.
+// after returns the pause after an attempt that ended with err.
 func (p *pauses) after(err error) time.Duration {
 	pause := rand.N(p.longest + 1)
 	p.longest = min(2*p.longest, p.max)
-	var limited *rateLimited
-	if errors.As(err, &limited) {
-		pause += limited.after
+	if errors.Is(err, ErrRateLimited) {
+		pause += rateWindow
 	}
 	return pause
 }
@@ -62,4 +63,4 @@
 func transient(err error) bool { return errors.IsAny(err, ErrUnavailable, ErrRateLimited) }
 
 // withoutEffect reports whether a write may be repeated after err.
-func withoutEffect(err error) bool { return errors.Is(err, ErrRateLimited) }
+func withoutEffect(err error) bool { return errors.IsAny(err, ErrRateLimited, errNoEffect) }
--- a/daemon/connection/platform/settle.go
+++ b/daemon/connection/objectstore/settle.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
@@ -42,7 +42,7 @@
 type App struct {
 	settings *settings.Settings
 	log      *slog.Logger
-	client   *platform.Client
+	client   *objectstore.Client
 	loop     *loop.Loop
 	inbox    *inbox
 	peers    *peer.Manager
@@ -79,11 +79,11 @@
 	incarnation := uint64(time.Now().UnixNano())
 	a.incarnation = incarnation
 	var calls atomic.Uint64
-	observe := func(_ platform.Call, err error) {
+	observe := func(_ objectstore.Call, err error) {
 		calls.Add(1)
 		a.follower.Observe(err)
 	}
-	a.client = platform.New(platform.Options{
+	a.client = objectstore.New(objectstore.Options{
 		URL:            s.Platform.URL,
 		Token:          s.Platform.Token,
 		Transport:      a.dialling.platform,
--- a/daemon/process/app/directory.go
+++ b/daemon/process/app/directory.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/process/node"
@@ -55,7 +55,7 @@
 }
 
 // after returns the time until the next read.
-func (p *pace) after(vms []platform.VM, err error) time.Duration {
+func (p *pace) after(vms []objectstore.VM, err error) time.Duration {
 	if err == nil {
 		p.note(vms)
 		if !p.found && p.missed < unlistedReads {
@@ -65,9 +65,9 @@
 	return spread(directoryMin + time.Duration(p.listed)*directoryPerVM)
 }
 
-func (p *pace) note(vms []platform.VM) {
+func (p *pace) note(vms []objectstore.VM) {
 	p.listed = len(vms)
-	p.found = p.found || slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == p.self })
+	p.found = p.found || slices.ContainsFunc(vms, func(vm objectstore.VM) bool { return vm.ID == p.self })
 	if !p.found {
 		p.missed++
 	}
@@ -77,14 +77,14 @@
 // not read together.
 func spread(pause time.Duration) time.Duration { return pause*3/4 + rand.N(pause/2) }
 
-func membersOf(vms []platform.VM) []membership.VM {
+func membersOf(vms []objectstore.VM) []membership.VM {
 	members := make([]membership.VM, 0, len(vms))
 	for _, vm := range vms {
 		members = append(members, membership.VM{
 			ID:         vm.ID,
 			DataCentre: vm.DataCentre,
 			Address:    vm.PeerAddress,
-			Leaving:    vm.State == platform.VMLeaving,
+			Leaving:    vm.State == objectstore.VMLeaving,
 		})
 	}
 	return members
--- a/daemon/process/app/directory_test.go
+++ b/daemon/process/app/directory_test.go
@@ -5,15 +5,15 @@
 	"testing"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 // listOf returns a list of so many VMs, of which vm-0 is one.
-func listOf(size int) []platform.VM {
-	var vms []platform.VM
+func listOf(size int) []objectstore.VM {
+	var vms []objectstore.VM
 	for i := range size {
-		vms = append(vms, platform.VM{ID: version.VMID(fmt.Sprintf("vm-%d", i))})
+		vms = append(vms, objectstore.VM{ID: version.VMID(fmt.Sprintf("vm-%d", i))})
 	}
 	return vms
 }
@@ -40,13 +40,13 @@
 	least := (directoryMin + vms*directoryPerVM) * 3 / 4
 	p := pace{self: "vm-0"}
 	for range 100 {
-		if pause := p.after(nil, platform.ErrUnavailable); pause > 2*directoryMin {
+		if pause := p.after(nil, objectstore.ErrUnavailable); pause > 2*directoryMin {
 			t.Fatalf("%v before the first list, want it soon", pause)
 		}
 	}
 	p.after(listOf(vms), nil)
 	for range 100 {
-		if pause := p.after(nil, platform.ErrUnavailable); pause < least {
+		if pause := p.after(nil, objectstore.ErrUnavailable); pause < least {
 			t.Fatalf("%v after an error, want at least %v", pause, least)
 		}
 	}
--- a/daemon/process/app/ledger.go
+++ b/daemon/process/app/ledger.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
@@ -28,14 +28,14 @@
 
 // newLedger returns the daemon's part in the ledger. It has a client of its
 // own, because the decision core itself decides when to call again.
-func (a *App) newLedger(observe func(platform.Call, error)) *ledger.Ledger {
-	store := platform.New(platform.Options{
+func (a *App) newLedger(observe func(objectstore.Call, error)) *ledger.Ledger {
+	store := objectstore.New(objectstore.Options{
 		URL:            a.settings.Platform.URL,
 		Token:          a.settings.Platform.Token,
 		Transport:      a.dialling.platform,
 		CallsPerSecond: ledgerCallsPerSecond,
 		CallsBurst:     ledgerCallsBurst,
-		Retry:          platform.Retry{Attempts: 1},
+		Retry:          objectstore.Retry{Attempts: 1},
 		Observe:        observe,
 	})
 	return ledger.New(ledger.Options{VM: a.settings.VM, Store: store, Sender: a.peers, Log: a.log})
--- a/daemon/process/app/network.go
+++ b/daemon/process/app/network.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/tlsfiles"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "platform")
 	}
-	d.platform = platform.NewTransport(config)
+	d.platform = objectstore.NewTransport(config)
 	if config, err = s.Upstreams.TLS.Client(); err != nil {
 		return nil, errors.Wrap(err, "upstreams")
 	}
--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -80,7 +80,8 @@
 	call, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	name := string(e.settings.Load().VM)
-	if err := e.store.Delete(call, platform.KindMember, name); err != nil {
+	err := e.store.Delete(call, platform.KindMember, name, 0)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		e.log.Warn("registration remains", "error", err)
 	}
 }
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -134,7 +134,7 @@
 		ShareWindow: settings.Bounds.ShareWindow,
 	}), exchange.New(settings.VM), e.lag.Lag)
 	e.storing = &http.Transport{MaxIdleConnsPerHost: storeConnections, DisableCompression: true}
-	e.store = platform.NewStore(settings.Store, e.storing)
+	e.store = platform.NewStore(platform.StoreOptions{URL: "http://" + settings.Store, Transport: e.storing})
 	e.mirror = mirror.New(mirror.Options{
 		Store:   e.store,
 		Clock:   clock.Boot,
--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -125,7 +125,7 @@
 		return "", errors.Wrap(err, "encode secret")
 	}
 	// If another process was first, the next read finds its secret.
-	if err := e.store.Create(ctx, platform.KindFleet, secretName, spec); err != nil {
+	if _, err := e.store.Create(ctx, platform.KindFleet, secretName, spec); err != nil {
 		return "", err
 	}
 	return drawn.Secret, nil
--- a/daemon/process/edge/register.go
+++ b/daemon/process/edge/register.go
@@ -65,9 +65,9 @@
 func (e *Edge) writeMember(ctx context.Context, name string, spec []byte) error {
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	err := e.store.Create(call, platform.KindMember, name, spec)
+	_, err := e.store.Create(call, platform.KindMember, name, spec)
 	if errors.Is(err, platform.ErrConflict) {
-		return e.store.Replace(call, platform.KindMember, name, spec, 0)
+		_, err = e.store.Replace(call, platform.KindMember, name, spec, 0)
 	}
 	return err
 }
--- a/daemon/process/ledger/calls.go
+++ b/daemon/process/ledger/calls.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 )
 
@@ -29,7 +29,7 @@
 	switch a := action.(type) {
 	case core.Write:
 		l.counters.writes.Add(1)
-		stored, err := l.options.Store.Put(ctx, a.Name, a.Value, platform.ObjectVersion(a.Expected))
+		stored, err := l.options.Store.Put(ctx, a.Name, a.Value, objectstore.ObjectVersion(a.Expected))
 		result := resultOf(err)
 		l.counters.result(result)
 		return core.WriteDone{Operation: a.Operation, Result: result, Version: uint64(stored)}
@@ -55,11 +55,11 @@
 	switch {
 	case err == nil:
 		return core.Done
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return core.NotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return core.Conflict
-	case errors.IsAny(err, platform.ErrRateLimited, platform.ErrRejected):
+	case errors.IsAny(err, objectstore.ErrRateLimited, objectstore.ErrRejected):
 		return core.Limited
 	default:
 		return core.Unresolved
--- a/daemon/process/ledger/harness_test.go
+++ b/daemon/process/ledger/harness_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
@@ -24,11 +24,11 @@
 
 // fakeStore is a store in memory.
 type fakeStore struct {
-	platform.Store
+	objectstore.Store
 
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	version platform.ObjectVersion
+	objects map[string]objectstore.Object
+	version objectstore.ObjectVersion
 	// down ends every call without effect and without an answer.
 	down bool
 	// loseAnswers ends writes without an answer after they took effect.
@@ -36,7 +36,7 @@
 	puts        int
 }
 
-func newStore() *fakeStore { return &fakeStore{objects: make(map[string]platform.Object)} }
+func newStore() *fakeStore { return &fakeStore{objects: make(map[string]objectstore.Object)} }
 
 func (s *fakeStore) set(change func(*fakeStore)) {
 	s.mu.Lock()
@@ -44,45 +44,45 @@
 	change(s)
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	time.Sleep(storeTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, present := s.objects[key]
 	switch {
 	case s.down:
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	case !present:
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	default:
 		return object, nil
 	}
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected platform.ObjectVersion) (platform.ObjectVersion, error) {
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected objectstore.ObjectVersion) (objectstore.ObjectVersion, error) {
 	time.Sleep(storeTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.puts++
 	switch {
 	case s.down:
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	case s.objects[key].Version != expected:
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	s.version++
-	s.objects[key] = platform.Object{Key: key, Version: s.version, Value: slices.Clone(value)}
+	s.objects[key] = objectstore.Object{Key: key, Version: s.version, Value: slices.Clone(value)}
 	if s.loseAnswers {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	return s.version, nil
 }
 
-func (s *fakeStore) Delete(_ context.Context, key string, expected platform.ObjectVersion) error {
+func (s *fakeStore) Delete(_ context.Context, key string, expected objectstore.ObjectVersion) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[key].Version != expected {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	delete(s.objects, key)
 	return nil
@@ -123,7 +123,7 @@
 
 // start runs ledgers whose shards are all written by owner, until the test
 // ends.
-func start(t *testing.T, store platform.Store, owner version.VMID, vms ...version.VMID) links {
+func start(t *testing.T, store objectstore.Store, owner version.VMID, vms ...version.VMID) links {
 	t.Helper()
 	all := make(links)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
@@ -39,7 +39,7 @@
 // Options set up a Ledger.
 type Options struct {
 	VM     version.VMID
-	Store  platform.Store
+	Store  objectstore.Store
 	Sender Sender
 	Log    *slog.Logger
 	// WritesPerSecond bounds the writes of the whole fleet's ledger; default
--- a/daemon/process/ledger/ledger_test.go
+++ b/daemon/process/ledger/ledger_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
@@ -165,14 +165,14 @@
 
 func TestResults(t *testing.T) {
 	for err, want := range map[error]core.Result{
-		nil:                      core.Done,
-		platform.ErrNotFound:     core.NotFound,
-		platform.ErrConflict:     core.Conflict,
-		platform.ErrRateLimited:  core.Limited,
-		platform.ErrRejected:     core.Limited,
-		platform.ErrUnavailable:  core.Unresolved,
-		context.DeadlineExceeded: core.Unresolved,
-		core.ErrMalformed:        core.Unresolved,
+		nil:                        core.Done,
+		objectstore.ErrNotFound:    core.NotFound,
+		objectstore.ErrConflict:    core.Conflict,
+		objectstore.ErrRateLimited: core.Limited,
+		objectstore.ErrRejected:    core.Limited,
+		objectstore.ErrUnavailable: core.Unresolved,
+		context.DeadlineExceeded:   core.Unresolved,
+		core.ErrMalformed:          core.Unresolved,
 	} {
 		if got := resultOf(err); got != want {
 			t.Errorf("%v: got %d, want %d", err, got, want)
--- a/daemon/process/ledger/sweep.go
+++ b/daemon/process/ledger/sweep.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	core "github.com/trefoilwell/trefoilwell/fleet/process/ledger"
 )
@@ -83,7 +83,7 @@
 	if err == nil {
 		err = l.options.Store.Delete(ctx, name, object.Version)
 	}
-	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
+	if err != nil && !errors.IsAny(err, objectstore.ErrNotFound, objectstore.ErrConflict) {
 		return errors.Wrapf(err, "remove %s", name)
 	}
 	return wait.Sleep(ctx, sweepPause)
--- a/daemon/process/settings/settings.go
+++ b/daemon/process/settings/settings.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/tlsfiles"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/tomlfile"
@@ -92,8 +92,8 @@
 		Peers:     Peers{Listen: ":7070"},
 		Operators: Operators{Listen: "127.0.0.1:7071"},
 		Platform: Platform{
-			CallsPerSecond: platform.DefaultCallsPerSecond,
-			CallsBurst:     platform.DefaultCallsBurst,
+			CallsPerSecond: objectstore.DefaultCallsPerSecond,
+			CallsBurst:     objectstore.DefaultCallsBurst,
 		},
 	}
 }
--- a/daemon/process/settings/settings_test.go
+++ b/daemon/process/settings/settings_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 )
 
 const minimal = `vm = "vm-1"
@@ -35,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Callers.Listen != ":8080" || s.Platform.CallsPerSecond != platform.DefaultCallsPerSecond || s.Callers.DrainGraceMS != defaultDrainGraceMS {
+	if s.Callers.Listen != ":8080" || s.Platform.CallsPerSecond != objectstore.DefaultCallsPerSecond || s.Callers.DrainGraceMS != defaultDrainGraceMS {
 		t.Errorf("got %+v", s)
 	}
 }
--- a/daemon/version/change/change.go
+++ b/daemon/version/change/change.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/part"
@@ -50,10 +50,10 @@
 
 // Options set up a Changer.
 type Options struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Retry paces the resolving of lost answers; default
-	// platform.DefaultRetry.
-	Retry platform.Retry
+	// objectstore.DefaultRetry.
+	Retry objectstore.Retry
 	// Now reads the clock; default time.Now.
 	Now func() time.Time
 }
@@ -65,8 +65,8 @@
 
 // New returns a changer.
 func New(options Options) *Changer {
-	if options.Retry == (platform.Retry{}) {
-		options.Retry = platform.DefaultRetry
+	if options.Retry == (objectstore.Retry{}) {
+		options.Retry = objectstore.DefaultRetry
 	}
 	if options.Now == nil {
 		options.Now = time.Now
@@ -80,9 +80,9 @@
 	return state, err
 }
 
-func (c *Changer) read(ctx context.Context) (State, platform.ObjectVersion, error) {
+func (c *Changer) read(ctx context.Context) (State, objectstore.ObjectVersion, error) {
 	object, err := c.options.Store.Get(ctx, objects.HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return State{Document: &version.Document{}}, 0, ErrNone
 	}
 	if err != nil {
@@ -166,16 +166,16 @@
 }
 
 // writeHead makes the change: the one conditional update.
-func (c *Changer) writeHead(ctx context.Context, head version.Head, expected platform.ObjectVersion) error {
+func (c *Changer) writeHead(ctx context.Context, head version.Head, expected objectstore.ObjectVersion) error {
 	encoded, err := json.Marshal(head)
 	if err != nil {
 		return errors.Wrap(err, "encode head")
 	}
-	_, err = platform.Settle(ctx, c.options.Store, platform.Write{
+	_, err = objectstore.Settle(ctx, c.options.Store, objectstore.Write{
 		Key:      objects.HeadKey,
 		Value:    encoded,
 		Expected: expected,
-		Mine: func(object platform.Object) bool {
+		Mine: func(object objectstore.Object) bool {
 			found, err := part.DecodeHead(object.Value)
 			return err == nil && found.Includes(head.Operation)
 		},
@@ -183,9 +183,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return errors.Mark(errors.Newf("version %d was not made, the configuration has changed meanwhile", head.Number), ErrConflict)
-	case errors.Is(err, platform.ErrUnconfirmed):
+	case errors.Is(err, objectstore.ErrUnconfirmed):
 		return errors.Mark(errors.Wrapf(err, "operation %s", head.Operation), ErrUnconfirmed)
 	default:
 		return unavailable(err)
@@ -194,7 +194,7 @@
 
 // unavailable turns the errors of the platform's client.
 func unavailable(err error) error {
-	if errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded) {
+	if errors.IsAny(err, objectstore.ErrUnavailable, objectstore.ErrRateLimited, context.DeadlineExceeded) {
 		return errors.Mark(err, ErrUnavailable)
 	}
 	return err
--- a/daemon/version/change/garbage.go
+++ b/daemon/version/change/garbage.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
 	"github.com/trefoilwell/trefoilwell/fleet/version/part"
 )
@@ -28,7 +28,7 @@
 type unused struct {
 	// Version is the object's version; a part that was written anew since then
 	// has another one and is not removed.
-	Version platform.ObjectVersion `json:"version"`
+	Version objectstore.ObjectVersion `json:"version"`
 	// SinceMillis is when it was first seen, in milliseconds since the Unix
 	// epoch.
 	SinceMillis int64 `json:"since_ms"`
@@ -62,14 +62,14 @@
 				removed++
 				continue
 			}
-			if !errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound) {
+			if !errors.IsAny(err, objectstore.ErrConflict, objectstore.ErrNotFound) {
 				return removed, unavailable(err)
 			}
 			known = false
 		}
 		if !known {
 			object, err := c.options.Store.Get(ctx, key)
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, objectstore.ErrNotFound) {
 				continue
 			}
 			if err != nil {
@@ -109,9 +109,9 @@
 	return kept, nil
 }
 
-func (c *Changer) readRecord(ctx context.Context) (record, platform.ObjectVersion, error) {
+func (c *Changer) readRecord(ctx context.Context) (record, objectstore.ObjectVersion, error) {
 	object, err := c.options.Store.Get(ctx, objects.GarbageKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -128,13 +128,13 @@
 
 // writeRecord keeps the record. A sweep that ran at the same time may have been
 // first; its record is as good.
-func (c *Changer) writeRecord(ctx context.Context, next record, expected platform.ObjectVersion) error {
+func (c *Changer) writeRecord(ctx context.Context, next record, expected objectstore.ObjectVersion) error {
 	encoded, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode record of unused parts")
 	}
 	_, err = c.options.Store.Put(ctx, objects.GarbageKey, encoded, expected)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil
 	}
 	return unavailable(err)
--- a/daemon/version/change/parts.go
+++ b/daemon/version/change/parts.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/part"
@@ -34,20 +34,20 @@
 // before the head names it: a part that is there already is written anew, so
 // that its removal, which is conditional on the object's version, fails.
 func (c *Changer) writePart(ctx context.Context, p part.Part) error {
-	write := platform.Write{Key: objects.PartKey(p.Ref.SHA256), Value: p.Data}
-	write.Mine = func(object platform.Object) bool {
+	write := objectstore.Write{Key: objects.PartKey(p.Ref.SHA256), Value: p.Data}
+	write.Mine = func(object objectstore.Object) bool {
 		return object.Version != write.Expected && bytes.Equal(object.Value, p.Data)
 	}
 	for range c.options.Retry.Attempts {
-		_, err := platform.Settle(ctx, c.options.Store, write, c.options.Retry)
-		if !errors.Is(err, platform.ErrConflict) {
+		_, err := objectstore.Settle(ctx, c.options.Store, write, c.options.Retry)
+		if !errors.Is(err, objectstore.ErrConflict) {
 			return err
 		}
 		object, err := c.options.Store.Get(ctx, write.Key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			return err
 		}
 		write.Expected = object.Version
 	}
-	return errors.Wrap(platform.ErrUnavailable, "the part keeps changing")
+	return errors.Wrap(objectstore.ErrUnavailable, "the part keeps changing")
 }
--- a/daemon/version/follow/follow.go
+++ b/daemon/version/follow/follow.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
@@ -34,7 +34,7 @@
 	VM         version.VMID
 	DataCentre version.DataCentreID
 	Seed       uint64
-	Store      platform.Store
+	Store      objectstore.Store
 	Sender     Sender
 	// Apply takes each configuration to put in force; numbers only grow. It
 	// must not call the Follower.
@@ -146,7 +146,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if err != nil && !errors.Is(err, platform.ErrRateLimited) {
+	if err != nil && !errors.Is(err, objectstore.ErrRateLimited) {
 		f.failed(now, err)
 		return
 	}
--- a/daemon/version/follow/follow_test.go
+++ b/daemon/version/follow/follow_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -38,17 +38,17 @@
 		var log bytes.Buffer
 		var applied []version.Number
 		f, ring := newTestFollower(&log, &applied)
-		f.Observe(platform.ErrUnavailable)
+		f.Observe(objectstore.ErrUnavailable)
 		time.Sleep(unreachableAfter / 2)
-		f.Observe(platform.ErrRateLimited)
+		f.Observe(objectstore.ErrRateLimited)
 		time.Sleep(unreachableAfter / 2)
-		f.Observe(platform.ErrUnavailable)
+		f.Observe(objectstore.ErrUnavailable)
 		if log.Len() > 0 || len(ring.Events()) > 0 {
 			t.Errorf("a short failure was reported: %s", log.String())
 		}
 		for range 3 {
 			time.Sleep(unreachableAfter)
-			f.Observe(platform.ErrUnavailable)
+			f.Observe(objectstore.ErrUnavailable)
 		}
 		f.Observe(nil)
 		f.Observe(nil)
--- a/daemon/version/follow/watch.go
+++ b/daemon/version/follow/watch.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
@@ -55,7 +55,7 @@
 
 // watch hands each new head of the platform to the core until ctx ends.
 func (f *Follower) watch(ctx context.Context) {
-	var known platform.ObjectVersion
+	var known objectstore.ObjectVersion
 	pause := retryMin
 	for ctx.Err() == nil {
 		object, err := f.options.Store.Watch(ctx, objects.HeadKey, known)
@@ -75,7 +75,7 @@
 }
 
 // read reads the parts that are not held yet.
-func (f *Follower) read(ctx context.Context, object platform.Object) error {
+func (f *Follower) read(ctx context.Context, object objectstore.Object) error {
 	head, err := part.DecodeHead(object.Value)
 	if err != nil {
 		return err
--- a/daemon/version/objects/objects.go
+++ b/daemon/version/objects/objects.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/part"
 )
@@ -17,15 +17,16 @@
 	HeadKey = "config/head"
 	// PartPrefix begins the key of a part; its SHA-256 follows.
 	PartPrefix = "config/part/"
-	// GarbageKey is the key of the record of parts that are to be removed.
-	GarbageKey = "config/garbage"
+	// GarbageKey is the key of the record of parts that are to be removed. It does
+	// not stand beside the head, whose neighbours wake those who watch it.
+	GarbageKey = "config/garbage/parts"
 )
 
 // PartKey returns the key of the part with a digest.
 func PartKey(digest string) string { return PartPrefix + digest }
 
 // Part reads a part and checks it against its digest.
-func Part(ctx context.Context, store platform.Store, digest string) ([]byte, error) {
+func Part(ctx context.Context, store objectstore.Store, digest string) ([]byte, error) {
 	object, err := store.Get(ctx, PartKey(digest))
 	if err != nil {
 		return nil, errors.Wrapf(err, "part %s", digest)
@@ -37,7 +38,7 @@
 }
 
 // Document reads the parts of a head.
-func Document(ctx context.Context, store platform.Store, head version.Head) (*version.Document, error) {
+func Document(ctx context.Context, store objectstore.Store, head version.Head) (*version.Document, error) {
 	held := make(map[string][]byte, len(head.Parts))
 	for _, ref := range head.Parts {
 		data, err := Part(ctx, store, ref.SHA256)
--- a/fleet/process/ledger/place.go
+++ b/fleet/process/ledger/place.go
@@ -28,8 +28,8 @@
 	// Prefix starts the names of all objects of the ledger.
 	Prefix = "ledger/"
 
-	nameLayout = Prefix + "%02d/%d/%d/%d"
-	nameParts  = 4
+	nameLayout = Prefix + "%02d/%d/%d-%d"
+	nameParts  = 3
 	hour       = int64(time.Hour / time.Second)
 )
 
@@ -81,8 +81,9 @@
 	if err != nil {
 		return Place{}, false
 	}
-	bucket, err := strconv.ParseInt(parts[2], 10, 64)
-	if err != nil {
+	first, _, found := strings.Cut(parts[2], "-")
+	bucket, err := strconv.ParseInt(first, 10, 64)
+	if err != nil || !found {
 		return Place{}, false
 	}
 	return Place{Shard: Shard(shard), Bucket: Bucket(bucket)}, true
--- a/fleet/version/part/part.go
+++ b/fleet/version/part/part.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// MaxBytes bounds one part; the platform holds values up to a megabyte.
-	MaxBytes = 1_000_000
+	// MaxBytes bounds one part. The platform holds objects up to 1 MiB, in which a
+	// value takes a third more than its bytes.
+	MaxBytes = 750_000
 	// MaxParts bounds the parts of one head.
 	MaxParts = 4_096
 	// accountsPerBucket and upstreamsPerBucket are the most that a bucket
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -16,14 +16,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	client "github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/app"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
 	"github.com/trefoilwell/trefoilwell/lab/load"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // Options set up a demo.
@@ -99,7 +99,7 @@
 }
 
 func start(ctx context.Context, log *slog.Logger) (*fleet, error) {
-	store := platform.New()
+	store := metastore.New()
 	platformAddress, err := serve(ctx, store)
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 	return startDaemons(ctx, store, platformAddress, log)
 }
 
-func startDaemons(ctx context.Context, store *platform.Platform, platformAddress string, log *slog.Logger) (*fleet, error) {
+func startDaemons(ctx context.Context, store *metastore.Store, platformAddress string, log *slog.Logger) (*fleet, error) {
 	f := &fleet{platform: platformAddress}
 	var daemons []*app.App
 	var vms []client.VM
--- a/lab/fleetproc/failure_test.go
+++ b/lab/fleetproc/failure_test.go
@@ -14,7 +14,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // southEngine is the index of the engine in the south.
@@ -130,7 +130,7 @@
 	fleet, _ := twoDataCentres(t)
 	north := fleet.Start(t, "vm-1", "north", nil)
 	south := fleet.Start(t, "vm-2", "south", nil)
-	fleet.Platform.SetFaults(platform.Faults{Down: true})
+	fleet.Platform.SetFaults(metastore.Down)
 	for _, p := range []*Process{north, south} {
 		l := startLoad(t, callers, only(p))
 		l.await(more)
@@ -142,13 +142,13 @@
 	fleet, s := bookings(t, 0)
 	daemon := fleet.Start(t, "vm-1", "north", nil)
 	id := newIdempotencyKey(t)
-	fleet.Platform.SetFaults(platform.Faults{Down: true})
+	fleet.Platform.SetFaults(metastore.Down)
 	refused := book(t, daemon, id)
 	execution := request.Execution(refused.header.Get(serve.HeaderExecution))
 	if refused.status != http.StatusServiceUnavailable || execution != request.Unknown || s.Runs(id) != 0 {
 		t.Errorf("without the platform: %+v after %d runs, want a refusal and no run", refused, s.Runs(id))
 	}
-	fleet.Platform.SetFaults(platform.Faults{})
+	fleet.Platform.SetFaults(metastore.Faults{})
 	for answer := book(t, daemon, id); answer.status != http.StatusOK; answer = book(t, daemon, id) {
 		if answer.err != nil || answer.status != http.StatusServiceUnavailable {
 			t.Fatalf("with the platform back: %+v", answer)
--- a/lab/fleetproc/fleetproc.go
+++ b/lab/fleetproc/fleetproc.go
@@ -19,14 +19,14 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	client "github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/demo"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // command is the package of the daemon's command.
@@ -52,7 +52,7 @@
 
 // Fleet is a platform stand-in and the daemons at it.
 type Fleet struct {
-	Platform    *platform.Platform
+	Platform    *metastore.Store
 	platformURL string
 	// PeerAddress returns the address under which a daemon is listed for its
 	// peers; default its own.
@@ -65,7 +65,7 @@
 // New returns a fleet without daemons whose configuration is document.
 func New(t testing.TB, document *version.Document) *Fleet {
 	t.Helper()
-	store := platform.New()
+	store := metastore.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	// A process that is killed may leave a watch behind.
--- a/lab/fleetproc/once_test.go
+++ b/lab/fleetproc/once_test.go
@@ -16,7 +16,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 	"github.com/trefoilwell/trefoilwell/lab/service"
 )
 
@@ -98,7 +98,7 @@
 	for _, vm := range []version.VMID{"vm-1", "vm-2"} {
 		daemons.add(fleet.Start(t, vm, "north", nil))
 	}
-	fleet.Platform.SetFaults(platform.Faults{LoseShare: 0.2, Jitter: 5 * time.Millisecond})
+	fleet.Platform.SetFaults(metastore.Faults{LoseShare: 0.2, Jitter: 5 * time.Millisecond})
 	var bookings []*booking
 	var callers sync.WaitGroup
 	for range keys {
--- a/lab/platform/change_test.go
+++ b/lab/metastore/change_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -9,11 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	client "github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/version/change"
 	"github.com/trefoilwell/trefoilwell/daemon/version/objects"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // describe fills a state with a small valid configuration.
@@ -30,18 +30,18 @@
 	}
 }
 
-func newChanger(store *platform.Platform) *change.Changer {
+func newChanger(store *metastore.Store) *change.Changer {
 	return change.New(change.Options{Store: newClient(store)})
 }
 
 func TestOfRacingOperatorsExactlyOneWins(t *testing.T) {
 	for round := range 30 {
 		synctest.Test(t, func(t *testing.T) {
-			store := platform.New()
+			store := metastore.New()
 			if _, err := newChanger(store).Change(t.Context(), describe); err != nil {
 				t.Fatal(err)
 			}
-			store.SetFaults(platform.Faults{LoseShare: float64(round%10) / 10, Jitter: 50 * time.Millisecond})
+			store.SetFaults(metastore.Faults{LoseShare: float64(round%10) / 10, Jitter: 50 * time.Millisecond})
 			var read, done sync.WaitGroup
 			read.Add(2)
 			presets := []string{"peak", "calm"}
@@ -56,7 +56,7 @@
 				})
 			}
 			done.Wait()
-			store.SetFaults(platform.Faults{})
+			store.SetFaults(metastore.Faults{})
 			state, err := newChanger(store).Read(t.Context())
 			if err != nil {
 				t.Fatal(err)
@@ -79,17 +79,17 @@
 
 func TestALostChangeIsFoundAfterOthersFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platform.New()
+		store := metastore.New()
 		changer := newChanger(store)
 		if _, err := changer.Change(t.Context(), describe); err != nil {
 			t.Fatal(err)
 		}
 		// The platform takes the write, loses the answer and goes away; another
 		// operator is first to change the configuration once it is back.
-		store.SetFaults(platform.Faults{LoseAnswers: true})
+		store.SetFaults(metastore.Faults{LoseWrites: true})
 		slow := change.New(change.Options{
 			Store: followed{newClient(store), func() {
-				store.SetFaults(platform.Faults{})
+				store.SetFaults(metastore.Faults{})
 				if _, err := changer.Change(t.Context(), use("calm")); err != nil {
 					t.Error(err)
 				}
@@ -121,7 +121,7 @@
 }
 
 func TestAnInvalidChangeIsNotMade(t *testing.T) {
-	store := platform.New()
+	store := metastore.New()
 	changer := newChanger(store)
 	if _, err := changer.Change(t.Context(), use("peak")); !errors.Is(err, change.ErrInvalid) {
 		t.Errorf("a preset without a document: %v", err)
@@ -139,13 +139,13 @@
 
 func TestWithThePlatformDownNothingIsClaimed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platform.New()
+		store := metastore.New()
 		changer := newChanger(store)
 		if _, err := changer.Change(t.Context(), describe); err != nil {
 			t.Fatal(err)
 		}
 		_, err := changer.Change(t.Context(), func(state *change.State) error {
-			store.SetFaults(platform.Faults{Down: true})
+			store.SetFaults(metastore.Down)
 			return use("peak")(state)
 		})
 		if !errors.Is(err, change.ErrUnconfirmed) {
@@ -159,7 +159,7 @@
 
 func TestUnusedPartsAreRemovedOnlyWithAgeAndNeverUnderAChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platform.New()
+		store := metastore.New()
 		changer := newChanger(store)
 		scale := func(scale float64) func(*change.State) error {
 			return func(state *change.State) error {
@@ -198,7 +198,7 @@
 
 func TestASweepSparesAPartThatAChangeHasJustWritten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platform.New()
+		store := metastore.New()
 		changer := newChanger(store)
 		if _, err := changer.Change(t.Context(), describe); err != nil {
 			t.Fatal(err)
--- a/lab/platform/faults.go
+++ b/lab/metastore/faults.go
@@ -1,20 +1,27 @@
-package platform
+package metastore
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/trefoilwell/trefoilwell/platform"
 )
 
-// Faults are what goes wrong at present.
+// Faults are what goes wrong.
 type Faults struct {
-	// Down answers every call with 503 without effect.
-	Down bool `json:"down"`
-	// LoseAnswers drops the connection after each write took effect, and
-	// LoseShare after a share, 0 to 1, of the writes.
-	LoseAnswers bool    `json:"lose_answers"`
-	LoseShare   float64 `json:"lose_share"`
+	// Refuse answers every call with this status; 0 does not.
+	Refuse int `json:"refuse"`
+	// Silent leaves every call without an answer.
+	Silent bool `json:"silent"`
+	// Deaf lets watches hear nothing.
+	Deaf bool `json:"deaf"`
+	// LoseWrites carries writes out and drops their answers, LoseShare those of a
+	// share, 0 to 1, of them.
+	LoseWrites bool    `json:"lose_writes"`
+	LoseShare  float64 `json:"lose_share"`
 	// Delay is added to every call, and on top of it up to Jitter, evenly
 	// distributed.
 	Delay  time.Duration `json:"delay_ns"`
@@ -27,6 +34,9 @@
 	ListLag time.Duration `json:"list_lag_ns"`
 }
 
+// Down is a store that refuses every call.
+var Down = Faults{Refuse: http.StatusServiceUnavailable}
+
 // Counts are the calls so far by kind, refused ones included.
 type Counts struct {
 	Get    int `json:"get"`
@@ -35,7 +45,7 @@
 	Delete int `json:"delete"`
 	List   int `json:"list"`
 	VMs    int `json:"vms"`
-	// Refused are the calls answered with 429 or 503.
+	// Refused are the calls answered with 429 or with Faults.Refuse.
 	Refused int `json:"refused"`
 }
 
@@ -47,12 +57,13 @@
 	reads, writes *rate.Limiter
 }
 
-// SetFaults replaces the faults.
-func (p *Platform) SetFaults(faults Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults = faults
-	p.limits = limits{reads: newBucket(faults.ReadsPerSecond), writes: newBucket(faults.WritesPerSecond)}
+// SetFaults makes later calls fail, and watches that wait.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.limits = limits{reads: newBucket(faults.ReadsPerSecond), writes: newBucket(faults.WritesPerSecond)}
+	s.wake()
 }
 
 // newBucket returns a token bucket that holds a second's worth of calls.
@@ -64,57 +75,59 @@
 }
 
 // Counts returns the calls so far.
-func (p *Platform) Counts() Counts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
 }
 
 // Calls returns the number of calls so far.
-func (p *Platform) Calls() int { return p.Counts().Total() }
+func (s *Store) Calls() int { return s.Counts().Total() }
 
 // disturb counts a call and does what the faults ask for. It reports whether
 // the call has been answered.
-func (p *Platform) disturb(w http.ResponseWriter, r *http.Request) bool {
-	p.mu.Lock()
-	p.count(r)
-	faults := p.faults
-	delay := faults.Delay + time.Duration(p.random.Float64()*float64(faults.Jitter))
-	bucket := p.limits.reads
+func (s *Store) disturb(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	s.count(r)
+	faults := s.faults
+	delay := faults.Delay + time.Duration(s.random.Float64()*float64(faults.Jitter))
+	bucket := s.limits.reads
 	if r.Method != http.MethodGet {
-		bucket = p.limits.writes
+		bucket = s.limits.writes
 	}
 	limited := bucket != nil && !bucket.Allow()
-	if faults.Down || limited {
-		p.counts.Refused++
+	if faults.Refuse != 0 || limited {
+		s.counts.Refused++
 	}
-	p.mu.Unlock()
+	s.mu.Unlock()
 	time.Sleep(delay)
 	switch {
-	case faults.Down:
-		http.Error(w, "down", http.StatusServiceUnavailable)
+	case faults.Silent:
+		s.waitUntilGone(r)
+	case faults.Refuse != 0:
+		w.WriteHeader(faults.Refuse)
 	case limited:
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "over the rate", http.StatusTooManyRequests)
+		w.WriteHeader(http.StatusTooManyRequests)
 	default:
 		return false
 	}
 	return true
 }
 
-func (p *Platform) count(r *http.Request) {
+func (s *Store) count(r *http.Request) {
+	kind, _, single := strings.Cut(strings.TrimPrefix(r.URL.Path, root), "/")
 	switch {
-	case r.Method == http.MethodPut:
-		p.counts.Put++
 	case r.Method == http.MethodDelete:
-		p.counts.Delete++
-	case r.URL.Path == "/v1/vms":
-		p.counts.VMs++
-	case r.URL.Path == "/v1/objects":
-		p.counts.List++
-	case r.Header.Get("Prefer") != "":
-		p.counts.Watch++
+		s.counts.Delete++
+	case r.Method != http.MethodGet:
+		s.counts.Put++
+	case r.URL.Query().Has("watch"):
+		s.counts.Watch++
+	case single:
+		s.counts.Get++
+	case kind == platform.KindVM:
+		s.counts.VMs++
 	default:
-		p.counts.Get++
+		s.counts.List++
 	}
 }
--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,17 +22,8 @@
 // see lists of several pages.
 const pageItems = 5
 
-// Faults are what goes wrong.
-type Faults struct {
-	// Refuse answers every call with this status; 0 does not.
-	Refuse int
-	// Silent leaves every call without an answer.
-	Silent bool
-	// Deaf lets watches hear nothing.
-	Deaf bool
-	// LoseWrites carries writes out and drops their answers.
-	LoseWrites bool
-}
+// seed feeds the random faults, so that a run can be repeated.
+const seed = 1
 
 // object is one stored object.
 type object struct {
@@ -66,7 +58,11 @@
 	// forgotten is the newest revision whose history is gone.
 	forgotten uint64
 	faults    Faults
-	calls     int
+	limits    limits
+	// listings are the lists of VMs that do not show yet.
+	listings []listing
+	random   *rand.Rand
+	counts   Counts
 	// changed is closed and replaced at each change of objects or faults.
 	changed chan struct{}
 	closed  chan struct{}
@@ -77,6 +73,7 @@
 	return &Store{
 		kinds:    make(map[string]map[string]object),
 		revision: 100,
+		random:   rand.New(rand.NewPCG(seed, seed)),
 		changed:  make(chan struct{}),
 		closed:   make(chan struct{}),
 	}
@@ -85,21 +82,6 @@
 // Close ends the calls that wait.
 func (s *Store) Close() { close(s.closed) }
 
-// SetFaults makes later calls fail, and watches that wait.
-func (s *Store) SetFaults(faults Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-	s.wake()
-}
-
-// Calls returns how many calls came.
-func (s *Store) Calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Forget drops the history.
 func (s *Store) Forget() {
 	s.mu.Lock()
@@ -168,23 +150,19 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, controlPath) {
+		s.control(w, r)
+		return
+	}
 	path, found := strings.CutPrefix(r.URL.Path, root)
 	if !found {
 		http.NotFound(w, r)
 		return
 	}
-	s.mu.Lock()
-	s.calls++
-	faults := s.faults
-	s.mu.Unlock()
-	switch {
-	case faults.Silent:
-		s.waitUntilGone(r)
-		return
-	case faults.Refuse != 0:
-		w.WriteHeader(faults.Refuse)
+	if s.disturb(w, r) {
 		return
 	}
+	s.showVMs()
 	kind, name, single := strings.Cut(path, "/")
 	switch {
 	case r.Method == http.MethodGet && single:
@@ -306,9 +284,17 @@
 	if name == "" {
 		name = body.Metadata.Name
 	}
+	if r.Method == http.MethodDelete && r.URL.Query().Has("revision") {
+		revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		body.Metadata.Revision = revision
+	}
 	s.mu.Lock()
 	status, result := s.apply(r.Method, kind, name, body)
-	lose := s.faults.LoseWrites
+	lose := s.faults.LoseWrites || s.random.Float64() < s.faults.LoseShare
 	s.mu.Unlock()
 	if lose {
 		panic(http.ErrAbortHandler)
@@ -328,11 +314,12 @@
 		return http.StatusConflict, known
 	case method == http.MethodPut && !present:
 		return http.StatusNotFound, object{}
-	case method == http.MethodPut && body.Metadata.Revision != 0 && body.Metadata.Revision != known.Metadata.Revision:
-		return http.StatusConflict, known
-	case method == http.MethodDelete && !s.remove(kind, name):
+	case method == http.MethodDelete && !present:
 		return http.StatusNotFound, object{}
+	case method != http.MethodPost && body.Metadata.Revision != 0 && body.Metadata.Revision != known.Metadata.Revision:
+		return http.StatusConflict, known
 	case method == http.MethodDelete:
+		s.remove(kind, name)
 		return http.StatusOK, known
 	}
 	return http.StatusOK, s.put(kind, name, body.Spec)
--- a/lab/operations/operations_test.go
+++ b/lab/operations/operations_test.go
@@ -17,17 +17,17 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilctl/command"
-	client "github.com/trefoilwell/trefoilwell/daemon/connection/platform"
+	client "github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/process/app"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/fleet/process/timeline"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
-	"github.com/trefoilwell/trefoilwell/lab/platform"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // downFaults is a platform that is away.
-var downFaults = platform.Faults{Down: true}
+var downFaults = metastore.Down
 
 const operatorToken = "operators"
 
@@ -57,7 +57,7 @@
 // bench is a platform stand-in and a place to run commands.
 type bench struct {
 	t         *testing.T
-	store     *platform.Platform
+	store     *metastore.Store
 	url       string
 	path      string
 	operators []string
@@ -70,7 +70,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{t: t, store: platform.New(), path: filepath.Join(t.TempDir(), "fleet.toml")}
+	b := &bench{t: t, store: metastore.New(), path: filepath.Join(t.TempDir(), "fleet.toml")}
 	server := httptest.NewServer(b.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -191,13 +191,13 @@
 func TestOnlyThePlatformsConfirmationCounts(t *testing.T) {
 	b := newBench(t)
 	b.want(command.ExitOK, "config", "apply", b.path, "--expect", "0")
-	b.store.SetFaults(platform.Faults{LoseAnswers: true})
+	b.store.SetFaults(metastore.Faults{LoseWrites: true})
 	out, _ := b.want(command.ExitOK, "preset", "use", "peak")
 	b.contains(out, "version 2 confirmed")
-	b.store.SetFaults(platform.Faults{Down: true})
+	b.store.SetFaults(metastore.Down)
 	_, errs := b.want(command.ExitUnconfirmed, "preset", "use", "ordinary")
 	b.contains(errs, "nothing was changed")
-	b.store.SetFaults(platform.Faults{})
+	b.store.SetFaults(metastore.Faults{})
 	out, _ = b.want(command.ExitOK, "preset", "list")
 	b.contains(out, "peak      yes")
 }
@@ -275,7 +275,7 @@
 	// The order goes to one daemon only, and through it to the others.
 	everyone := b.operators
 	b.operators = everyone[:1]
-	b.store.SetFaults(platform.Faults{Down: true})
+	b.store.SetFaults(metastore.Down)
 	out, errs := b.want(command.ExitUnconfirmed, "datacentre", "out", "north")
 	b.contains(out, "in force in version 2")
 	b.contains(errs, "write it into the platform once it answers")
@@ -283,7 +283,7 @@
 	b.until("north is out everywhere", func(s operator.Status) bool {
 		return len(s.Configuration.Out.DataCentres) == 1 && s.Ready == (s.DataCentre == "south")
 	})
-	b.store.SetFaults(platform.Faults{})
+	b.store.SetFaults(metastore.Faults{})
 	b.until("the platform has the order", func(s operator.Status) bool {
 		return s.Configuration.Confirmed == 3 && len(s.Configuration.Orders) == 0
 	})
