Divide the VM's memory so that the collector has room

Cause: on grown Queensland the VM that one large account's callers reach (112 MB, 0.192 cores) held 2,300 goroutines and 25 MB, and the runtime's limit of 0.6 of the memory made it collect twice a second: about two thirds of its 150 ms of processor a second. Requests then waited over half a second between being read and being sent on (GONE), and the account's 224 places filled up.

Ruled out: background work (7 ms of processor a second without traffic), the kernel (2 to 9 ms a second), the lag monitor.

One account may take half of a router's places, because the balancer sends an account's callers to few routers.

--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -7,15 +7,10 @@
 )
 
 const (
-	// callersShare is the part of the process's descriptors that callers'
+	// descriptorsShare is the part of the process's descriptors that callers'
 	// connections may take before none is kept. Each request needs another one to
 	// its upstream.
-	callersShare = 0.4
-	// connectionBytes is what a caller's connection takes with its goroutines,
-	// buffers and the connection to its upstream.
-	connectionBytes = 48 << 10
-	// connectionsShare is the part of the memory that connections may take.
-	connectionsShare = 0.3
+	descriptorsShare = 0.4
 )
 
 // crowd counts the connections of callers.
@@ -24,12 +19,13 @@
 	open  atomic.Int64
 }
 
-func newCrowd(descriptors int, memory int64) *crowd {
-	limit := int64(callersShare * float64(descriptors))
-	if bearable := int64(connectionsShare * float64(memory) / connectionBytes); bearable > 0 {
-		limit = min(limit, bearable)
+// newCrowd returns a crowd that is full at a number of connections, or at its part
+// of the descriptors if those are known and it is less.
+func newCrowd(descriptors, connections int) *crowd {
+	if allowed := int(descriptorsShare * float64(descriptors)); allowed > 0 {
+		connections = min(connections, allowed)
 	}
-	return &crowd{limit: limit}
+	return &crowd{limit: int64(connections)}
 }
 
 // track is called by the callers' server at each change of a connection.
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -36,16 +36,8 @@
 	// freshMargin is kept back from the bound on revoked keys for what passes
 	// between the check and the sending of a request.
 	freshMargin = 500 * time.Millisecond
-	// memoryShare is the part of the VM's memory that the garbage collector
-	// aims to stay below; the rest is for stacks and the kernel's buffers.
-	memoryShare = 0.6
 	// gcPercent is how much the heap may grow between two collections, in percent.
 	gcPercent = 300
-	// requestBytes is the part of the memory that is counted for each request that
-	// is held: connections, goroutines, buffers and a body.
-	requestBytes = 128 << 10
-	// heldShare is the part of the VM's memory that bodies may take.
-	heldShare = 0.3
 	// callersIdleTimeout closes a caller's connection without a request. It is
 	// longer than any bound that a configuration has set, because a caller that
 	// uses a connection to the end of its bound must not find it closed.
@@ -124,7 +116,7 @@
 	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
 	limitResources(settings)
-	e.crowd = newCrowd(settings.MaxDescriptors, settings.MemoryBytes)
+	e.crowd = newCrowd(settings.MaxDescriptors, planMemory(settings.MemoryBytes).callers)
 	e.placing = placing.New(placement.New(placement.Options{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -153,18 +145,21 @@
 		runtime.GOMAXPROCS(settings.Cores)
 	}
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+		debug.SetMemoryLimit(planMemory(settings.MemoryBytes).runtimeBytes)
 		// Below the limit, memory is cheaper than the processor.
 		debug.SetGCPercent(gcPercent)
 	}
 }
 
 func (e *Edge) newHandler(settings *platform.Settings) *serve.General {
+	plan := planMemory(settings.MemoryBytes)
+	transport := upstream.NewTransport(nil)
+	transport.MaxIdleConns = plan.idleUpstreams
 	return serve.NewGeneral(serve.GeneralOptions{
 		Fleet: e.placing,
 		Relay: relay.New(relay.Options{
 			Accounting: e.placing,
-			Transport:  upstream.NewTransport(nil),
+			Transport:  transport,
 			Dialect:    platform.Dialect{},
 			General:    true,
 			Begun:      e.placing.Begun,
@@ -173,12 +168,12 @@
 		RequestID:    platform.RequestID,
 		Lag:          e.lag.Lag,
 		MaxLag:       e.options.MaxLag,
-		MaxRequests:  int(settings.MemoryBytes / requestBytes),
+		MaxRequests:  plan.requests,
 		Crowded:      e.crowd.full,
 		Fresh:        e.fresh,
 		Counter:      e.metrics,
 		Retry:        e.retryOptions,
-		MaxHeldBytes: int64(heldShare * float64(settings.MemoryBytes)),
+		MaxHeldBytes: plan.bodyBytes,
 		Finished:     e.metrics.finished,
 		Log:          e.log,
 	})
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -88,7 +88,7 @@
 	}
 	return &General{
 		options:  options,
-		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes),
+		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes, generalAccountPart),
 		budgets:  make(map[version.PoolID]*retry.Window),
 	}
 }
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -16,6 +16,9 @@
 	// accountPart is the part of each bound that one account may take: one in
 	// accountPart.
 	accountPart = 4
+	// generalAccountPart is the same for requests of any form: there the balancer
+	// sends each account's callers to few routers.
+	generalAccountPart = 2
 )
 
 // holding is what one account, or all together, hold.
@@ -31,6 +34,9 @@
 type holdings struct {
 	maxRequests int
 	maxBytes    int64
+	// accountPart is the part of both that one account may take: one in
+	// accountPart.
+	accountPart int
 
 	mu       sync.Mutex
 	all      holding
@@ -43,10 +49,11 @@
 	empty chan struct{}
 }
 
-func newHoldings(maxRequests int, maxBytes int64) *holdings {
+func newHoldings(maxRequests int, maxBytes int64, accountPart int) *holdings {
 	return &holdings{
 		maxRequests: maxRequests,
 		maxBytes:    maxBytes,
+		accountPart: accountPart,
 		accounts:    make(map[version.AccountID]*holding),
 		empty:       make(chan struct{}),
 	}
@@ -60,7 +67,7 @@
 	switch {
 	case h.closed:
 		return refuse(request.ReasonNotReady, "this router is shutting down")
-	case account.requests >= part(h.maxRequests):
+	case account.requests >= part(h.maxRequests, h.accountPart):
 		return refuse(request.ReasonAccountQueueFull, "the account holds too many requests at this router")
 	case h.all.requests >= h.maxRequests:
 		return refuse(request.ReasonQueueFull, "this router holds too many requests")
@@ -89,7 +96,7 @@
 	defer h.mu.Unlock()
 	account := h.account(id)
 	switch {
-	case account.bytes+bytes > part(h.maxBytes):
+	case account.bytes+bytes > part(h.maxBytes, h.accountPart):
 		return refuse(request.ReasonAccountQueueFull, "the account's requests at this router hold too many bytes")
 	case h.all.bytes+bytes > h.maxBytes:
 		return refuse(request.ReasonQueueFull, "this router holds too many bytes of requests")
@@ -191,4 +198,4 @@
 	return account
 }
 
-func part[T int | int64](bound T) T { return max(bound/accountPart, 1) }
+func part[T int | int64](bound T, parts int) T { return max(bound/T(parts), 1) }
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -116,7 +116,7 @@
 	}
 	return &Handler{
 		options:  options,
-		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes),
+		holdings: newHoldings(options.MaxRequests, options.MaxHeldBytes, accountPart),
 		retries:  newRetries(),
 	}
 }
