Look for the caller when the first byte is sent, and copy bodies through kept buffers

Cause of GONE on the grown sites: the caller was looked for when a request was placed. In a VM that is behind, dialling and the transport's goroutines then took over half a second (placed before 14.58 s, at its upstream at 15.11 s), and the caller had left meanwhile. The probe of an attempt now asks at its first byte, which is the last point at which not sending is certain.

The connection that counts writes hid its ReadFrom, so the transport allocated a buffer of up to 32 KB for each body. It has one now, with kept buffers.

--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -13,6 +13,9 @@
 // errSealed is returned for a write after the connection was sealed.
 var errSealed = errors.New("connection is sealed")
 
+// ErrNotWanted is returned for an attempt that Probe.Wanted has stopped.
+var ErrNotWanted = errors.New("the attempt is not wanted any more")
+
 // countedConn counts the writes that were begun and can be sealed against any
 // further one.
 type countedConn struct {
@@ -21,24 +24,53 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	// wanted is asked before the next write; nil asks nobody.
+	wanted func() bool
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	if !c.begin() {
-		return 0, errSealed
+	if err := c.begin(); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(b)
 }
 
-func (c *countedConn) begin() bool {
+// copyBuffers holds the buffers of ReadFrom, as []byte of copyBytes.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// copyBytes is the size of such a buffer, that of io.Copy.
+const copyBytes = 32 << 10
+
+// ReadFrom implements io.ReaderFrom, so that a body is not copied through a
+// buffer of its own.
+func (c *countedConn) ReadFrom(r io.Reader) (int64, error) {
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	// Without its type, the connection has no ReadFrom that would be called again.
+	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer[:])
+}
+
+func (c *countedConn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		return false
+		return errSealed
+	}
+	if c.wanted != nil && !c.wanted() {
+		c.sealed = true
+		return ErrNotWanted
 	}
+	c.wanted = nil
 	c.writes++
-	return true
+	return nil
+}
+
+// ask makes the next write ask whether it is still wanted.
+func (c *countedConn) ask(wanted func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wanted = wanted
 }
 
 func (c *countedConn) begun() uint64 {
@@ -61,6 +93,11 @@
 // Probe tells whether an attempt that failed may have reached its upstream.
 // One Probe serves one attempt.
 type Probe struct {
+	// Wanted is asked when the first byte of the attempt is about to be sent, which
+	// in a busy process is long after its connection was asked for; nil sends it
+	// always.
+	Wanted func() bool
+
 	mu     sync.Mutex
 	got    bool
 	conn   *countedConn
@@ -80,12 +117,16 @@
 	if p.got {
 		// A second connection for one attempt: take it as sent.
 		p.conn = nil
+		if second := counted(conn); second != nil {
+			second.ask(p.Wanted)
+		}
 		return
 	}
 	p.got = true
 	p.conn = counted(conn)
 	if p.conn != nil {
 		p.before = p.conn.begun()
+		p.conn.ask(p.Wanted)
 	}
 }
 
--- a/daemon/connection/upstream/probe_test.go
+++ b/daemon/connection/upstream/probe_test.go
@@ -1,11 +1,15 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
+	"github.com/cockroachdb/errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -75,3 +79,71 @@
 		t.Errorf("a sealed connection took a write")
 	}
 }
+
+// A request waited for its turn in a busy process and was sent over half a second
+// after its caller had left.
+func TestAnAttemptThatIsNotWantedIsNotSent(t *testing.T) {
+	var arrived atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	defer server.Close()
+	transport := NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	wanted := true
+	for _, step := range []struct {
+		method string
+		wanted bool
+	}{{http.MethodPost, true}, {http.MethodPost, false}, {http.MethodGet, true}, {http.MethodGet, false}, {http.MethodGet, true}} {
+		wanted = step.wanted
+		before := arrived.Load()
+		probe := &Probe{Wanted: func() bool { return wanted }}
+		out, err := http.NewRequestWithContext(probe.Context(t.Context()), step.method, server.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if step.method == http.MethodPost {
+			out.Body = NewBody(strings.NewReader("x"))
+			out.ContentLength = 1
+		}
+		response, err := transport.RoundTrip(out)
+		switch {
+		case step.wanted && err != nil:
+			t.Errorf("%+v: %v", step, err)
+		case step.wanted:
+			response.Body.Close()
+		case !errors.Is(err, ErrNotWanted) || arrived.Load() != before:
+			t.Errorf("%+v: %v, %d arrived", step, err, arrived.Load()-before)
+		case step.method == http.MethodPost && probe.Seal():
+			t.Errorf("%+v: taken as sent", step)
+		}
+	}
+}
+
+func TestALongBodyArrivesWhole(t *testing.T) {
+	sent := make([]byte, 5*copyBytes+17)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	got := make(chan []byte, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got <- body
+	}))
+	defer server.Close()
+	transport := NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	for range 3 {
+		out, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, NewBody(bytes.NewReader(sent)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.ContentLength = int64(len(sent))
+		response, err := transport.RoundTrip(out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if !bytes.Equal(<-got, sent) {
+			t.Fatal("another body arrived")
+		}
+	}
+}
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -121,6 +121,8 @@
 	Stream bool
 	// Permit must not have ended when the attempt is sent; nil needs none.
 	Permit *claim.Permit
+	// Wanted is asked before the attempt's first byte is sent; nil sends it always.
+	Wanted func() bool
 	// Record keeps the answer for the ledger and lets the attempt run to its
 	// end after the caller went away.
 	Record bool
@@ -239,7 +241,7 @@
 func (a *attempt) run() Result {
 	ctx, timer := a.firstContext()
 	defer timer.stop()
-	probe := &upstream.Probe{}
+	probe := &upstream.Probe{Wanted: a.call.Wanted}
 	out, err := a.newRequest(probe.Context(ctx))
 	if err != nil {
 		return a.unsent(err, request.OutcomeUnused)
@@ -315,7 +317,7 @@
 
 // cause turns an error of the transport into one of this package.
 func (a *attempt) cause(ctx context.Context, err error) error {
-	if !a.call.Record && a.call.Request.Context().Err() != nil {
+	if errors.Is(err, upstream.ErrNotWanted) || !a.call.Record && a.call.Request.Context().Err() != nil {
 		return ErrCallerGone
 	}
 	if cause := context.Cause(ctx); errors.IsAny(cause, ErrLate, ErrStalled) {
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -75,7 +75,7 @@
 	if p.ticket.Wait <= 0 {
 		return request.Grant{}, refuse(request.ReasonDeadline, "the deadline passed before the request was sent")
 	}
-	if (p.general.options.Lag() > presenceLag || p.ticket.Age > presenceAge) && callerLeft(p.r) {
+	if p.callerLeft() {
 		return request.Grant{}, refuse(request.ReasonCallerGone, "the caller went away before the request was sent")
 	}
 	ctx, cancel := context.WithDeadline(p.r.Context(), p.endBy)
@@ -97,6 +97,7 @@
 		AnswerBy: p.endBy,
 		EndBy:    p.endBy,
 		Rest:     p.rest,
+		Wanted:   func() bool { return !p.callerLeft() },
 	})
 	carrier.Settle(result)
 	if !result.NotRun {
--- a/daemon/request/serve/presence.go
+++ b/daemon/request/serve/presence.go
@@ -27,6 +27,13 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// callerLeft reports whether the caller has left, where that may have gone
+// unnoticed.
+func (p *passage) callerLeft() bool {
+	behind := p.general.options.Lag() > presenceLag || time.Since(p.started) > presenceAge
+	return behind && callerLeft(p.r)
+}
+
 // callerLeft reports whether the caller has closed its connection, without
 // waiting for a goroutine to be told.
 func callerLeft(r *http.Request) bool {
