Test early answers, SIGHUP and headers over the limit

An upstream that answers before it has read a body of 4 MB gets the rest of that body or the connection's end (10 rounds, each followed by another request). A settings file that changes is taken at a SIGHUP, a malformed one leaves the last in force, and the next good one counts again. Headers over the limit get 431 and nothing runs. No fault was found; with a receive buffer of 4 KB the stand-in took a timer for each segment, which at first looked like one.

The interval at which the settings file is looked at is an option now, so that the test is about the signal.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -55,6 +55,9 @@
 	MetricsPort int
 	// LogLevel is the lowest level that is logged.
 	LogLevel slog.Level
+	// SettingsInterval is how often the settings file is looked at without a signal;
+	// default DefaultSettingsInterval.
+	SettingsInterval time.Duration
 	// MaxLag is how far the process may be behind with its work before it refuses
 	// requests; default serve.DefaultMaxLag.
 	MaxLag time.Duration
@@ -106,6 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.SettingsInterval == 0 {
+		options.SettingsInterval = DefaultSettingsInterval
+	}
 	e := &Edge{
 		options:     options,
 		sink:        logsink.New(os.Stdout, logsink.DefaultBytes),
--- a/daemon/process/edge/register.go
+++ b/daemon/process/edge/register.go
@@ -22,9 +22,9 @@
 	registerTimeout = time.Second
 	// registerPause is the time between tries to register.
 	registerPause = 500 * time.Millisecond
-	// settingsInterval is how often the settings file is looked at, since it
+	// DefaultSettingsInterval is the default of Options.SettingsInterval: the file
 	// may change without a signal.
-	settingsInterval = 5 * time.Second
+	DefaultSettingsInterval = 5 * time.Second
 )
 
 // member is what a process tells the others of itself.
@@ -78,7 +78,7 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
-	ticker := time.NewTicker(settingsInterval)
+	ticker := time.NewTicker(e.options.SettingsInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/lab/edge/harness_test.go
+++ b/lab/edge/harness_test.go
@@ -105,7 +105,9 @@
 // run starts the daemon and waits until it is ready.
 func (w *world) run() {
 	w.t.Helper()
-	daemon, err := edge.New(edge.Options{SettingsPath: w.settings, LogLevel: slog.LevelError, MaxLag: time.Minute})
+	daemon, err := edge.New(edge.Options{
+		SettingsPath: w.settings, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute,
+	})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/lab/edge/path_test.go
+++ b/lab/edge/path_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -214,3 +215,50 @@
 		t.Error("a request inside another one ran")
 	}
 }
+
+// An upstream may answer before it has read a long body, and read on later on the
+// same connection. What it then gets must be that body, or the connection's end.
+func TestAnEarlyAnswerLeavesTheRestOfTheBodyAsItIs(t *testing.T) {
+	w := start(t, 1, nil)
+	w.configure(func(config map[string]any) {
+		config["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "idle_timeout_ms": 15000}
+	})
+	// Longer than what the kernel holds for an upstream that does not read.
+	long := strings.Repeat("0123456789abcdef", 250_000)
+	w.eventually("configured", func() bool {
+		return w.do(call{path: "/unsafe/x", id: "early-or-next-config", body: long}).status == http.StatusOK
+	})
+	for i := range 10 {
+		w.setFaults(generalupstream.Faults{Early: 1})
+		early, next := fmt.Sprintf("early-%d", i), fmt.Sprintf("next-%d", i)
+		if got := w.do(call{path: "/unsafe/x", id: early, body: long}); got.status != http.StatusOK || got.body != generalupstream.Answer(early) {
+			t.Fatalf("early answer: %d %q %v", got.status, got.body, got.err)
+		}
+		if got := w.do(call{path: "/unsafe/x", id: next, body: "short"}); got.status != http.StatusOK || got.body != generalupstream.Answer(next) {
+			t.Fatalf("the next answer: %d %q %v", got.status, got.body, got.err)
+		}
+		w.eventually("recorded", func() bool { return len(w.runs(early)) == 1 })
+		if body := w.runs(early)[0].Body; !strings.HasPrefix(long, body) {
+			t.Fatalf("%d bytes of another body arrived", len(body))
+		}
+		if runs := w.runs(next); len(runs) != 1 || runs[0].Body != "short" {
+			t.Fatalf("the next request arrived as %+v", runs)
+		}
+	}
+	for _, run := range w.upstreams[0].Runs() {
+		if !strings.HasPrefix(run.ID, "early-") && !strings.HasPrefix(run.ID, "next-") || run.URI != "/unsafe/x" {
+			t.Errorf("a request that nobody sent ran: %.80q %.80q", run.ID, run.URI)
+		}
+	}
+}
+
+func TestHeadersOverTheLimitAreRefused(t *testing.T) {
+	w := start(t, 1, nil)
+	long := map[string]string{"X-Long": strings.Repeat("x", 2<<20)}
+	if got := w.do(call{path: "/safe/x", id: "long", header: long}); got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("got %d, %v", got.status, got.err)
+	}
+	if runs := w.runs("long"); len(runs) != 0 {
+		t.Errorf("%d runs", len(runs))
+	}
+}
--- a/lab/edge/state_test.go
+++ b/lab/edge/state_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -166,3 +168,42 @@
 		t.Errorf("the stream was cut: %q %v", body, err)
 	}
 }
+
+func TestSettingsAreReadAgainOnSIGHUP(t *testing.T) {
+	w := start(t, 1, nil)
+	if got := w.do(call{path: "/safe/x", id: "before"}); got.status != http.StatusOK {
+		t.Fatalf("got %d, %v", got.status, got.err)
+	}
+	// With a bound this short, keys hold for a tenth of a second after each read
+	// of the store.
+	limits := defaultBounds()
+	limits["revoke_ms"] = 600
+	w.writeSettings(limits)
+	hangUp := func() {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hangUp()
+	w.eventually("bound by the new settings", func() bool {
+		return w.do(call{path: "/safe/x", id: "bound"}).status == http.StatusServiceUnavailable
+	})
+	if err := os.WriteFile(w.settings, []byte(`{"node":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	w.eventually("bound by the last good settings", func() bool {
+		return w.do(call{path: "/safe/x", id: "still"}).status == http.StatusServiceUnavailable
+	})
+	w.writeSettings(defaultBounds())
+	hangUp()
+	w.eventually("served for a second", func() bool {
+		for range 100 {
+			if w.do(call{path: "/safe/x", id: "after"}).status != http.StatusOK {
+				return false
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return true
+	})
+}
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -21,6 +21,10 @@
 // Events is how many events a stream has.
 const Events = 6
 
+// receiveBytes is the size of the kernel's buffer of what was not read: two of the
+// segments of loopback, below which it takes timers to move on.
+const receiveBytes = 128 << 10
+
 // Faults are what goes wrong. Counts are used up.
 type Faults struct {
 	// Refuse is how many requests are refused before they run.
@@ -35,6 +39,9 @@
 	CutAfter int
 	// Unframed is how many answers have no length and end with the connection.
 	Unframed int
+	// Early is how many requests are answered before their body is read. The
+	// connection is kept and the body read after that.
+	Early int
 	// Delay is how long a request runs before its answer begins.
 	Delay time.Duration
 	// Pause is the time between two events.
@@ -67,7 +74,14 @@
 // New starts an upstream.
 func New(instance string) *Upstream {
 	u := &Upstream{Instance: instance}
-	u.server = httptest.NewServer(u)
+	u.server = httptest.NewUnstartedServer(u)
+	u.server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if tcp, ok := conn.(*net.TCPConn); ok && state == http.StateNew {
+			// What is not read then waits at the sender.
+			_ = tcp.SetReadBuffer(receiveBytes)
+		}
+	}
+	u.server.Start()
 	return u
 }
 
@@ -112,11 +126,15 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	if u.answersEarly() {
+		u.answerEarly(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.Instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -160,6 +178,35 @@
 	}
 }
 
+func (u *Upstream) answersEarly() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return use(&u.faults.Early)
+}
+
+// earlyPause is the time between an early answer and the reading of the body.
+const earlyPause = 50 * time.Millisecond
+
+// answerEarly answers and then reads the body. The run is recorded with the part
+// of the body that came.
+func (u *Upstream) answerEarly(w http.ResponseWriter, r *http.Request, id string) {
+	control := http.NewResponseController(w)
+	if err := control.EnableFullDuplex(); err != nil {
+		panic(err)
+	}
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Server-Seal", Seal(id))
+	w.Header().Set("Content-Length", strconv.Itoa(len(Answer(id))))
+	_, _ = io.WriteString(w, Answer(id))
+	_ = control.Flush()
+	time.Sleep(earlyPause)
+	// A connection that ends here ends the body.
+	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs = append(u.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: string(body)})
+}
+
 // Answer is the body of the answer to a request.
 func Answer(id string) string { return "answer to " + id }
 
