Start an upstream again that reports cold before it has earned anything

The report changed nothing, because the table took it for cold already: the answers before counted on, and one that had been granted before the change ended promptly and raised the limit to 2. Two requests were granted in the same millisecond.

Ruled out: two dispatchers at once (both grants came from one table), a late report (51.5 s and 54.5 s said cold, the grants came at 57.2 s), unknown load.

A cold report now starts the upstream again in any case: answers to what was granted before do not count. Test failed before with limit 2.

--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -58,9 +58,8 @@
 		return
 	}
 	if load.Cold {
-		s.evidence = nil
-	}
-	if load.Cold && !s.cold() {
+		// One that had earned nothing yet starts again, too: answers to what it was
+		// given before say nothing of it as it is now.
 		s.returnCold()
 	}
 	r := &s.report
--- a/fleet/connection/slots/slots_test.go
+++ b/fleet/connection/slots/slots_test.go
@@ -282,3 +282,27 @@
 		t.Error("the prefix was preferred at a much more loaded upstream")
 	}
 }
+
+// An upstream that had earned nothing yet turned cold again and reported it. What it
+// had been given before then ended promptly and raised its limit, so that it got two
+// requests while cold (run cold-again of the experiment tool, seed 7719).
+func TestAnswersToEarlierRequestsDoNotWarmAnUpstreamThatReportsCold(t *testing.T) {
+	table, now := settled(upstreamOf(1, 8), "vm-0")
+	for id := range promptAnswers - 1 {
+		serve(table, now, id, done(expected))
+	}
+	running := holdOf("vm-0", promptAnswers)
+	if _, free := table.Acquire(now, Demand{Hold: running}); !free {
+		t.Fatal("no slot")
+	}
+	now = now.Add(time.Second)
+	table.Report(now, only, Load{Running: 1, Cold: true})
+	table.Release(now, running, done(expected))
+	if got := table.Upstreams(now)[0]; got.Limit != 1 || !got.Cold {
+		t.Errorf("limit %d, cold %v; want the cold limit", got.Limit, got.Cold)
+	}
+	warm(table, now)
+	if got := table.Upstreams(now)[0]; got.Limit != 8 {
+		t.Errorf("limit %d after prompt answers, want 8", got.Limit)
+	}
+}
