Ask a store that is down once a process, and let readers answer first at a start

While the store was down, each process asked it for all four kinds, 14 times a second.

After a second failure in a row, only the reads of the configuration ask whether the store is back. A process that others read the store for asks three times more rarely, and for 3 s after its start waits for them before it reads upstreams and evacuations itself. Keys hold for 4.5 s without the store, so none lapses earlier.

Tests count the calls in virtual time.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -138,6 +138,7 @@
 		Clock:   clock.Boot,
 		Apply:   e.apply,
 		Members: e.setMembers,
+		Served:  func() bool { return len(e.placing.Readers()) > 0 },
 		Lost:    e.storing.CloseIdleConnections,
 		Log:     e.log,
 	})
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -48,6 +48,16 @@
 	// retryMin and retryMax bound the pause after a call that failed.
 	retryMin = 100 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// servedRetryFactor lengthens that pause where other processes read the store for
+	// this one and tell it, within half a second, when the store is back. Keys hold
+	// for 4.5 s without the store, which leaves four tries.
+	servedRetryFactor = 3
+	// expectTime is how long after its start a process waits for those that read the
+	// store for it before it reads upstreams and evacuations itself: twice what
+	// linking to them took when 69 processes started together.
+	expectTime = 3 * time.Second
+	// membersTime is how long after its start it waits to learn who they are.
+	membersTime = time.Second
 	// returnTime is how long after an outage registrations that lapsed in it may
 	// take to come back.
 	returnTime = 1800 * time.Millisecond
@@ -70,6 +80,9 @@
 	// Members is given the processes of the fleet, by VM, each time that they
 	// change, with what each wrote of itself.
 	Members func(members map[version.VMID][]byte)
+	// Served reports whether there are processes that read the store for this one
+	// while they can; default none.
+	Served func() bool
 	// Lost is told that a call failed, so that the next one takes a new
 	// connection.
 	Lost func()
@@ -91,7 +104,9 @@
 	confirmed time.Time
 	available bool
 	// shared is when another process last told what it has read.
-	shared    time.Time
+	shared time.Time
+	// started is when the mirror was made, by its clock.
+	started   time.Time
 	upstreams *kind
 	evacuated *kind
 	members   *kind
@@ -99,7 +114,10 @@
 
 // New returns a mirror that knows nothing.
 func New(options Options) *Mirror {
-	m := &Mirror{options: options, available: true}
+	if options.Served == nil {
+		options.Served = func() bool { return false }
+	}
+	m := &Mirror{options: options, available: true, started: options.Clock()}
 	m.upstreams = newKind(platform.KindUpstream, watchWait, gatherTime)
 	m.evacuated = newKind(platform.KindEvacuation, watchWait, gatherTime)
 	m.members = newKind(platform.KindMember, membersWait, membersGatherTime)
@@ -140,7 +158,7 @@
 	}
 	if err != nil {
 		m.failed("configuration", err)
-		return retryPause()
+		return m.retryPause()
 	}
 	m.reached()
 	m.mu.Lock()
@@ -188,8 +206,13 @@
 // follow keeps a kind up to date: it lists it, watches it from there, and lists
 // it again when a watch fails.
 func (m *Mirror) follow(ctx context.Context, k *kind) error {
-	outage := false
+	outage, failures := false, 0
 	for {
+		for m.expects(k) {
+			if err := wait.Sleep(ctx, expectPause); err != nil {
+				return err
+			}
+		}
 		for m.Shared() {
 			// What the other process missed meanwhile is as after an outage.
 			outage = true
@@ -201,6 +224,7 @@
 		snapshot, err := m.options.Store.List(call, k.name)
 		cancel()
 		if err == nil {
+			failures = 0
 			m.replace(k, snapshot, outage)
 			err = m.watch(ctx, k, snapshot.Revision)
 		}
@@ -212,15 +236,51 @@
 		}
 		// A forgotten history only means that changes were missed.
 		outage = !errors.Is(err, platform.ErrHistoryGone)
-		if outage {
-			m.failed(k.name, err)
-			if err := wait.Sleep(ctx, retryPause()); err != nil {
-				return err
-			}
+		if !outage {
+			continue
+		}
+		failures++
+		m.failed(k.name, err)
+		if err := m.pause(ctx, failures); err != nil {
+			return err
 		}
 	}
 }
 
+// pause waits after a call that failed. After a second failure in a row the reads
+// of the configuration find out for all kinds when the store answers again.
+func (m *Mirror) pause(ctx context.Context, failures int) error {
+	for {
+		if err := wait.Sleep(ctx, m.retryPause()); err != nil {
+			return err
+		}
+		m.mu.Lock()
+		available := m.available
+		m.mu.Unlock()
+		if failures < 2 || available {
+			return nil
+		}
+	}
+}
+
+// expectPause is how often it is looked whether another process reads the store.
+const expectPause = 50 * time.Millisecond
+
+// expects reports whether a kind is left to another process, which is to read the
+// store for this one, since this one has only just started.
+func (m *Mirror) expects(k *kind) bool {
+	m.mu.Lock()
+	age, known, taken := m.options.Clock().Sub(m.started), m.members.listed, !m.shared.IsZero()
+	m.mu.Unlock()
+	switch {
+	case k == m.members || taken:
+		return false
+	case !known:
+		return age < membersTime
+	}
+	return age < expectTime && m.options.Served()
+}
+
 // errShared ends a watch because another process reads the store for this one.
 var errShared = errors.New("another process reads the store")
 
@@ -364,4 +424,10 @@
 	}
 }
 
-func retryPause() time.Duration { return retryMin + rand.N(retryMax-retryMin) }
+func (m *Mirror) retryPause() time.Duration {
+	pause := retryMin + rand.N(retryMax-retryMin)
+	if m.options.Served() {
+		return servedRetryFactor * pause
+	}
+	return pause
+}
--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
@@ -190,3 +193,115 @@
 		t.Error("an old confirmation is taken")
 	}
 }
+
+// counting counts calls by kind and answers them all alike. It is safe for
+// concurrent use.
+type counting struct {
+	mu    sync.Mutex
+	calls map[string]int
+	err   error
+}
+
+func (s *counting) count(kind string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+	return s.err
+}
+
+func (s *counting) answer(err error) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := s.calls
+	s.calls, s.err = make(map[string]int), err
+	return calls
+}
+
+func (s *counting) Get(context.Context, string, string) (platform.Object, error) {
+	return configObject(1, 10), s.count(platform.KindConfig)
+}
+
+func (s *counting) List(_ context.Context, kind string) (platform.Snapshot, error) {
+	return platform.Snapshot{Revision: 10}, s.count(kind)
+}
+
+func (s *counting) Watch(ctx context.Context, kind string, _ uint64, hold time.Duration) (platform.Snapshot, error) {
+	if err := s.count(kind); err != nil {
+		return platform.Snapshot{}, err
+	}
+	return platform.Snapshot{Revision: 10}, wait.Sleep(ctx, hold)
+}
+
+// follow runs all duties of a mirror until the test ends.
+func follow(t *testing.T, store Store, served func() bool) *Mirror {
+	t.Helper()
+	m := New(Options{
+		Store: store, Clock: time.Now, Served: served,
+		Apply:   func(*version.Config) {},
+		Members: func(map[version.VMID][]byte) {},
+		Lost:    func() {},
+		Log:     slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context) error{m.FollowConfig, m.FollowUpstreams, m.FollowEvacuations, m.FollowMembers} {
+		duties.Go(func() { _ = duty(ctx) })
+	}
+	t.Cleanup(func() { cancel(); duties.Wait() })
+	return m
+}
+
+// 69 processes asked a store that was down 14 times a second each: four kinds,
+// each by itself.
+func TestOneKindAsksAStoreThatIsDown(t *testing.T) {
+	for _, c := range []struct {
+		served bool
+		most   int
+	}{{false, 45}, {true, 15}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &counting{calls: make(map[string]int)}
+			m := follow(t, store, func() bool { return c.served })
+			time.Sleep(6 * time.Second)
+			store.answer(platform.ErrBusy)
+			// Watches that are held end, and each kind tries twice.
+			time.Sleep(membersWait + time.Second)
+			store.answer(platform.ErrBusy)
+			time.Sleep(10 * time.Second)
+			calls := store.answer(nil)
+			if others := calls[platform.KindUpstream] + calls[platform.KindEvacuation] + calls[platform.KindMember]; others != 0 {
+				t.Errorf("%+v: %v: kinds other than the configuration ask", c, calls)
+			}
+			if n := calls[platform.KindConfig]; n == 0 || n > c.most {
+				t.Errorf("%+v: %d reads of the configuration in 10 s", c, n)
+			}
+			time.Sleep(2 * servedRetryFactor * retryMax)
+			calls = store.answer(nil)
+			if calls[platform.KindUpstream] == 0 || calls[platform.KindEvacuation] == 0 || calls[platform.KindMember] == 0 || m.base == nil {
+				t.Errorf("%+v: after the outage: %v", c, calls)
+			}
+		})
+	}
+}
+
+func TestAProcessThatStartsWaitsForThoseThatReadTheStoreForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &counting{calls: make(map[string]int)}
+		follow(t, store, func() bool { return true })
+		time.Sleep(expectTime - expectPause)
+		if calls := store.answer(nil); calls[platform.KindUpstream] != 0 || calls[platform.KindMember] == 0 {
+			t.Errorf("while the others may still answer: %v", calls)
+		}
+		time.Sleep(3 * expectPause)
+		if calls := store.answer(nil); calls[platform.KindUpstream] == 0 || calls[platform.KindEvacuation] == 0 {
+			t.Errorf("once they have not answered: %v", calls)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		store := &counting{calls: make(map[string]int)}
+		follow(t, store, func() bool { return false })
+		time.Sleep(3 * expectPause)
+		if calls := store.answer(nil); calls[platform.KindUpstream] == 0 {
+			t.Errorf("in a small fleet: %v", calls)
+		}
+	})
+}
