--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -19,6 +19,11 @@
 	open  atomic.Int64
 }
 
+// overflow is how many times the limit may be open at all. Connections that are not
+// kept still take memory until their answer is written, and a process that takes all
+// of a herd's ends for want of memory, with all of its requests.
+const overflow = 1.5
+
 // newCrowd returns a crowd that is full at a number of connections, or at its part
 // of the descriptors if those are known and it is less.
 func newCrowd(descriptors, connections int) *crowd {
@@ -29,10 +34,13 @@
 }
 
 // track is called by the callers' server at each change of a connection.
-func (c *crowd) track(_ net.Conn, state http.ConnState) {
+func (c *crowd) track(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		c.open.Add(1)
+		if open := c.open.Add(1); c.limit > 0 && float64(open) > overflow*float64(c.limit) {
+			// Nothing was read of it, so its caller may go elsewhere at once.
+			_ = conn.Close()
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.open.Add(-1)
 	}
