--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -23,9 +23,10 @@
 	freshFill = 0.9
 	// shareFill is for an account that had its share.
 	shareFill = 0.6
-	// minFill is for an account that had twice its share or more: it is served
-	// as long as nobody has to wait.
+	// minFill is for an account that had excess times its share or more: it is
+	// served as long as nobody has to wait.
 	minFill = 0.35
+	excess  = 1.1
 	// awayFill is the factor for an engine that keeps nothing of the prompt's
 	// shared parts: reading them there takes time that others need, so the
 	// engine has to have it to spare.
@@ -44,7 +45,7 @@
 		// tell its caller to come back.
 		fill = freshFill
 	case used > 1:
-		fill = max(shareFill-(shareFill-minFill)*(used-1), minFill)
+		fill = max(shareFill-(shareFill-minFill)*(used-1)/(excess-1), minFill)
 	}
 	fill *= awayFill + (1-awayFill)*c.keptShare
 	return time.Duration(fill * float64(ticket.Objective))
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -377,3 +377,34 @@
 		t.Errorf("later %d tokens are read, want %d (%v)", later.Unread, own, refusal)
 	}
 }
+
+// Two large accounts: one asks for three times what the engines read, the other for
+// nearly half of it, with prompts that no engine keeps. The second one is served,
+// since it asks for less than its share. On a grown site it got under half of what it
+// asked for, and the first one four times as much.
+func TestALargeAccountBelowItsShareIsServedBesideAFlood(t *testing.T) {
+	const engines, tokens, seconds = 6, 4500, 8
+	const capacity = engines * engineRate / tokens
+	l := newDemand(engines)
+	asked := make(map[version.AccountID]int)
+	offer := func(account version.AccountID, i, shared int) {
+		asked[account]++
+		l.send(l.ticket(account, uint64(i), shared, tokens-shared))
+	}
+	const perSecond = 4 * capacity
+	for i := range seconds * perSecond {
+		if i%9 == 0 {
+			offer(2, i, tokens*2/3)
+		} else {
+			offer(1, i%12, tokens*2/3)
+		}
+		l.pass(time.Second / perSecond)
+	}
+	l.pass(time.Second)
+	if l.inTime[2]*10 < asked[2]*8 {
+		t.Errorf("%d of %d served in time beside %d of the flood", l.inTime[2], asked[2], l.inTime[1])
+	}
+	if served := l.total(l.inTime); served < seconds*capacity {
+		t.Errorf("%d served in time, the engines read %d without kept parts", served, seconds*capacity)
+	}
+}
