--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -56,6 +56,14 @@
 	Host   string
 	Header http.Header
 	Body   string
+	// At is when the request arrived.
+	At time.Time
+}
+
+// Arrival is a request that came, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // Upstream is the stand-in. It is safe for concurrent use.
@@ -67,6 +75,8 @@
 	mu     sync.Mutex
 	faults Faults
 	runs   []Run
+	// arrivals are all requests for this process.
+	arrivals []Arrival
 	// left counts the runs whose caller went away.
 	left int
 }
@@ -108,6 +118,13 @@
 	return append([]Run(nil), u.runs...)
 }
 
+// Arrivals returns what came, but for requests to another process at the address.
+func (u *Upstream) Arrivals() []Arrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Arrival(nil), u.arrivals...)
+}
+
 // Left returns how many runs ended because their caller went away.
 func (u *Upstream) Left() int {
 	u.mu.Lock()
@@ -140,11 +157,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	now := time.Now()
 	u.mu.Lock()
+	u.arrivals = append(u.arrivals, Arrival{ID: id, At: now})
 	refuse := use(&u.faults.Refuse)
 	if !refuse {
 		u.runs = append(u.runs, Run{
-			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body),
+			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), At: now,
 		})
 	}
 	faults := u.faults
--- /dev/null
+++ b/lab/soak/storm.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
+)
+
+// storm disturbs a world by a seed: storms in which disturbances overlap, and calms
+// in which work is planned. It is safe for concurrent use.
+type storm struct {
+	world  *world
+	random *rand.Rand
+	log    *slog.Logger
+
+	mu           sync.Mutex
+	disturbances int
+	calm         []span
+	drained      map[int][]span
+	cold         map[int][]span
+	// restarting are the upstreams that are away.
+	restarting map[int]bool
+}
+
+func newStorm(w *world, options Options) *storm {
+	return &storm{
+		world:   w,
+		random:  rand.New(rand.NewPCG(options.Seed, 0)),
+		log:     options.Log,
+		drained: make(map[int][]span),
+		cold:    make(map[int][]span),
+
+		restarting: make(map[int]bool),
+	}
+}
+
+// seen returns what was done so far.
+func (s *storm) seen() (disturbances int, calm []span, drained, cold map[int][]span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drained, cold = make(map[int][]span), make(map[int][]span)
+	for i, spans := range s.drained {
+		drained[i] = append([]span(nil), spans...)
+	}
+	for i, spans := range s.cold {
+		cold[i] = append([]span(nil), spans...)
+	}
+	return s.disturbances, append([]span(nil), s.calm...), drained, cold
+}
+
+// disturbance does something and undoes it after a while.
+type disturbance struct {
+	name string
+	do   func(s *storm, pick func(n int) int) (undo func())
+}
+
+const (
+	// gapMax is the longest time between two disturbances of a storm, and holdMax
+	// how long one lasts at most.
+	gapMax  = 700 * time.Millisecond
+	holdMax = 3 * time.Second
+	// restartTime is how long an upstream is away at least.
+	restartTime = time.Second
+)
+
+// run disturbs until ctx ends. A storm starts after a calm.
+func (s *storm) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.plan(ctx)
+		s.rage(ctx)
+	}
+}
+
+// rage overlaps disturbances, and waits until all of them are undone.
+func (s *storm) rage(ctx context.Context) {
+	var pending sync.WaitGroup
+	end := time.Now().Add(stormTime)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		d := disturbances[s.random.IntN(len(disturbances))]
+		// Drawn here, the figures do not depend on how long others take.
+		first, hold := s.random.Int(), time.Duration(s.random.Int64N(int64(holdMax)))
+		s.mu.Lock()
+		s.disturbances++
+		s.mu.Unlock()
+		s.log.Info("disturb", "what", d.name, "for", hold)
+		pending.Go(func() {
+			undo := d.do(s, func(n int) int { return first % n })
+			_ = wait.Sleep(ctx, hold)
+			undo()
+		})
+		_ = wait.Sleep(ctx, time.Duration(s.random.Int64N(int64(gapMax))))
+	}
+	pending.Wait()
+}
+
+// plan lets things settle, and then drains an upstream and changes the
+// configuration.
+func (s *storm) plan(ctx context.Context) {
+	began := time.Now()
+	if wait.Sleep(ctx, settleTime) != nil {
+		return
+	}
+	i := s.random.IntN(len(s.world.upstreams))
+	s.world.register(i, "draining", 0)
+	drained := time.Now()
+	s.world.configure()
+	if wait.Sleep(ctx, calmTime-settleTime) != nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	s.calm = append(s.calm, span{from: began.Add(settleTime), to: now.Add(-time.Second)})
+	s.drained[i] = append(s.drained[i], span{from: drained.Add(drainBound), to: now})
+	s.mu.Unlock()
+	s.comeBack(i)
+}
+
+// comeBack registers an upstream that is cold.
+func (s *storm) comeBack(i int) {
+	now := time.Now()
+	s.world.register(i, "ready", coldTime)
+	s.mu.Lock()
+	s.cold[i] = append(s.cold[i], span{from: now, to: now.Add(coldTime)})
+	s.mu.Unlock()
+}
+
+var disturbances = []disturbance{
+	{"pause", func(s *storm, pick func(int) int) func() {
+		d := s.world.daemons[pick(len(s.world.daemons))]
+		d.signal(syscall.SIGSTOP)
+		return func() { d.signal(syscall.SIGCONT) }
+	}},
+	{"kill", func(s *storm, pick func(int) int) func() {
+		return s.restart(pick, syscall.SIGKILL)
+	}},
+	{"terminate", func(s *storm, pick func(int) int) func() {
+		return s.restart(pick, syscall.SIGTERM)
+	}},
+	{"hang up", func(s *storm, pick func(int) int) func() {
+		s.world.daemons[pick(len(s.world.daemons))].signal(syscall.SIGHUP)
+		return func() {}
+	}},
+	{"change configuration", func(s *storm, _ func(int) int) func() {
+		s.world.configure()
+		return func() {}
+	}},
+	{"store fails", func(s *storm, pick func(int) int) func() {
+		s.world.store.SetFaults([]metastore.Faults{
+			metastore.Down, {Silent: true}, {Deaf: true}, {LoseWrites: true}, {Delay: 400 * time.Millisecond},
+		}[pick(5)])
+		return func() { s.world.store.SetFaults(metastore.Faults{}) }
+	}},
+	{"store forgets", func(s *storm, _ func(int) int) func() {
+		s.world.store.Forget()
+		return func() {}
+	}},
+	{"store is cut off", func(s *storm, pick func(int) int) func() {
+		return disturb(s.world.daemons[pick(len(s.world.daemons))].store, pick(7))
+	}},
+	{"callers are cut off", func(s *storm, pick func(int) int) func() {
+		return disturb(s.world.daemons[pick(len(s.world.daemons))].callers, pick(7))
+	}},
+	{"upstream is cut off", func(s *storm, pick func(int) int) func() {
+		return disturb(s.world.upstreams[pick(len(s.world.upstreams))].proxy, pick(7))
+	}},
+	{"upstream fails", func(s *storm, pick func(int) int) func() {
+		u := s.world.upstreams[pick(len(s.world.upstreams))]
+		u.SetFaults([]generalupstream.Faults{
+			{Refuse: 20}, {Fail: 20}, {Vanish: 20}, {Cross: 20}, {CutAfter: 2}, {Unframed: 20},
+			{Delay: 300 * time.Millisecond}, {Pause: 100 * time.Millisecond},
+		}[pick(8)])
+		return func() { u.SetFaults(generalupstream.Faults{}) }
+	}},
+	{"upstream restarts", func(s *storm, pick func(int) int) func() {
+		i := pick(len(s.world.upstreams))
+		p := s.world.upstreams[i].proxy
+		if !s.begin(i) {
+			return func() {}
+		}
+		p.leave()
+		return func() {
+			// Long enough for every daemon to have met it.
+			time.Sleep(restartTime)
+			s.comeBack(i)
+			if err := p.comeBack(); err != nil {
+				s.log.Error("upstream comes back", "error", err)
+			}
+			s.finish(i)
+		}
+	}},
+}
+
+// begin reports whether an upstream was not restarting already.
+func (s *storm) begin(i int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarting[i] {
+		return false
+	}
+	s.restarting[i] = true
+	return true
+}
+
+func (s *storm) finish(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restarting[i] = false
+}
+
+// restart ends a VM's process by a signal; the next one starts when it is undone.
+func (s *storm) restart(pick func(int) int, signal syscall.Signal) func() {
+	d := s.world.daemons[pick(len(s.world.daemons))]
+	life := d.lives()
+	if !d.signal(signal) {
+		// Another disturbance has ended it and starts the next one.
+		return func() {}
+	}
+	// A process that is paused ends once it goes on.
+	d.signal(syscall.SIGCONT)
+	return func() {
+		if err := s.world.restart(d, life); err != nil {
+			s.log.Error("restart", "vm", d.name, "error", err)
+		}
+	}
+}
+
+// disturb harms what passes a proxy in one of some ways.
+func disturb(p *proxy, way int) func() {
+	switch way {
+	case 0, 1:
+		p.reset()
+		return func() {}
+	case 2, 3:
+		p.set(silent, 0)
+	case 4, 5:
+		p.set(deaf, 0)
+	default:
+		p.set(pass, 150*time.Millisecond)
+	}
+	return func() { p.set(pass, 0) }
+}
