Lend what was read of the store to a process that it refuses

A process in a small fleet whose reads of the configuration fail, and whose last one was 1.5 s ago, now asks all linked processes for what they read, as those of a large fleet ask their readers. It goes on reading the store itself, takes nothing that is older than what the store told it, and lends nothing that it borrowed.

--- a/daemon/process/edge/readers.go
+++ b/daemon/process/edge/readers.go
@@ -66,14 +66,31 @@
 			return err
 		}
 		peers, readers := e.peers.Load(), e.placing.Readers()
-		if peers == nil || len(readers) == 0 {
-			continue
+		switch {
+		case peers == nil:
+		case len(readers) > 0:
+			ask := e.mirror.Ask()
+			var reader version.VMID
+			reader, ask.Seq = e.reading.next(readers)
+			// Without a link there is no answer, and another one is asked next.
+			peers.Send(reader, ask)
+		case e.mirror.Starved():
+			e.borrow(peers)
 		}
-		ask := e.mirror.Ask()
-		var reader version.VMID
-		reader, ask.Seq = e.reading.next(readers)
-		// Without a link there is no answer, and another one is asked next.
-		peers.Send(reader, ask)
+	}
+}
+
+// borrow asks all that may have read the store lately. It is for a process that the
+// store does not answer while it answers others.
+func (e *Edge) borrow(peers *peer.Manager) {
+	lenders := e.placing.Lenders()
+	if len(lenders) == 0 {
+		return
+	}
+	ask := e.mirror.Ask()
+	_, ask.Seq = e.reading.next(lenders)
+	for _, vm := range lenders {
+		peers.Send(vm, ask)
 	}
 }
 
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -81,6 +81,14 @@
 	return m.exchange.Readers()
 }
 
+// Lenders returns the processes that may tell this one what they read of the
+// platform's store.
+func (m *Manager) Lenders() []version.VMID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.exchange.Lenders()
+}
+
 // Outbox returns what other processes are to be told.
 func (m *Manager) Outbox() []exchange.Message {
 	m.mu.Lock()
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -136,7 +136,7 @@
 func (m *Mirror) FollowConfig(ctx context.Context) error {
 	for {
 		pause := sharedPause
-		if !m.Shared() {
+		if !m.relieved() {
 			pause = m.readConfig(ctx)
 		}
 		if err := wait.Sleep(ctx, pause); err != nil {
@@ -213,7 +213,7 @@
 				return err
 			}
 		}
-		for m.Shared() {
+		for m.relieved() {
 			// What the other process missed meanwhile is as after an outage.
 			outage = true
 			if err := wait.Sleep(ctx, sharedPause); err != nil {
@@ -290,7 +290,7 @@
 // watch takes the changes of a kind until a call fails.
 func (m *Mirror) watch(ctx context.Context, k *kind, revision uint64) error {
 	for {
-		if m.Shared() {
+		if m.relieved() {
 			return errShared
 		}
 		hold := m.hold(k)
--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -305,3 +305,50 @@
 		}
 	})
 }
+
+// A process that the store refused did not learn that an upstream had come back cold,
+// and sent it 49 requests in a second; the others knew (soak, seed 400).
+func TestAProcessThatTheStoreRefusesTakesWhatOthersHaveRead(t *testing.T) {
+	other, refused := newFixture(), newFixture()
+	refused.clock = other.clock
+	refused.options.Clock = other.clock.read
+	for _, f := range []*fixture{other, refused} {
+		f.store.config = configObject(3, 30)
+		f.readConfig(t.Context())
+		f.list()
+		f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
+	}
+	if refused.Starved() {
+		t.Error("starved with a store that answers")
+	}
+	refused.store.err = platform.ErrBusy
+	other.clock.now = other.clock.now.Add(starvedAfter + time.Millisecond)
+	refused.readConfig(t.Context())
+	other.readConfig(t.Context())
+	other.change(other.upstreams, platform.Snapshot{Objects: []platform.Object{registration("b", 5)}})
+	if !refused.Starved() {
+		t.Fatal("not starved")
+	}
+	tell, known := other.Tell(refused.Ask())
+	if !known {
+		t.Fatal("the other one knows nothing")
+	}
+	refused.Take(tell, refused.clock.now)
+	if !refused.names()["b"] || !refused.Confirmed().Equal(other.Confirmed()) || refused.Starved() {
+		t.Errorf("has %v, confirmed %v, the other one %v", refused.names(), refused.Confirmed(), other.Confirmed())
+	}
+	if refused.relieved() {
+		t.Error("it does not read the store itself any more")
+	}
+	if _, lends := refused.Tell(other.Ask()); lends {
+		t.Error("what was borrowed is lent on")
+	}
+	// What the store told in the meantime is newer than an answer that was late.
+	refused.clock.now = refused.clock.now.Add(time.Second)
+	refused.change(refused.upstreams, platform.Snapshot{Objects: []platform.Object{registration("c", 7)}})
+	refused.upstreams.taken = 0
+	refused.Take(tell, refused.clock.now.Add(-time.Second))
+	if !refused.names()["c"] {
+		t.Error("an older answer took away what the store told")
+	}
+}
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -86,17 +86,34 @@
 		if milliseconds(state.AgeMS) > kindAgeMax {
 			return
 		}
+		heard := asked.Add(-milliseconds(state.AgeMS))
 		for _, k := range m.kinds() {
-			if k.name != state.Kind || !state.Changed {
+			if k.name != state.Kind || !state.Changed || !heard.After(k.heard) {
+				// What the store itself told later is newer.
 				continue
 			}
-			k.taken = state.Mark
+			k.taken, k.heard = state.Mark, heard
 			m.settle(k, now, k.replace(snapshotOf(state), false, now))
 		}
 	}
 	m.shared = now
 }
 
+// starvedAfter is how long the configuration must not have been confirmed for this
+// process to ask others for what they read: a read that failed and its repetition.
+const starvedAfter = 1500 * time.Millisecond
+
+// Starved reports whether the store has not answered this process for a while.
+func (m *Mirror) Starved() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock()
+	return !m.available && now.Sub(m.confirmed) > starvedAfter
+}
+
+// relieved reports whether another process reads the store instead of this one.
+func (m *Mirror) relieved() bool { return m.options.Served() && m.Shared() }
+
 // sharedAt reports whether another process reads the store for this one.
 func (m *Mirror) sharedAt(now time.Time) bool {
 	return !m.shared.IsZero() && now.Sub(m.shared) <= sharedTime
--- a/fleet/process/exchange/exchange.go
+++ b/fleet/process/exchange/exchange.go
@@ -192,6 +192,15 @@
 	return e.hubs[e.members[e.self].DataCentre]
 }
 
+// Lenders returns the VMs that read the platform's store for themselves and may tell
+// this one what they read; none in a large fleet, where readers do that.
+func (e *Exchange) Lenders() []version.VMID {
+	if len(e.hubs) > 0 {
+		return nil
+	}
+	return e.Peers()
+}
+
 // speaks reports whether a VM is the hub that speaks for its data centre: the first
 // one does while it is heard.
 func (e *Exchange) speaks(now time.Time, vm version.VMID) bool {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -10,6 +10,7 @@
 
 // regressions are the seeds that have failed, with what failed.
 var regressions = map[uint64]string{
+	400: "a process that was cut off from the store did not learn that an upstream had come back cold",
 	500: "the soak itself registered a restarted upstream with an unchanged entry, which the store does not tell",
 }
 
