--- a/daemon/connection/upstream/probe_test.go
+++ b/daemon/connection/upstream/probe_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"github.com/cockroachdb/errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 func send(ctx context.Context, transport http.RoundTripper, url string) (*Probe, *http.Response, error) {
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -173,8 +173,14 @@
 	{"upstream fails", func(s *storm, pick func(int) int) func() {
 		u := s.world.upstreams[pick(len(s.world.upstreams))]
 		u.SetFaults([]generalupstream.Faults{
-			{Refuse: 20}, {Fail: 20}, {Vanish: 20}, {Cross: 20}, {CutAfter: 2}, {Unframed: 20},
-			{Delay: 300 * time.Millisecond}, {Pause: 100 * time.Millisecond},
+			{Refuse: 20},
+			{Fail: 20},
+			{Vanish: 20},
+			{Cross: 20},
+			{CutAfter: 2},
+			{Unframed: 20},
+			{Delay: 300 * time.Millisecond},
+			{Pause: 100 * time.Millisecond},
 		}[pick(8)])
 		return func() { u.SetFaults(generalupstream.Faults{}) }
 	}},
