--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -68,6 +68,9 @@
 	holdMax = 3 * time.Second
 	// restartTime is how long an upstream is away at least.
 	restartTime = time.Second
+	// portPause is the time between two tries to listen on a port again.
+	portPause = 20 * time.Millisecond
+	portTries = 500
 )
 
 // run disturbs until ctx ends. A storm starts after a calm.
@@ -152,9 +155,7 @@
 		return func() {}
 	}},
 	{"store fails", func(s *storm, pick func(int) int) func() {
-		s.world.store.SetFaults([]metastore.Faults{
-			metastore.Down, {Silent: true}, {Deaf: true}, {LoseWrites: true}, {Delay: 400 * time.Millisecond},
-		}[pick(5)])
+		s.world.store.SetFaults(storeFaults[pick(len(storeFaults))])
 		return func() { s.world.store.SetFaults(metastore.Faults{}) }
 	}},
 	{"store forgets", func(s *storm, _ func(int) int) func() {
@@ -162,26 +163,17 @@
 		return func() {}
 	}},
 	{"store is cut off", func(s *storm, pick func(int) int) func() {
-		return disturb(s.world.daemons[pick(len(s.world.daemons))].store, pick(7))
+		return disturb(s.world.daemons[pick(len(s.world.daemons))].store, pick)
 	}},
 	{"callers are cut off", func(s *storm, pick func(int) int) func() {
-		return disturb(s.world.daemons[pick(len(s.world.daemons))].callers, pick(7))
+		return disturb(s.world.daemons[pick(len(s.world.daemons))].callers, pick)
 	}},
 	{"upstream is cut off", func(s *storm, pick func(int) int) func() {
-		return disturb(s.world.upstreams[pick(len(s.world.upstreams))].proxy, pick(7))
+		return disturb(s.world.upstreams[pick(len(s.world.upstreams))].proxy, pick)
 	}},
 	{"upstream fails", func(s *storm, pick func(int) int) func() {
 		u := s.world.upstreams[pick(len(s.world.upstreams))]
-		u.SetFaults([]generalupstream.Faults{
-			{Refuse: 20},
-			{Fail: 20},
-			{Vanish: 20},
-			{Cross: 20},
-			{CutAfter: 2},
-			{Unframed: 20},
-			{Delay: 300 * time.Millisecond},
-			{Pause: 100 * time.Millisecond},
-		}[pick(8)])
+		u.SetFaults(upstreamFaults[pick(len(upstreamFaults))])
 		return func() { u.SetFaults(generalupstream.Faults{}) }
 	}},
 	{"upstream restarts", func(s *storm, pick func(int) int) func() {
@@ -195,9 +187,7 @@
 			// Long enough for every daemon to have met it.
 			time.Sleep(restartTime)
 			s.comeBack(i)
-			if err := p.comeBack(); err != nil {
-				s.log.Error("upstream comes back", "error", err)
-			}
+			s.listenAgain(p)
 			s.finish(i)
 		}
 	}},
@@ -220,6 +210,19 @@
 	s.restarting[i] = false
 }
 
+// listenAgain lets a proxy take connections again. Another process may have its port
+// for a connection of its own meanwhile.
+func (s *storm) listenAgain(p *proxy) {
+	var err error
+	for range portTries {
+		if err = p.comeBack(); err == nil {
+			return
+		}
+		time.Sleep(portPause)
+	}
+	s.log.Error("upstream does not come back", "error", err)
+}
+
 // restart ends a VM's process by a signal; the next one starts when it is undone.
 func (s *storm) restart(pick func(int) int, signal syscall.Signal) func() {
 	d := s.world.daemons[pick(len(s.world.daemons))]
@@ -237,18 +240,37 @@
 	}
 }
 
-// disturb harms what passes a proxy in one of some ways.
-func disturb(p *proxy, way int) func() {
-	switch way {
-	case 0, 1:
-		p.reset()
-		return func() {}
-	case 2, 3:
-		p.set(silent, 0)
-	case 4, 5:
-		p.set(deaf, 0)
-	default:
-		p.set(pass, 150*time.Millisecond)
+// storeFaults and upstreamFaults are the ways in which those fail.
+var (
+	storeFaults = []metastore.Faults{
+		metastore.Down, {Silent: true}, {Deaf: true}, {LoseWrites: true}, {Delay: 400 * time.Millisecond},
 	}
+	upstreamFaults = []generalupstream.Faults{
+		{Refuse: 20},
+		{Fail: 20},
+		{Vanish: 20},
+		{Cross: 20},
+		{CutAfter: 2},
+		{Unframed: 20},
+		{Delay: 300 * time.Millisecond},
+		{Pause: 100 * time.Millisecond},
+	}
+)
+
+// linkFaults are what happens to the connections of a proxy. Resets and cuts are as
+// likely as each other, and twice as likely as a delay.
+var linkFaults = []func(p *proxy){
+	(*proxy).reset,
+	(*proxy).reset,
+	func(p *proxy) { p.set(silent, 0) },
+	func(p *proxy) { p.set(silent, 0) },
+	func(p *proxy) { p.set(deaf, 0) },
+	func(p *proxy) { p.set(deaf, 0) },
+	func(p *proxy) { p.set(pass, 150*time.Millisecond) },
+}
+
+// disturb harms what passes a proxy.
+func disturb(p *proxy, pick func(int) int) func() {
+	linkFaults[pick(len(linkFaults))](p)
 	return func() { p.set(pass, 0) }
 }
