Read pages in one place, and work out the memory plan once

The plan of the VM's memory was worked out three times at a start. The probe asks for either connection in one place. Placer.Report took a time that it did not use, and two functions of presence.go had one name. Behaviour is the same.

--- a/daemon/connection/objectstore/client.go
+++ b/daemon/connection/objectstore/client.go
@@ -298,27 +298,14 @@
 
 // all returns the objects of a kind. Each page is a call of its own.
 func (c *Client) all(ctx context.Context, call Call, kind string) (platform.Snapshot, error) {
-	var all platform.Snapshot
-	for after, more := "", true; more; {
-		var page platform.Snapshot
-		err := c.attempt(ctx, call, callTimeout, func(ctx context.Context) error {
+	return platform.Gather(func(after string) (page platform.Snapshot, more bool, err error) {
+		err = c.attempt(ctx, call, callTimeout, func(ctx context.Context) error {
 			var err error
 			page, more, err = c.store.Page(ctx, kind, after)
 			return err
 		})
-		if err != nil {
-			return platform.Snapshot{}, err
-		}
-		if all.Revision == 0 {
-			// What changes while the other pages are read is watched for again.
-			all.Revision = page.Revision
-		}
-		all.Objects = append(all.Objects, page.Objects...)
-		if len(page.Objects) > 0 {
-			after = page.Objects[len(page.Objects)-1].Name
-		}
-	}
-	return all, nil
+		return page, more, err
+	})
 }
 
 // Put implements Store.
--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -114,19 +114,19 @@
 func (p *Probe) gotConn(conn net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	own := counted(conn)
+	if own != nil {
+		own.ask(p.Wanted)
+	}
 	if p.got {
 		// A second connection for one attempt: take it as sent.
 		p.conn = nil
-		if second := counted(conn); second != nil {
-			second.ask(p.Wanted)
-		}
 		return
 	}
 	p.got = true
-	p.conn = counted(conn)
-	if p.conn != nil {
-		p.before = p.conn.begun()
-		p.conn.ask(p.Wanted)
+	p.conn = own
+	if own != nil {
+		p.before = own.begun()
 	}
 }
 
--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -11,6 +11,10 @@
 	// connections may take before none is kept. Each request needs another one to
 	// its upstream.
 	descriptorsShare = 0.4
+	// overflow is how many times the limit may be open at all. A connection that is
+	// not kept takes memory until its answer is written, and a process without
+	// memory ends with all of its requests.
+	overflow = 1.5
 )
 
 // crowd counts the connections of callers.
@@ -19,11 +23,6 @@
 	open  atomic.Int64
 }
 
-// overflow is how many times the limit may be open at all. Connections that are not
-// kept still take memory until their answer is written, and a process that takes all
-// of a herd's ends for want of memory, with all of its requests.
-const overflow = 1.5
-
 // newCrowd returns a crowd that is full at a number of connections, or at its part
 // of the descriptors if those are known and it is less.
 func newCrowd(descriptors, connections int) *crowd {
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -121,8 +121,9 @@
 	e.settings.Store(settings)
 	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
-	limitResources(settings)
-	e.crowd = newCrowd(settings.MaxDescriptors, planMemory(settings.MemoryBytes).callers)
+	plan := planMemory(settings.MemoryBytes)
+	limitResources(settings, plan)
+	e.crowd = newCrowd(settings.MaxDescriptors, plan.callers)
 	e.placing = placing.New(placement.New(placement.Options{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -142,24 +143,23 @@
 		Lost:    e.storing.CloseIdleConnections,
 		Log:     e.log,
 	})
-	e.handler = e.newHandler(settings)
+	e.handler = e.newHandler(plan)
 	return e, e.listen(settings)
 }
 
 // limitResources keeps the runtime within the VM.
-func limitResources(settings *platform.Settings) {
+func limitResources(settings *platform.Settings, plan memoryPlan) {
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
 	}
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(planMemory(settings.MemoryBytes).runtimeBytes)
+		debug.SetMemoryLimit(plan.runtimeBytes)
 		// Below the limit, memory is cheaper than the processor.
 		debug.SetGCPercent(gcPercent)
 	}
 }
 
-func (e *Edge) newHandler(settings *platform.Settings) *serve.General {
-	plan := planMemory(settings.MemoryBytes)
+func (e *Edge) newHandler(plan memoryPlan) *serve.General {
 	transport := upstream.NewTransport(nil)
 	transport.MaxIdleConns = plan.idleUpstreams
 	return serve.NewGeneral(serve.GeneralOptions{
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -94,7 +94,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	return m.exchange.Outbox(now, m.placer.Report(now))
+	return m.exchange.Outbox(now, m.placer.Report())
 }
 
 // Hear takes what another VM said of its work.
--- a/daemon/request/serve/presence.go
+++ b/daemon/request/serve/presence.go
@@ -31,12 +31,12 @@
 // unnoticed.
 func (p *passage) callerLeft() bool {
 	behind := p.general.options.Lag() > presenceLag || time.Since(p.started) > presenceAge
-	return behind && callerLeft(p.r)
+	return behind && connectionClosed(p.r)
 }
 
-// callerLeft reports whether the caller has closed its connection, without
+// connectionClosed reports whether the caller has closed its connection, without
 // waiting for a goroutine to be told.
-func callerLeft(r *http.Request) bool {
+func connectionClosed(r *http.Request) bool {
 	if r.Context().Err() != nil {
 		return true
 	}
--- a/fleet/process/placement/others.go
+++ b/fleet/process/placement/others.go
@@ -22,7 +22,7 @@
 }
 
 // Report returns what the other VMs are to know of this one.
-func (p *Placer) Report(now time.Time) wire.Work {
+func (p *Placer) Report() wire.Work {
 	var work wire.Work
 	for _, pool := range p.byPool {
 		for _, u := range pool {
