Write the platform's other side in one place, and cut links with one proxy

The settings file, configurations, routes and registrations of the users' platform were written out in lab/edge and again in lab/soak, and the names of headers in both and in the stand-in of upstreams. platform/platformtest writes them now, inside the folder that may know them; it spells the names out itself, so that a misspelt one in the adapter still fails a test. The whole stream of the stand-in was built twice.

lab/fleetproc had a proxy of its own to cut links; it uses the soak's, which is lab/proxy now and cuts, too.

The soak's check of the retry budget went through all calls for each repeat; it counts in sorted times now.

--- a/lab/edge/harness_test.go
+++ b/lab/edge/harness_test.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -20,6 +18,7 @@
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
 	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 const (
@@ -47,18 +46,7 @@
 	next      int
 }
 
-// bounds are the platform's bounds of a test, in the form of its settings.
-type bounds map[string]any
-
-func defaultBounds() bounds {
-	return bounds{
-		"drain_ms": 2500, "config_apply_ms": 2500, "strict_revoke": true, "revoke_ms": 5000, "grace_s": 1,
-		"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 160, "cold_overage": 1.5,
-		"cold_slack": 5, "quota_window_s": 4,
-	}
-}
-
-func start(t testing.TB, upstreams int, change func(bounds)) *world {
+func start(t testing.TB, upstreams int, change func(bounds platformtest.Fields)) *world {
 	t.Helper()
 	w := &world{t: t, store: metastore.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	w.storeHTTP = httptest.NewServer(w.store)
@@ -67,11 +55,11 @@
 		u := generalupstream.New("i-" + string(rune('a'+i)))
 		t.Cleanup(u.Close)
 		w.upstreams = append(w.upstreams, u)
-		w.register(u, "calls", "ready")
+		w.register(u, "calls", platformtest.Ready)
 	}
 	w.configure(nil)
 	w.callers, w.readiness = freeAddress(t), freeAddress(t)
-	limits := defaultBounds()
+	limits := platformtest.Bounds(nil)
 	if change != nil {
 		change(limits)
 	}
@@ -81,22 +69,12 @@
 	return w
 }
 
-func (w *world) writeSettings(limits bounds) {
+func (w *world) writeSettings(bounds platformtest.Fields) {
 	w.t.Helper()
-	_, portText, _ := net.SplitHostPort(freeAddress(w.t))
-	text, err := json.Marshal(map[string]any{
-		"node": "vm-1", "ip": "127.0.0.1", "zone": "dc-1", "zones": map[string]string{"dc-1": "region-1"},
-		"listen":         map[string]string{"front": w.callers, "readiness_address": w.readiness},
-		"internal_ports": []json.Number{json.Number(portText)},
-		"limits":         map[string]any{"cores": 2, "cpu_share": 1.0, "memory_mb": 512},
-		"heartbeat_ms":   1200,
-		"bounds":         limits,
-		"platform":       map[string]any{"address": w.storeHTTP.Listener.Addr().String()},
-		"unknown_field":  true,
-	})
-	if err == nil {
-		err = os.WriteFile(w.settings, text, 0o600)
-	}
+	err := platformtest.Settings{
+		VM: "vm-1", Callers: w.callers, Readiness: w.readiness, Peers: freeAddress(w.t),
+		Store: w.storeHTTP.Listener.Addr().String(), MemoryMB: 512, Bounds: bounds,
+	}.Write(w.settings)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -136,42 +114,23 @@
 
 // register writes an upstream's entry.
 func (w *world) register(u *generalupstream.Upstream, service, state string) {
-	w.store.Put(platform.KindUpstream, u.Instance, map[string]any{
-		"service": service, "address": u.Address(), "zone": "dc-1", "version": "v1", "slots": 8,
-		"state": state, "cold_remaining_ms": 0, "seq": 1, "born": 1700000000000,
-	})
+	w.store.Put(platform.KindUpstream, u.Instance, platformtest.Registration(service, u.Address(), state, nil))
 }
 
 // configure writes the next configuration version.
 func (w *world) configure(change func(config map[string]any)) {
 	w.version++
-	route := func(name, prefix, kind string, more map[string]any) map[string]any {
-		fields := map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 5000,
-			"target_latency_ms": 1000, "priority": 1, "service": "calls", "max_attempts": 2,
-			"public": false, "sticky": false, "resumable": false, "allowed_regions": []string{},
-		}
-		for field, value := range more {
-			fields[field] = value
-		}
-		return fields
-	}
-	config := map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("safe", "/safe/", "safe", nil),
-			route("unsafe", "/unsafe/", "unsafe", nil),
-			route("open", "/open/", "safe", map[string]any{"public": true}),
-			route("stream", "/stream/", "streaming", nil),
-			route("resume", "/resume-stream/", "streaming", map[string]any{"resumable": true}),
-			route("brief", "/brief/", "unsafe", map[string]any{"timeout_ms": 300}),
-		},
-		"services": []any{map[string]any{
-			"name": "calls", "health_path": "/health", "max_connections": 100, "cold_start_s": 0, "cold_per_s": 0,
-		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": account, "api_keys": []string{key}, "allowed_regions": []string{}}},
-	}
+	route := func(name, prefix, kind string, more platformtest.Fields) any {
+		return platformtest.Route(name, host, prefix, kind, "calls", more)
+	}
+	config := platformtest.Config(w.version, []any{
+		route("safe", "/safe/", platformtest.KindSafe, nil),
+		route("unsafe", "/unsafe/", platformtest.KindUnsafe, nil),
+		route("open", "/open/", platformtest.KindSafe, platformtest.Fields{"public": true}),
+		route("stream", "/stream/", platformtest.KindStreaming, nil),
+		route("resume", "/resume-stream/", platformtest.KindStreaming, platformtest.Fields{"resumable": true}),
+		route("brief", "/brief/", platformtest.KindUnsafe, platformtest.Fields{"timeout_ms": 300}),
+	}, platformtest.Service("calls", nil), account, key)
 	if change != nil {
 		change(config)
 	}
@@ -205,9 +164,9 @@
 		w.t.Fatal(err)
 	}
 	request.Host = host
-	request.Header.Set("X-Attempt-Id", c.id)
-	request.Header.Set("X-Credential", key)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set(platformtest.HeaderRequestID, c.id)
+	request.Header.Set(platformtest.HeaderKey, key)
+	request.Header.Set(platformtest.HeaderDeadline, "4000")
 	for name, value := range c.header {
 		request.Header.Set(name, value)
 	}
--- a/lab/edge/path_test.go
+++ b/lab/edge/path_test.go
@@ -10,25 +10,18 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
-func wholeStream() string {
-	var text strings.Builder
-	for number := range generalupstream.Events {
-		text.WriteString(generalupstream.Event(number + 1))
-	}
-	return text.String()
-}
-
 func TestARequestReachesItsUpstreamUnchanged(t *testing.T) {
 	w := start(t, 1, nil)
 	got := w.do(call{path: "/unsafe/a%2Fb//c?x=1&y=%20", id: "r1", body: "the body", header: map[string]string{
-		"X-Own": "kept", "X-Tenant": "forged", "X-Expect-Instance": "forged", "X-Hold": "forged", "Kv-From": "forged",
+		"X-Own": "kept", platformtest.HeaderAccount: "forged", platformtest.HeaderInstance: "forged", platformtest.HeaderHold: "forged", platformtest.HeaderMemoryFrom: "forged",
 	}})
 	if got.status != http.StatusOK || got.body != generalupstream.Answer("r1") {
 		t.Fatalf("answer %+v", got)
 	}
-	if seal := got.header.Get("X-Server-Seal"); seal != generalupstream.Seal("r1") {
+	if seal := got.header.Get(platformtest.HeaderReceipt); seal != generalupstream.Seal("r1") {
 		t.Errorf("receipt %q", seal)
 	}
 	runs := w.runs("r1")
@@ -40,15 +33,15 @@
 		t.Errorf("ran %+v", run)
 	}
 	for name, want := range map[string]string{
-		"X-Own": "kept", "X-Tenant": account, "X-Expect-Instance": "i-a", "X-Hold": "", "Kv-From": "", "X-Credential": "",
+		"X-Own": "kept", platformtest.HeaderAccount: account, platformtest.HeaderInstance: "i-a", platformtest.HeaderHold: "", platformtest.HeaderMemoryFrom: "", platformtest.HeaderKey: "",
 	} {
 		if value := run.Header.Get(name); value != want {
 			t.Errorf("%s is %q, want %q", name, value, want)
 		}
 	}
-	left, err := strconv.Atoi(run.Header.Get("X-Deadline-Ms"))
+	left, err := strconv.Atoi(run.Header.Get(platformtest.HeaderDeadline))
 	if err != nil || left <= 0 || left > 4000 {
-		t.Errorf("deadline passed on: %q", run.Header.Get("X-Deadline-Ms"))
+		t.Errorf("deadline passed on: %q", run.Header.Get(platformtest.HeaderDeadline))
 	}
 }
 
@@ -59,7 +52,7 @@
 		status int
 	}{
 		"unknown path":  {call{path: "/none/", id: "a"}, http.StatusNotFound},
-		"unknown key":   {call{path: "/safe/", id: "b", header: map[string]string{"X-Credential": "other"}}, http.StatusUnauthorized},
+		"unknown key":   {call{path: "/safe/", id: "b", header: map[string]string{platformtest.HeaderKey: "other"}}, http.StatusUnauthorized},
 		"no identifier": {call{path: "/safe/", id: ""}, http.StatusBadRequest},
 		"long body":     {call{path: "/unsafe/", id: "c", body: strings.Repeat("x", 1<<20+1)}, http.StatusRequestEntityTooLarge},
 	} {
@@ -67,11 +60,11 @@
 			t.Errorf("%s: status %d, want %d", name, got.status, c.status)
 		}
 	}
-	open := w.do(call{path: "/open/x", id: "d", header: map[string]string{"X-Credential": "other"}})
+	open := w.do(call{path: "/open/x", id: "d", header: map[string]string{platformtest.HeaderKey: "other"}})
 	if open.status != http.StatusOK {
 		t.Errorf("public route: status %d", open.status)
 	}
-	if runs := w.runs("d"); len(runs) != 1 || runs[0].Header.Get("X-Tenant") != "" {
+	if runs := w.runs("d"); len(runs) != 1 || runs[0].Header.Get(platformtest.HeaderAccount) != "" {
 		t.Errorf("public route ran %+v", runs)
 	}
 }
@@ -116,7 +109,7 @@
 	w := start(t, 1, nil)
 	w.setFaults(generalupstream.Faults{Fail: 1})
 	got := w.do(call{path: "/unsafe/x", id: "f"})
-	if got.status != http.StatusInternalServerError || got.header.Get("X-Server-Seal") != generalupstream.Seal("f") {
+	if got.status != http.StatusInternalServerError || got.header.Get(platformtest.HeaderReceipt) != generalupstream.Seal("f") {
 		t.Errorf("got %+v", got)
 	}
 }
@@ -133,17 +126,17 @@
 	w := start(t, 2, nil)
 	w.setFaults(generalupstream.Faults{CutAfter: 2})
 	got := w.do(call{path: "/resume-stream/x", id: "resumed"})
-	if got.body == wholeStream() && got.err == nil {
+	if got.body == generalupstream.WholeStream() && got.err == nil {
 		t.Errorf("a stream that is cut at each upstream looks whole")
 	}
 	w.upstreams[0].SetFaults(generalupstream.Faults{CutAfter: 3})
 	w.upstreams[1].SetFaults(generalupstream.Faults{})
 	for i := range 4 {
 		id := "resumed" + strconv.Itoa(i)
-		if got := w.do(call{path: "/resume-stream/x", id: id}); got.body != wholeStream() || got.err != nil {
+		if got := w.do(call{path: "/resume-stream/x", id: id}); got.body != generalupstream.WholeStream() || got.err != nil {
 			t.Errorf("%s: %+v", id, got)
 		}
-		if got := w.do(call{path: "/stream/x", id: "plain" + strconv.Itoa(i)}); got.err == nil && got.body != wholeStream() {
+		if got := w.do(call{path: "/stream/x", id: "plain" + strconv.Itoa(i)}); got.err == nil && got.body != generalupstream.WholeStream() {
 			t.Errorf("a cut stream looks whole: %q", got.body)
 		}
 		if runs := w.runs("plain" + strconv.Itoa(i)); len(runs) > 1 {
@@ -158,7 +151,7 @@
 	w := start(t, 1, nil)
 	last := map[string]string{"Last-Event-Id": strconv.Itoa(generalupstream.Events)}
 	got := w.do(call{path: "/resume-stream/x", id: "ended", header: last})
-	if got.status != http.StatusOK || got.body != "" || got.header.Get("X-Server-Seal") != generalupstream.Seal("ended") {
+	if got.status != http.StatusOK || got.body != "" || got.header.Get(platformtest.HeaderReceipt) != generalupstream.Seal("ended") {
 		t.Errorf("got %+v", got)
 	}
 }
@@ -221,7 +214,7 @@
 func TestAnEarlyAnswerLeavesTheRestOfTheBodyAsItIs(t *testing.T) {
 	w := start(t, 1, nil)
 	w.configure(func(config map[string]any) {
-		config["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "idle_timeout_ms": 15000}
+		config["limits"] = platformtest.Limits(4 << 20)
 	})
 	// Longer than what the kernel holds for an upstream that does not read.
 	long := strings.Repeat("0123456789abcdef", 250_000)
--- a/lab/edge/state_test.go
+++ b/lab/edge/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
 	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // status sends a request of its own identifier and returns its status.
@@ -36,7 +37,7 @@
 		"silent":  {Silent: true},
 		"refuses": {Refuse: http.StatusTooManyRequests},
 	} {
-		w := start(t, 1, func(limits bounds) { limits["revoke_ms"] = 2500 })
+		w := start(t, 1, func(limits platformtest.Fields) { limits["revoke_ms"] = 2500 })
 		w.store.SetFaults(faults)
 		w.eventually(name+": keyed requests refused", func() bool { return w.status("/safe/x") == http.StatusServiceUnavailable })
 		if w.ready() {
@@ -52,7 +53,7 @@
 
 func TestAnUpstreamThatDrainsOrLeavesGetsNothing(t *testing.T) {
 	w := start(t, 2, nil)
-	w.register(w.upstreams[0], "calls", "draining")
+	w.register(w.upstreams[0], "calls", platformtest.Draining)
 	w.eventually("left alone", func() bool {
 		before := len(w.upstreams[0].Runs())
 		for range 6 {
@@ -60,7 +61,7 @@
 		}
 		return len(w.upstreams[0].Runs()) == before
 	})
-	w.register(w.upstreams[0], "calls", "ready")
+	w.register(w.upstreams[0], "calls", platformtest.Ready)
 	w.store.Remove(platform.KindUpstream, w.upstreams[1].Instance)
 	w.eventually("moved", func() bool {
 		before := len(w.upstreams[1].Runs())
@@ -111,9 +112,9 @@
 
 func TestAnEvacuatedDataCentreGetsNothingUntilItIsTakenBack(t *testing.T) {
 	w := start(t, 1, nil)
-	w.store.Put(platform.KindEvacuation, "dc-1", map[string]any{})
+	w.store.Put(platform.KindEvacuation, platformtest.DataCentre, map[string]any{})
 	w.eventually("refused", func() bool { return w.status("/safe/x") == http.StatusServiceUnavailable })
-	w.store.Remove(platform.KindEvacuation, "dc-1")
+	w.store.Remove(platform.KindEvacuation, platformtest.DataCentre)
 	w.eventually("served", func() bool { return w.status("/safe/x") == http.StatusOK })
 }
 
@@ -143,15 +144,15 @@
 }
 
 func TestADrainCutsNoRequest(t *testing.T) {
-	w := start(t, 1, func(limits bounds) { limits["grace_s"] = 20 })
+	w := start(t, 1, func(limits platformtest.Fields) { limits["grace_s"] = 20 })
 	w.setFaults(generalupstream.Faults{Pause: 150 * time.Millisecond})
 	request, err := http.NewRequest(http.MethodPost, "http://"+w.callers+"/stream/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	request.Host = host
-	request.Header.Set("X-Attempt-Id", "running")
-	request.Header.Set("X-Credential", key)
+	request.Header.Set(platformtest.HeaderRequestID, "running")
+	request.Header.Set(platformtest.HeaderKey, key)
 	answer, err := w.client.Do(request)
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +165,7 @@
 		t.Errorf("a request after the signal: %+v", late)
 	}
 	body, err := io.ReadAll(answer.Body)
-	if err != nil || string(body) != wholeStream() {
+	if err != nil || string(body) != generalupstream.WholeStream() {
 		t.Errorf("the stream was cut: %q %v", body, err)
 	}
 }
@@ -176,7 +177,7 @@
 	}
 	// With a bound this short, keys hold for a tenth of a second after each read
 	// of the store.
-	limits := defaultBounds()
+	limits := platformtest.Bounds(nil)
 	limits["revoke_ms"] = 600
 	w.writeSettings(limits)
 	hangUp := func() {
@@ -195,7 +196,7 @@
 	w.eventually("bound by the last good settings", func() bool {
 		return w.do(call{path: "/safe/x", id: "still"}).status == http.StatusServiceUnavailable
 	})
-	w.writeSettings(defaultBounds())
+	w.writeSettings(platformtest.Bounds(nil))
 	hangUp()
 	w.eventually("served for a second", func() bool {
 		for range 100 {
--- a/lab/fleetproc/failure_test.go
+++ b/lab/fleetproc/failure_test.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/lab/engine"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
+	"github.com/trefoilwell/trefoilwell/lab/proxy"
 )
 
 // southEngine is the index of the engine in the south.
@@ -163,18 +164,22 @@
 func TestACutBetweenDataCentresBreaksNoAnswer(t *testing.T) {
 	const callers, more = 6, 30
 	fleet, _ := twoDataCentres(t)
-	var links []*cuttable
+	var links []*proxy.Proxy
 	fleet.PeerAddress = func(p *Process) string {
-		link := newCuttable(t, p.Peers)
+		link, err := proxy.New(p.Peers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(link.Close)
 		links = append(links, link)
-		return link.listener.Addr().String()
+		return link.Address()
 	}
 	north := fleet.Start(t, "vm-1", "north", nil)
 	south := fleet.Start(t, "vm-2", "south", nil)
 	loads := []*load{startLoad(t, callers, only(north)), startLoad(t, callers, only(south))}
-	for _, cut := range []bool{false, true, false} {
+	for _, mode := range []proxy.Mode{proxy.Pass, proxy.Cut, proxy.Pass} {
 		for _, link := range links {
-			link.set(cut)
+			link.Set(mode, 0)
 		}
 		for _, l := range loads {
 			l.await(more)
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // StreamPath is what a path holds whose answer is a stream.
@@ -143,7 +145,7 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(platformtest.HeaderRequestID)
 	if u.answersEarly() {
 		u.answerEarly(w, r, id)
 		return
@@ -152,8 +154,8 @@
 	if err != nil {
 		return
 	}
-	w.Header().Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.Instance {
+	w.Header().Set(platformtest.HeaderRequestID, id)
+	if expected := r.Header.Get(platformtest.HeaderInstance); expected != "" && expected != u.Instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -171,7 +173,7 @@
 	cross, unframed := use(&u.faults.Cross), use(&u.faults.Unframed)
 	u.mu.Unlock()
 	if refuse {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platformtest.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -179,9 +181,9 @@
 		return
 	}
 	if cross {
-		w.Header().Set("X-Attempt-Id", "another")
+		w.Header().Set(platformtest.HeaderRequestID, "another")
 	}
-	w.Header().Set("X-Server-Seal", Seal(id))
+	w.Header().Set(platformtest.HeaderReceipt, Seal(id))
 	switch {
 	case vanish:
 		panic(http.ErrAbortHandler)
@@ -213,8 +215,8 @@
 	if err := control.EnableFullDuplex(); err != nil {
 		panic(err)
 	}
-	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Server-Seal", Seal(id))
+	w.Header().Set(platformtest.HeaderRequestID, id)
+	w.Header().Set(platformtest.HeaderReceipt, Seal(id))
 	w.Header().Set("Content-Length", strconv.Itoa(len(Answer(id))))
 	_, _ = io.WriteString(w, Answer(id))
 	_ = control.Flush()
@@ -235,10 +237,19 @@
 // Event is one event of a stream, counted from 1.
 func Event(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
 
+// WholeStream is the body of a stream from its first event on.
+func WholeStream() string {
+	var text strings.Builder
+	for number := range Events {
+		text.WriteString(Event(number + 1))
+	}
+	return text.String()
+}
+
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+	if last, err := strconv.Atoi(r.Header.Get(platformtest.HeaderLastEvent)); err == nil {
 		first = last + 1
 	}
 	control := http.NewResponseController(w)
@@ -279,8 +290,8 @@
 		return
 	}
 	defer closeGracefully(conn)
-	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
-		"\r\nX-Server-Seal: " + Seal(id) + "\r\nConnection: close\r\n\r\n" + Answer(id))
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n" + platformtest.HeaderRequestID + ": " + id +
+		"\r\n" + platformtest.HeaderReceipt + ": " + Seal(id) + "\r\nConnection: close\r\n\r\n" + Answer(id))
 	_ = buffered.Flush()
 }
 
--- a/lab/soak/proxy.go
+++ b/lab/proxy/proxy.go
@@ -1,4 +1,5 @@
-package soak
+// Package proxy stands before an address on loopback and disturbs the connections to it.
+package proxy
 
 import (
 	"io"
@@ -7,21 +8,22 @@
 	"time"
 )
 
-// mode is what a proxy does to the bytes that pass.
-type mode int
+// Mode is what a proxy does to the bytes that pass.
+type Mode int
 
 const (
-	// pass lets them pass.
-	pass mode = iota
-	// silent holds them back both ways.
-	silent
-	// deaf holds back only what comes from the far side.
-	deaf
+	// Pass lets them pass.
+	Pass Mode = iota
+	// Silent holds them back both ways.
+	Silent
+	// Deaf holds back only what comes from the far side.
+	Deaf
+	// Cut closes connections, those that come too.
+	Cut
 )
 
-// proxy stands before one address and disturbs its connections. It is safe for
-// concurrent use.
-type proxy struct {
+// Proxy stands before one address. It is safe for concurrent use.
+type Proxy struct {
 	target string
 	// near is its own address.
 	near string
@@ -29,26 +31,28 @@
 	mu       sync.Mutex
 	listener net.Listener
 	changed  *sync.Cond
-	mode     mode
+	mode     Mode
 	delay    time.Duration
 	conns    map[net.Conn]bool
 	closed   bool
 }
 
-func newProxy(target string) (*proxy, error) {
+// New returns a proxy before target, a host:port.
+func New(target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, near: listener.Addr().String(), target: target, conns: make(map[net.Conn]bool)}
+	p := &Proxy{listener: listener, near: listener.Addr().String(), target: target, conns: make(map[net.Conn]bool)}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.near }
+// Address is where the proxy takes connections.
+func (p *Proxy) Address() string { return p.near }
 
-func (p *proxy) accept(listener net.Listener) {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
 		near, err := listener.Accept()
 		if err != nil {
@@ -59,7 +63,7 @@
 }
 
 // join connects a connection with the target and carries bytes until one side ends.
-func (p *proxy) join(near net.Conn) {
+func (p *Proxy) join(near net.Conn) {
 	defer near.Close()
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
@@ -78,7 +82,7 @@
 }
 
 // carry copies bytes. back is set for those that come from the far side.
-func (p *proxy) carry(to io.Writer, from io.Reader, back bool) {
+func (p *Proxy) carry(to io.Writer, from io.Reader, back bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -97,23 +101,23 @@
 }
 
 // await waits until bytes may pass. It reports false once the proxy is closed.
-func (p *proxy) await(back bool) bool {
+func (p *Proxy) await(back bool) bool {
 	p.mu.Lock()
 	delay := p.delay
 	p.mu.Unlock()
 	time.Sleep(delay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for !p.closed && (p.mode == silent || p.mode == deaf && back) {
+	for !p.closed && (p.mode == Silent || p.mode == Deaf && back) {
 		p.changed.Wait()
 	}
 	return !p.closed
 }
 
-func (p *proxy) keep(conns ...net.Conn) bool {
+func (p *Proxy) keep(conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.mode == Cut {
 		return false
 	}
 	for _, conn := range conns {
@@ -122,7 +126,7 @@
 	return true
 }
 
-func (p *proxy) drop(conns ...net.Conn) {
+func (p *Proxy) drop(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range conns {
@@ -130,18 +134,25 @@
 	}
 }
 
-// set disturbs what passes from now on.
-func (p *proxy) set(mode mode, delay time.Duration) {
+// Set disturbs what passes from now on; delay is added to each piece of it.
+func (p *Proxy) Set(mode Mode, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode, p.delay = mode, delay
 	p.changed.Broadcast()
+	if mode == Cut {
+		p.breakAll()
+	}
 }
 
-// reset breaks all connections.
-func (p *proxy) reset() {
+// Reset breaks all connections.
+func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.breakAll()
+}
+
+func (p *Proxy) breakAll() {
 	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			// Without lingering the other side sees a reset.
@@ -151,15 +162,17 @@
 	}
 }
 
-// leave refuses connections until comeBack.
-func (p *proxy) leave() {
+// Leave refuses connections until ComeBack.
+func (p *Proxy) Leave() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.listener.Close()
-	p.mu.Unlock()
-	p.reset()
+	p.breakAll()
 }
 
-func (p *proxy) comeBack() error {
+// ComeBack takes connections again at the same address, which another process may have
+// taken.
+func (p *Proxy) ComeBack() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listener, err := net.Listen("tcp", p.near)
@@ -171,11 +184,12 @@
 	return nil
 }
 
-func (p *proxy) close() {
+// Close ends the proxy with all connections.
+func (p *Proxy) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
 	p.changed.Broadcast()
 	p.listener.Close()
-	p.mu.Unlock()
-	p.reset()
+	p.breakAll()
 }
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // kinds are the routes that callers use, by the first part of the path.
@@ -94,22 +95,22 @@
 func (w *world) send(client *http.Client, d *daemon, c *call) {
 	// A body that cannot be had again keeps the client from sending it twice.
 	body := io.NopCloser(strings.NewReader("body of " + c.id))
-	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers.address()+"/"+c.kind+"/x", body)
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers.Address()+"/"+c.kind+"/x", body)
 	if err != nil {
 		panic(err)
 	}
 	request.ContentLength = int64(len("body of " + c.id))
 	request.Host = host
-	request.Header.Set("X-Attempt-Id", c.id)
-	request.Header.Set("X-Credential", keyOf(c.key))
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	request.Header.Set(platformtest.HeaderRequestID, c.id)
+	request.Header.Set(platformtest.HeaderKey, keyOf(c.key))
+	request.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(callDeadline.Milliseconds()))
 	answer, err := client.Do(request)
 	if err != nil {
 		return
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
-	c.status, c.seal, c.body, c.whole = answer.StatusCode, answer.Header.Get("X-Server-Seal"), string(text), err == nil
+	c.status, c.seal, c.body, c.whole = answer.StatusCode, answer.Header.Get(platformtest.HeaderReceipt), string(text), err == nil
 }
 
 // wanted is the whole answer of an upstream to a call.
@@ -117,11 +118,7 @@
 	if !strings.Contains(c.kind, generalupstream.StreamPath) {
 		return generalupstream.Answer(c.id)
 	}
-	var stream strings.Builder
-	for number := range generalupstream.Events {
-		stream.WriteString(generalupstream.Event(number + 1))
-	}
-	return stream.String()
+	return generalupstream.WholeStream()
 }
 
 func (c call) served() bool { return c.whole && c.status == http.StatusOK }
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sort"
 	"time"
+
+	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 )
 
 const (
@@ -97,7 +100,7 @@
 		}
 	case http.StatusOK:
 		want := c.wanted()
-		if c.whole && (c.body != want || c.seal != "seal-"+c.id) {
+		if c.whole && (c.body != want || c.seal != generalupstream.Seal(c.id)) {
 			report("own whole answer", "%s %s got %q sealed %q", c.kind, c.id, c.body, c.seal)
 		}
 		if !c.whole && (len(c.body) > len(want) || c.body != want[:len(c.body)]) {
@@ -173,20 +176,15 @@
 		}
 		seen[r.id] = true
 	}
+	sent := make([]time.Time, len(e.calls))
+	for i, c := range e.calls {
+		sent[i] = c.sent
+	}
+	slices.SortFunc(sent, time.Time.Compare)
 	for i, end := range again {
 		begin := end.Add(-retryWindow)
-		repeats := 0
-		for _, at := range again[:i+1] {
-			if at.After(begin) {
-				repeats++
-			}
-		}
-		requests := 0
-		for _, c := range e.calls {
-			if c.sent.After(begin) && !c.sent.After(end) {
-				requests++
-			}
-		}
+		repeats := i + 1 - upTo(again, begin)
+		requests := upTo(sent, end) - upTo(sent, begin)
 		if allowed := retryRatio*float64(requests) + retrySlack; float64(repeats) > allowed {
 			report("retry budget", "%d repeats of %d requests within %v", repeats, requests, retryWindow)
 			return
@@ -194,6 +192,11 @@
 	}
 }
 
+// upTo returns how many of the times, which are in order, are not after t.
+func upTo(times []time.Time, t time.Time) int {
+	return sort.Search(len(times), func(i int) bool { return times[i].After(t) })
+}
+
 // checkCold checks that a cold upstream gets little in each second.
 func (e evidence) checkCold(report func(string, string, ...any)) {
 	const allowed = coldPerSec*coldOverage + coldSlack
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -11,6 +11,8 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
+	"github.com/trefoilwell/trefoilwell/lab/proxy"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // storm disturbs a world by a seed: storms in which disturbances overlap, and calms
@@ -111,7 +113,7 @@
 		return
 	}
 	i := s.random.IntN(len(s.world.upstreams))
-	s.world.register(i, "draining", 0)
+	s.world.register(i, platformtest.Draining, 0)
 	drained := time.Now()
 	s.world.configure()
 	if wait.Sleep(ctx, calmTime-settleTime) != nil {
@@ -128,7 +130,7 @@
 // comeBack registers an upstream that is cold.
 func (s *storm) comeBack(i int) {
 	now := time.Now()
-	s.world.register(i, "ready", coldTime)
+	s.world.register(i, platformtest.Ready, coldTime)
 	s.mu.Lock()
 	s.cold[i] = append(s.cold[i], span{from: now, to: now.Add(coldTime)})
 	s.mu.Unlock()
@@ -182,7 +184,7 @@
 		if !s.begin(i) {
 			return func() {}
 		}
-		p.leave()
+		p.Leave()
 		return func() {
 			// Long enough for every daemon to have met it.
 			time.Sleep(restartTime)
@@ -212,10 +214,10 @@
 
 // listenAgain lets a proxy take connections again. Another process may have its port
 // for a connection of its own meanwhile.
-func (s *storm) listenAgain(p *proxy) {
+func (s *storm) listenAgain(p *proxy.Proxy) {
 	var err error
 	for range portTries {
-		if err = p.comeBack(); err == nil {
+		if err = p.ComeBack(); err == nil {
 			return
 		}
 		time.Sleep(portPause)
@@ -259,18 +261,18 @@
 
 // linkFaults are what happens to the connections of a proxy. Resets and cuts are as
 // likely as each other, and twice as likely as a delay.
-var linkFaults = []func(p *proxy){
-	(*proxy).reset,
-	(*proxy).reset,
-	func(p *proxy) { p.set(silent, 0) },
-	func(p *proxy) { p.set(silent, 0) },
-	func(p *proxy) { p.set(deaf, 0) },
-	func(p *proxy) { p.set(deaf, 0) },
-	func(p *proxy) { p.set(pass, 150*time.Millisecond) },
+var linkFaults = []func(p *proxy.Proxy){
+	(*proxy.Proxy).Reset,
+	(*proxy.Proxy).Reset,
+	func(p *proxy.Proxy) { p.Set(proxy.Silent, 0) },
+	func(p *proxy.Proxy) { p.Set(proxy.Silent, 0) },
+	func(p *proxy.Proxy) { p.Set(proxy.Deaf, 0) },
+	func(p *proxy.Proxy) { p.Set(proxy.Deaf, 0) },
+	func(p *proxy.Proxy) { p.Set(proxy.Pass, 150*time.Millisecond) },
 }
 
 // disturb harms what passes a proxy.
-func disturb(p *proxy, pick func(int) int) func() {
+func disturb(p *proxy.Proxy, pick func(int) int) func() {
 	linkFaults[pick(len(linkFaults))](p)
-	return func() { p.set(pass, 0) }
+	return func() { p.Set(proxy.Pass, 0) }
 }
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http/httptest"
@@ -17,12 +16,16 @@
 
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
+	"github.com/trefoilwell/trefoilwell/lab/proxy"
 	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 const (
 	host    = "calls.example"
 	service = "calls"
+	// routeTimeout is longer than the deadline that callers give.
+	routeTimeout = 4 * time.Second
 	// Bounds that the daemons are told and that the checks go by.
 	revokeBound = 5 * time.Second
 	drainBound  = 2500 * time.Millisecond
@@ -57,7 +60,7 @@
 // backend is an upstream behind its proxy.
 type backend struct {
 	*generalupstream.Upstream
-	proxy *proxy
+	proxy *proxy.Proxy
 	// born is when it started, in milliseconds of Unix time, and seq counts its
 	// entries since then.
 	born int64
@@ -69,7 +72,7 @@
 	name     string
 	settings string
 	// store and callers stand before the store and before the callers' listener.
-	store, callers *proxy
+	store, callers *proxy.Proxy
 
 	mu sync.Mutex
 	// life counts the processes that the VM has had.
@@ -84,12 +87,12 @@
 	w.storeHTTP = httptest.NewServer(w.store)
 	for i := range options.Upstreams {
 		u := generalupstream.New("i-" + strconv.Itoa(i))
-		p, err := newProxy(u.Address())
+		p, err := proxy.New(u.Address())
 		if err != nil {
 			return nil, err
 		}
 		w.upstreams = append(w.upstreams, &backend{Upstream: u, proxy: p})
-		w.register(i, "ready", 0)
+		w.register(i, platformtest.Ready, 0)
 	}
 	w.configure()
 	for i := range options.VMs {
@@ -116,10 +119,8 @@
 	if cold > 0 || u.born == 0 {
 		u.born, u.seq = time.Now().UnixMilli(), 1
 	}
-	w.store.Put(platform.KindUpstream, u.Instance, map[string]any{
-		"service": service, "address": u.proxy.address(), "zone": "dc-1", "version": "v1", "slots": 8,
-		"state": state, "cold_remaining_ms": cold.Milliseconds(), "seq": u.seq, "born": u.born,
-	})
+	w.store.Put(platform.KindUpstream, u.Instance, platformtest.Registration(service, u.proxy.Address(), state,
+		platformtest.Fields{"cold_remaining_ms": cold.Milliseconds(), "seq": u.seq, "born": u.born}))
 }
 
 // keyOf is the API key that a version brings. It holds until the version after the
@@ -131,28 +132,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	route := func(name, prefix, kind string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 4000,
-			"target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": 2,
-			"public": false, "sticky": false, "resumable": resumable, "allowed_regions": []string{},
-		}
+	route := func(name, prefix, kind string, resumable bool) any {
+		return platformtest.Route(name, host, prefix, kind, service,
+			platformtest.Fields{"timeout_ms": routeTimeout.Milliseconds(), "resumable": resumable})
 	}
-	w.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("safe", "/safe/", "safe", false), route("unsafe", "/unsafe/", "unsafe", false),
-			route("stream", "/stream/", "streaming", false), route("resume", "/resume-stream/", "streaming", true),
-		},
-		"services": []any{map[string]any{
-			"name": service, "health_path": "/health", "max_connections": 100,
-			"cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSec,
-		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{
-			"name": "account-1", "api_keys": []string{keyOf(w.version), keyOf(w.version - 1)}, "allowed_regions": []string{},
-		}},
-	})
+	w.store.Put(platform.KindConfig, platform.ConfigName, platformtest.Config(w.version, []any{
+		route("safe", "/safe/", platformtest.KindSafe, false),
+		route("unsafe", "/unsafe/", platformtest.KindUnsafe, false),
+		route("stream", "/stream/", platformtest.KindStreaming, false),
+		route("resume", "/resume-stream/", platformtest.KindStreaming, true),
+	}, platformtest.Service(service, platformtest.Fields{
+		"cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSec,
+	}), "account-1", keyOf(w.version), keyOf(w.version-1)))
 	w.changedAt[w.version] = time.Now()
 }
 
@@ -185,34 +176,25 @@
 		addresses[i] = listener.Addr().String()
 	}
 	var err error
-	if d.store, err = newProxy(w.storeHTTP.Listener.Addr().String()); err != nil {
+	if d.store, err = proxy.New(w.storeHTTP.Listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	if d.callers, err = newProxy(addresses[0]); err != nil {
+	if d.callers, err = proxy.New(addresses[0]); err != nil {
 		return nil, err
 	}
 	if d.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
 		return nil, errors.Wrap(err, "log file")
 	}
-	_, peers, _ := net.SplitHostPort(addresses[2])
-	text, err := json.Marshal(map[string]any{
-		"node": name, "ip": "127.0.0.1", "zone": "dc-1", "zones": map[string]string{"dc-1": "region-1"},
-		"listen":         map[string]string{"front": addresses[0], "readiness_address": addresses[1]},
-		"internal_ports": []json.Number{json.Number(peers)},
-		"limits":         map[string]any{"cores": 2, "cpu_share": 1.0, "memory_mb": 256},
-		"heartbeat_ms":   1200,
-		"bounds": map[string]any{
-			"drain_ms": drainBound.Milliseconds(), "config_apply_ms": configBound.Milliseconds(), "strict_revoke": true,
+	return d, platformtest.Settings{
+		VM: name, Callers: addresses[0], Readiness: addresses[1], Peers: addresses[2],
+		Store: d.store.Address(), MemoryMB: 256,
+		Bounds: platformtest.Bounds(platformtest.Fields{
+			"drain_ms": drainBound.Milliseconds(), "config_apply_ms": configBound.Milliseconds(),
 			"revoke_ms": revokeBound.Milliseconds(), "grace_s": grace.Seconds(), "retry_budget_ratio": retryRatio,
 			"budget_window_s": retryWindow.Seconds(), "budget_slack": retrySlack, "cold_overage": coldOverage,
-			"cold_slack": coldSlack, "quota_window_s": 4,
-		},
-		"platform": map[string]any{"address": d.store.address()},
-	})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode settings")
-	}
-	return d, errors.Wrap(os.WriteFile(d.settings, text, 0o600), "write settings")
+			"cold_slack": coldSlack,
+		}),
+	}.Write(d.settings)
 }
 
 // restart waits until a VM's process has ended and begins the next one, unless
@@ -276,12 +258,12 @@
 	for _, d := range w.daemons {
 		d.signal(syscall.SIGKILL)
 		<-d.ended
-		d.store.close()
-		d.callers.close()
+		d.store.Close()
+		d.callers.Close()
 		d.log.Close()
 	}
 	for _, u := range w.upstreams {
-		u.proxy.close()
+		u.proxy.Close()
 		u.Close()
 	}
 	w.store.Close()
