Log when a registration goes, and who told of it

The lines of the incident could not tell a registration that the store told from one that another process told, nor when it was removed, nor who read the store at that time. Each registration's line has its source, its removal has a line, and so have registrations that are missing after an outage and a change of who reads the store. No change of behaviour.

--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -194,7 +194,7 @@
 				(*Edge)(h).answerReader(peers, from.VM, m)
 			}
 		case wire.StateTell:
-			(*Edge)(h).takeState(m)
+			(*Edge)(h).takeState(from.VM, m)
 		}
 	}
 }
--- a/daemon/process/edge/readers.go
+++ b/daemon/process/edge/readers.go
@@ -101,8 +101,8 @@
 	}
 }
 
-func (e *Edge) takeState(tell wire.StateTell) {
+func (e *Edge) takeState(from version.VMID, tell wire.StateTell) {
 	if asked, newest := e.reading.take(tell.Seq); newest {
-		e.mirror.Take(tell, asked)
+		e.mirror.Take(from, tell, asked)
 	}
 }
--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -26,6 +26,8 @@
 	// They are kept until missingUntil, by the mirror's clock.
 	missing      map[string]bool
 	missingUntil time.Time
+	// gone are the entries that were removed since the last settle.
+	gone []string
 }
 
 // entry is one object.
@@ -114,6 +116,9 @@
 }
 
 func (k *kind) remove(name string) {
+	if _, present := k.entries[name]; present {
+		k.gone = append(k.gone, name)
+	}
 	delete(k.entries, name)
 	delete(k.missing, name)
 }
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -134,9 +134,15 @@
 
 // FollowConfig reads the configuration until ctx ends.
 func (m *Mirror) FollowConfig(ctx context.Context) error {
+	relieved := false
 	for {
 		pause := sharedPause
-		if !m.relieved() {
+		if now := m.relieved(); now != relieved {
+			relieved = now
+			m.options.Log.Info("who reads the store changed", "other", relieved,
+				"config_age_ms", m.options.Clock().Sub(m.Confirmed()).Milliseconds())
+		}
+		if !relieved {
 			pause = m.readConfig(ctx)
 		}
 		if err := wait.Sleep(ctx, pause); err != nil {
@@ -326,19 +332,27 @@
 	defer m.mu.Unlock()
 	now := m.options.Clock()
 	k.heard = now
+	missing := len(k.missing)
 	changed := k.replace(snapshot, outage && k.name == platform.KindUpstream, now.Add(returnTime))
-	m.settle(k, now, changed)
+	if len(k.missing) > missing {
+		m.options.Log.Warn("registrations are missing after an outage and may come back",
+			"count", len(k.missing), "revision", snapshot.Revision, "for_ms", returnTime.Milliseconds())
+	}
+	m.settle(k, now, changed, sourceStore)
 }
 
 func (m *Mirror) change(k *kind, changes platform.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k.heard = m.options.Clock()
-	m.settle(k, k.heard, k.change(changes))
+	m.settle(k, k.heard, k.change(changes), sourceStore)
 }
 
-// settle decodes what is new and publishes the result.
-func (m *Mirror) settle(k *kind, now time.Time, changed bool) {
+// sourceStore is the source of what the store itself told.
+const sourceStore = "store"
+
+// settle decodes what is new and publishes the result. The source is who told it.
+func (m *Mirror) settle(k *kind, now time.Time, changed bool, source string) {
 	if k.dropMissing(now) {
 		changed = true
 	}
@@ -346,12 +360,17 @@
 		return
 	}
 	k.mark = rand.Uint64()
+	gone := k.gone
+	k.gone = nil
 	switch k.name {
 	case platform.KindMember:
 		m.publishMembers()
 		return
 	case platform.KindUpstream:
-		m.decodeUpstreams(k)
+		for _, name := range gone {
+			m.options.Log.Info("upstream unregistered", "upstream", name, "source", source)
+		}
+		m.decodeUpstreams(k, source)
 	}
 	m.publish()
 }
@@ -364,7 +383,7 @@
 	m.options.Members(members)
 }
 
-func (m *Mirror) decodeUpstreams(k *kind) {
+func (m *Mirror) decodeUpstreams(k *kind, source string) {
 	for name, entry := range k.entries {
 		if entry.decoded {
 			continue
@@ -373,13 +392,13 @@
 		upstream, err := platform.DecodeUpstream(name, entry.object.Spec, time.Now())
 		if err != nil {
 			m.options.Log.Warn("registration is malformed, the upstream gets no work",
-				"upstream", name, "revision", entry.object.Revision, "error", err)
+				"upstream", name, "revision", entry.object.Revision, "source", source, "error", err)
 			continue
 		}
 		entry.upstream = upstream
 		m.options.Log.Info("upstream registered", "upstream", name, "address", upstream.Address,
 			"data_centre", upstream.DataCentre, "draining", upstream.Draining,
-			"cold", !upstream.ColdUntil.IsZero(), "revision", entry.object.Revision)
+			"cold", !upstream.ColdUntil.IsZero(), "revision", entry.object.Revision, "source", source)
 	}
 }
 
--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -1,9 +1,11 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -155,6 +157,31 @@
 	}
 }
 
+// Which process brought back a registration that was gone could only be told from its
+// revision (docs/incidents/2026-12-04-grown-sites.md).
+func TestEachChangeOfARegistrationIsLoggedWithItsSource(t *testing.T) {
+	f := newFixture()
+	var lines bytes.Buffer
+	f.options.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+	f.store.config = configObject(1, 1)
+	f.readConfig(t.Context())
+	f.list()
+	f.replace(f.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
+	f.replace(f.upstreams, platform.Snapshot{}, true)
+	f.clock.now = f.clock.now.Add(returnTime)
+	f.change(f.upstreams, platform.Snapshot{})
+	for _, want := range []string{
+		`"msg":"upstream registered","upstream":"a"`,
+		`"source":"store"`,
+		`"msg":"registrations are missing after an outage and may come back","count":1`,
+		`"msg":"upstream unregistered","upstream":"a","source":"store"`,
+	} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("no line has %s:\n%s", want, &lines)
+		}
+	}
+}
+
 func TestAnotherProcessReadsTheStore(t *testing.T) {
 	hub, leaf := newFixture(), newFixture()
 	hub.store.config = configObject(3, 30)
@@ -169,7 +196,7 @@
 		if !known {
 			t.Fatal("the hub knows nothing")
 		}
-		leaf.Take(tell, leaf.clock.now)
+		leaf.Take("hub", tell, leaf.clock.now)
 	}
 	exchange()
 	if leaf.applied == nil || leaf.applied.Number != 3 || !leaf.names()["a"] {
@@ -336,7 +363,7 @@
 	if !known {
 		t.Fatal("the other one knows nothing")
 	}
-	refused.Take(tell, refused.clock.now)
+	refused.Take("other", tell, refused.clock.now)
 	if !refused.names()["b"] || !refused.Confirmed().Equal(other.Confirmed()) || refused.Starved() {
 		t.Errorf("has %v, confirmed %v, the other one %v", refused.names(), refused.Confirmed(), other.Confirmed())
 	}
@@ -350,7 +377,7 @@
 	refused.clock.now = refused.clock.now.Add(time.Second)
 	refused.change(refused.upstreams, platform.Snapshot{Objects: []platform.Object{registration("c", 7)}})
 	refused.upstreams.taken = 0
-	refused.Take(tell, refused.clock.now.Add(-time.Second))
+	refused.Take("other", tell, refused.clock.now.Add(-time.Second))
 	if !refused.names()["c"] {
 		t.Error("an older answer took away what the store told")
 	}
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -64,10 +65,10 @@
 	return tell, true
 }
 
-// Take takes the answer to a question that was asked at a time of the mirror's
-// clock. The configuration counts as confirmed as long before that as the other
+// Take takes the answer of another process to a question that was asked at a time
+// of the mirror's clock. The configuration counts as confirmed as long before that as the other
 // process says, which does not depend on how long the answer was on its way.
-func (m *Mirror) Take(tell wire.StateTell, asked time.Time) {
+func (m *Mirror) Take(from version.VMID, tell wire.StateTell, asked time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if milliseconds(tell.ConfigAgeMS) > configAgeMax {
@@ -93,7 +94,7 @@
 				continue
 			}
 			k.taken, k.heard = state.Mark, heard
-			m.settle(k, now, k.replace(snapshotOf(state), false, now))
+			m.settle(k, now, k.replace(snapshotOf(state), false, now), string(from))
 		}
 	}
 	m.shared = now
