Trust what another process reads of the store for less than the bound on draining

A hub whose way to the store was lost was trusted until its newest confirmation was 3 s old, and a second longer: a process it reads for learned after 3.3 to 4.3 s that an upstream drains, the bound is 4 s and includes the request's way. It also stayed with that hub, since stale answers counted as answers. The confirmation may now be 1.6 s old (the time between two reads and a slow answer), and an answer counts for 0.7 s. A hub that is stale counts as one that does not answer, so the other one is asked after 0.7 s. A kind's age is bounded by its own watch.

--- a/daemon/process/edge/readers.go
+++ b/daemon/process/edge/readers.go
@@ -28,7 +28,7 @@
 	// seq and asked are the number and the time of the newest question.
 	seq   uint64
 	asked time.Time
-	// answered is when the newest answer came.
+	// answered is when the newest answer came that was of use.
 	answered time.Time
 	// reader is the index of the reader that is asked.
 	reader int
@@ -47,15 +47,18 @@
 	return readers[r.reader%len(readers)], r.seq
 }
 
-// take returns when the question was asked, if it is the newest.
-func (r *reading) take(seq uint64) (time.Time, bool) {
+// when returns when a question was asked, if it is the newest.
+func (r *reading) when(seq uint64) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked, seq == r.seq
+}
+
+// served notes an answer that was of use. Without one, another reader is asked.
+func (r *reading) served() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if seq != r.seq {
-		return time.Time{}, false
-	}
 	r.answered = clock.Boot()
-	return r.asked, true
 }
 
 // askReaders asks the process that reads the store for this one, again and again
@@ -102,7 +105,7 @@
 }
 
 func (e *Edge) takeState(from version.VMID, tell wire.StateTell) {
-	if asked, newest := e.reading.take(tell.Seq); newest {
-		e.mirror.Take(from, tell, asked)
+	if asked, newest := e.reading.when(tell.Seq); newest && e.mirror.Take(from, tell, asked) {
+		e.reading.served()
 	}
 }
--- /dev/null
+++ b/daemon/version/mirror/late_test.go
@@ -0,0 +1,220 @@
+package mirror
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+)
+
+// truth is what the store holds: one upstream, which drains.
+type truth struct {
+	mu       sync.Mutex
+	draining bool
+}
+
+func (s *truth) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+func (s *truth) snapshot(kind string) platform.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case kind != platform.KindUpstream:
+		return platform.Snapshot{Revision: 10}
+	case s.draining:
+		return platform.Snapshot{Revision: 20, Objects: []platform.Object{draining("x", 20)}}
+	}
+	return platform.Snapshot{Revision: 10, Objects: []platform.Object{registration("x", 5)}}
+}
+
+// trouble is how the store treats one process.
+type trouble int
+
+const (
+	answering trouble = iota
+	// refusing answers each call with a refusal.
+	refusing
+	// silent answers no call.
+	silent
+	// deaf is silent on connections that are open, which are those of watches.
+	deaf
+)
+
+// way is one process's way to the store.
+type way struct {
+	truth *truth
+
+	mu      sync.Mutex
+	trouble trouble
+	// since counts the changes of trouble.
+	since int
+}
+
+func (w *way) set(trouble trouble) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.trouble = trouble
+	w.since++
+}
+
+func (w *way) state() (trouble, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.trouble, w.since
+}
+
+func (w *way) call(ctx context.Context) error {
+	switch trouble, _ := w.state(); trouble {
+	case refusing:
+		return platform.ErrBusy
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return wait.Sleep(ctx, 4*time.Millisecond)
+}
+
+func (w *way) Get(ctx context.Context, _, _ string) (platform.Object, error) {
+	return configObject(1, 1), w.call(ctx)
+}
+
+func (w *way) List(ctx context.Context, kind string) (platform.Snapshot, error) {
+	err := w.call(ctx)
+	return w.truth.snapshot(kind), err
+}
+
+func (w *way) Watch(ctx context.Context, kind string, revision uint64, hold time.Duration) (platform.Snapshot, error) {
+	_, since := w.state()
+	for end := time.Now().Add(hold); time.Now().Before(end); {
+		if err := wait.Sleep(ctx, 5*time.Millisecond); err != nil {
+			return platform.Snapshot{}, err
+		}
+		if trouble, now := w.state(); now != since {
+			if trouble == refusing {
+				return platform.Snapshot{}, platform.ErrBusy
+			}
+			<-ctx.Done()
+			return platform.Snapshot{}, ctx.Err()
+		}
+		if snapshot := w.truth.snapshot(kind); snapshot.Revision > revision {
+			return snapshot, nil
+		}
+	}
+	return w.truth.snapshot(kind), nil
+}
+
+// learner is a process and when it learned that the upstream drains.
+type learner struct {
+	*Mirror
+	mu      sync.Mutex
+	learned time.Time
+}
+
+func (l *learner) apply(config *version.Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, upstream := range config.Upstreams {
+		if upstream.Draining && l.learned.IsZero() {
+			l.learned = time.Now()
+		}
+	}
+}
+
+func (l *learner) when() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.learned
+}
+
+// learn runs the duties of a process until ctx ends.
+func learn(ctx context.Context, duties *sync.WaitGroup, store Store, served bool) *learner {
+	l := &learner{}
+	l.Mirror = New(Options{
+		Store: store, Clock: time.Now, Apply: l.apply,
+		Served:  func() bool { return served },
+		Members: func(map[version.VMID][]byte) {},
+		Lost:    func() {},
+		Log:     slog.New(slog.DiscardHandler),
+	})
+	for _, duty := range []func(context.Context) error{l.FollowConfig, l.FollowUpstreams, l.FollowEvacuations, l.FollowMembers} {
+		duties.Go(func() { _ = duty(ctx) })
+	}
+	return l
+}
+
+const (
+	// askEvery is how often a process asks its hub.
+	askEvery = 300 * time.Millisecond
+	// offsets and offsetStep spread the beginning of a trouble over the holds of
+	// watches and the pauses between reads.
+	offsets    = 16
+	offsetStep = 210 * time.Millisecond
+)
+
+// The hub of a data centre lost its way to the store, and the processes it reads for
+// trusted it for up to 4.3 s, longer than an upstream that drains may be used.
+func TestADrainingUpstreamIsKnownInTimeWhateverTheReaderMeets(t *testing.T) {
+	for name, c := range map[string]struct {
+		trouble trouble
+		// told is set for the process that a hub reads for; the trouble is the hub's.
+		told bool
+		// within is the platform's bound on draining for fleets with hubs, 4 s, less
+		// 1 s for a request on its way.
+		within time.Duration
+	}{
+		"hub refused":           {refusing, true, 3 * time.Second},
+		"hub without an answer": {silent, true, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for offset := range offsets {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					var duties sync.WaitGroup
+					defer duties.Wait()
+					defer cancel()
+					store := &truth{}
+					read := &way{truth: store}
+					hub := learn(ctx, &duties, read, false)
+					watched := hub
+					if c.told {
+						leaf := learn(ctx, &duties, &way{truth: store}, true)
+						duties.Go(func() { ask(ctx, leaf, hub) })
+						watched = leaf
+					}
+					time.Sleep(15*time.Second + time.Duration(offset)*offsetStep)
+					read.set(c.trouble)
+					time.Sleep(time.Millisecond)
+					store.drain()
+					drained := time.Now()
+					time.Sleep(20 * time.Second)
+					switch learned := watched.when(); {
+					case learned.IsZero():
+						t.Error("not known after 20 s")
+					case learned.Sub(drained) > c.within:
+						t.Errorf("offset %d: known after %v, want %v", offset, learned.Sub(drained), c.within)
+					}
+				})
+			}
+		})
+	}
+}
+
+// ask asks the hub again and again, as daemon/process/edge does.
+func ask(ctx context.Context, leaf, hub *learner) {
+	for wait.Sleep(ctx, askEvery) == nil {
+		asked := time.Now()
+		if tell, known := hub.Tell(leaf.Ask()); known {
+			leaf.Take("hub", tell, asked)
+		}
+	}
+}
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -12,19 +12,32 @@
 )
 
 const (
-	// sharedTime is how long what another process told replaces own reads.
-	sharedTime = time.Second
+	// sharedTime is how long what another process told replaces own reads: two
+	// questions, of which one is lost. With configAgeMax it leaves a second of the
+	// shortest bound in a fleet with hubs, 4 s, to the request itself.
+	sharedTime = 700 * time.Millisecond
 	// configAgeMax is how old the other's confirmation of the configuration may
-	// be: two reads and a slow answer.
-	configAgeMax = 3 * time.Second
-	// kindAgeMax is how long ago the other may have heard of a kind: a watch that
-	// brought nothing and a slow answer.
-	kindAgeMax = membersWait + callTimeout
+	// be: the time between two reads and a slow answer.
+	configAgeMax = 1600 * time.Millisecond
 )
 
+// ageMax is how long ago another process may have heard of a kind: a watch that
+// brought nothing and a slow answer.
+func (k *kind) ageMax() time.Duration { return k.wait + callTimeout }
+
 // kinds returns the watched kinds.
 func (m *Mirror) kinds() []*kind { return []*kind{m.upstreams, m.evacuated, m.members} }
 
+// kind returns the kind with a name, or nil.
+func (m *Mirror) kind(name string) *kind {
+	for _, k := range m.kinds() {
+		if k.name == name {
+			return k
+		}
+	}
+	return nil
+}
+
 // Ask returns the question that fills what this mirror lacks.
 func (m *Mirror) Ask() wire.StateAsk {
 	m.mu.Lock()
@@ -69,11 +82,14 @@
 // Take takes the answer of another process to a question that was asked at a time
 // of the mirror's clock. The configuration counts as confirmed as long before that as the other
 // process says, which does not depend on how long the answer was on its way.
-func (m *Mirror) Take(from version.VMID, tell wire.StateTell, asked time.Time) {
+//
+// It reports whether the answer replaces own reads: not if the other process has lost
+// its way to the store.
+func (m *Mirror) Take(from version.VMID, tell wire.StateTell, asked time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if milliseconds(tell.ConfigAgeMS) > configAgeMax {
-		return
+	if !m.fresh(tell) {
+		return false
 	}
 	if tell.Config != nil {
 		object := platform.Object{Name: tell.Config.Name, Revision: tell.Config.Revision, Spec: tell.Config.Spec}
@@ -85,25 +101,32 @@
 	}
 	now := m.options.Clock()
 	for _, state := range tell.Kinds {
-		if milliseconds(state.AgeMS) > kindAgeMax {
-			return
+		k := m.kind(state.Kind)
+		if k == nil || !state.Changed || state.Revision < k.revision {
+			continue
 		}
-		heard := asked.Add(-milliseconds(state.AgeMS))
-		for _, k := range m.kinds() {
-			if k.name != state.Kind || !state.Changed || state.Revision < k.revision {
-				continue
-			}
-			k.taken = state.Mark
-			if heard.After(k.heard) {
-				k.heard = heard
-			}
-			// What is missing for the other process stays until that one gives it up.
-			missing := func(name string) bool { return slices.Contains(state.Missing, name) }
-			changed := k.replace(snapshotOf(state), missing, now.Add(returnTime))
-			m.settle(k, now, changed, string(from))
+		k.taken = state.Mark
+		if heard := asked.Add(-milliseconds(state.AgeMS)); heard.After(k.heard) {
+			k.heard = heard
 		}
+		// What is missing for the other process stays until that one gives it up.
+		missing := func(name string) bool { return slices.Contains(state.Missing, name) }
+		changed := k.replace(snapshotOf(state), missing, now.Add(returnTime))
+		m.settle(k, now, changed, string(from))
 	}
 	m.shared = now
+	return true
+}
+
+// fresh reports whether the process that told this hears of the store.
+func (m *Mirror) fresh(tell wire.StateTell) bool {
+	if milliseconds(tell.ConfigAgeMS) > configAgeMax {
+		return false
+	}
+	return !slices.ContainsFunc(tell.Kinds, func(state wire.StateKind) bool {
+		k := m.kind(state.Kind)
+		return k != nil && milliseconds(state.AgeMS) > k.ageMax()
+	})
 }
 
 // starvedAfter is how long the configuration must not have been confirmed for this
