Notice a silent watch on upstreams before the bound on draining

A silent connection counts as a reset of connections, after which a calm process is in touch again before that. The hold of a watch on upstreams is 1.4 s and its answer may be 0.6 s late. Held at 16 offsets. Price: a process that reads the store for itself makes 0.4 calls a second more.

--- a/daemon/version/mirror/late_test.go
+++ b/daemon/version/mirror/late_test.go
@@ -162,18 +162,21 @@
 )
 
 // The hub of a data centre lost its way to the store, and the processes it reads for
-// trusted it for up to 4.3 s, longer than an upstream that drains may be used.
+// trusted it for up to 4.3 s, longer than an upstream that drains may be used. A watch
+// that went silent was noticed after up to 4.6 s.
 func TestADrainingUpstreamIsKnownInTimeWhateverTheReaderMeets(t *testing.T) {
 	for name, c := range map[string]struct {
 		trouble trouble
 		// told is set for the process that a hub reads for; the trouble is the hub's.
 		told bool
 		// within is the platform's bound on draining for fleets with hubs, 4 s, less
-		// 1 s for a request on its way.
+		// 1 s for a request on its way, or that for fleets without, 2.5 s.
 		within time.Duration
 	}{
-		"hub refused":           {refusing, true, 3 * time.Second},
-		"hub without an answer": {silent, true, 3 * time.Second},
+		"hub refused":            {refusing, true, 3 * time.Second},
+		"hub without an answer":  {silent, true, 3 * time.Second},
+		"hub with a deaf watch":  {deaf, true, 3 * time.Second},
+		"own watch that is deaf": {deaf, false, 2500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for offset := range offsets {
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -33,10 +33,14 @@
 	// callTimeout bounds a call. A store that is slow by a factor of a hundred
 	// answers in 0.4 s.
 	callTimeout = 1200 * time.Millisecond
-	// watchWait is how long the store may hold a watch on upstreams and on data
-	// centres. A connection that has gone silent is noticed after this and
-	// callTimeout.
-	watchWait = 3 * time.Second
+	// upstreamsWait is how long the store may hold a watch on upstreams, and
+	// evacuationsWait one on data centres that are emptied. A connection that has gone
+	// silent is noticed after this and watchSlack. With a pause, a list and a question
+	// that is below the shortest bounds on either, 2.5 s and 5 s.
+	upstreamsWait   = 1400 * time.Millisecond
+	evacuationsWait = 3 * time.Second
+	// watchSlack is how much longer than it was held a watch may take.
+	watchSlack = 600 * time.Millisecond
 	// membersWait is how long it may hold one on the members, whose changes are
 	// less urgent.
 	membersWait = 12 * time.Second
@@ -118,8 +122,8 @@
 		options.Served = func() bool { return false }
 	}
 	m := &Mirror{options: options, available: true, started: options.Clock()}
-	m.upstreams = newKind(platform.KindUpstream, watchWait, gatherTime)
-	m.evacuated = newKind(platform.KindEvacuation, watchWait, gatherTime)
+	m.upstreams = newKind(platform.KindUpstream, upstreamsWait, gatherTime)
+	m.evacuated = newKind(platform.KindEvacuation, evacuationsWait, gatherTime)
 	m.members = newKind(platform.KindMember, membersWait, membersGatherTime)
 	return m
 }
@@ -300,7 +304,7 @@
 			return errShared
 		}
 		hold := m.hold(k)
-		call, cancel := context.WithTimeout(ctx, hold+callTimeout)
+		call, cancel := context.WithTimeout(ctx, hold+watchSlack)
 		changes, err := m.options.Store.Watch(call, k.name, revision, hold)
 		cancel()
 		if err != nil {
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -23,7 +23,7 @@
 
 // ageMax is how long ago another process may have heard of a kind: a watch that
 // brought nothing and a slow answer.
-func (k *kind) ageMax() time.Duration { return k.wait + callTimeout }
+func (k *kind) ageMax() time.Duration { return k.wait + watchSlack }
 
 // kinds returns the watched kinds.
 func (m *Mirror) kinds() []*kind { return []*kind{m.upstreams, m.evacuated, m.members} }
