Look again whether an upstream may be used when the first byte is sent

A request that was granted an upstream may wait 2 s for a connection, or for its turn in a process that is behind, and was then sent whatever had been learned meanwhile. The check at the first byte, so far for the caller only, asks the configuration in force as well: an upstream that drains, is gone or evacuated gets nothing, and the request is free to go elsewhere, since none of it was sent.

--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -13,9 +13,6 @@
 // errSealed is returned for a write after the connection was sealed.
 var errSealed = errors.New("connection is sealed")
 
-// ErrNotWanted is returned for an attempt that Probe.Wanted has stopped.
-var ErrNotWanted = errors.New("the attempt is not wanted any more")
-
 // countedConn counts the writes that were begun and can be sealed against any
 // further one.
 type countedConn struct {
@@ -24,8 +21,8 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
-	// wanted is asked before the next write; nil asks nobody.
-	wanted func() bool
+	// check is asked before the next write; nil asks nobody.
+	check func() error
 }
 
 // Write implements net.Conn.
@@ -57,20 +54,22 @@
 	if c.sealed {
 		return errSealed
 	}
-	if c.wanted != nil && !c.wanted() {
-		c.sealed = true
-		return ErrNotWanted
+	if c.check != nil {
+		if err := c.check(); err != nil {
+			c.sealed = true
+			return err
+		}
 	}
-	c.wanted = nil
+	c.check = nil
 	c.writes++
 	return nil
 }
 
-// ask makes the next write ask whether it is still wanted.
-func (c *countedConn) ask(wanted func() bool) {
+// ask makes the next write ask whether it may still be sent.
+func (c *countedConn) ask(check func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wanted = wanted
+	c.check = check
 }
 
 func (c *countedConn) begun() uint64 {
@@ -93,10 +92,10 @@
 // Probe tells whether an attempt that failed may have reached its upstream.
 // One Probe serves one attempt.
 type Probe struct {
-	// Wanted is asked when the first byte of the attempt is about to be sent, which
-	// in a busy process is long after its connection was asked for; nil sends it
-	// always.
-	Wanted func() bool
+	// Check is asked when the first byte of the attempt is about to be sent, which
+	// in a busy process is long after its connection was asked for. If it returns an
+	// error, nothing is sent and the attempt ends with it; nil sends it always.
+	Check func() error
 
 	mu     sync.Mutex
 	got    bool
@@ -116,7 +115,7 @@
 	defer p.mu.Unlock()
 	own := counted(conn)
 	if own != nil {
-		own.ask(p.Wanted)
+		own.ask(p.Check)
 	}
 	if p.got {
 		// A second connection for one attempt: take it as sent.
--- a/daemon/connection/upstream/probe_test.go
+++ b/daemon/connection/upstream/probe_test.go
@@ -89,14 +89,18 @@
 	defer server.Close()
 	transport := NewTransport(nil)
 	defer transport.CloseIdleConnections()
-	wanted := true
+	errNotWanted := errors.New("not wanted")
+	var check error
 	for _, step := range []struct {
 		method string
 		wanted bool
 	}{{http.MethodPost, true}, {http.MethodPost, false}, {http.MethodGet, true}, {http.MethodGet, false}, {http.MethodGet, true}} {
-		wanted = step.wanted
+		check = nil
+		if !step.wanted {
+			check = errNotWanted
+		}
 		before := arrived.Load()
-		probe := &Probe{Wanted: func() bool { return wanted }}
+		probe := &Probe{Check: func() error { return check }}
 		out, err := http.NewRequestWithContext(probe.Context(t.Context()), step.method, server.URL, nil)
 		if err != nil {
 			t.Fatal(err)
@@ -111,7 +115,7 @@
 			t.Errorf("%+v: %v", step, err)
 		case step.wanted:
 			response.Body.Close()
-		case !errors.Is(err, ErrNotWanted) || arrived.Load() != before:
+		case !errors.Is(err, errNotWanted) || arrived.Load() != before:
 			t.Errorf("%+v: %v, %d arrived", step, err, arrived.Load()-before)
 		case step.method == http.MethodPost && probe.Seal():
 			t.Errorf("%+v: taken as sent", step)
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -31,6 +31,8 @@
 	ErrCallerGone = errors.New("caller is gone")
 	// ErrPermitOver is a permit that ended before the attempt was sent.
 	ErrPermitOver = errors.New("permit ended before sending")
+	// ErrWithdrawn is an upstream that was taken out before the attempt was sent.
+	ErrWithdrawn = errors.New("upstream was taken out before sending")
 	// ErrUnconfigured is a grant for an upstream that is no longer configured.
 	ErrUnconfigured = errors.New("upstream is not configured")
 )
@@ -241,7 +243,7 @@
 func (a *attempt) run() Result {
 	ctx, timer := a.firstContext()
 	defer timer.stop()
-	probe := &upstream.Probe{Wanted: a.call.Wanted}
+	probe := &upstream.Probe{Check: a.mayStillBeSent}
 	out, err := a.newRequest(probe.Context(ctx))
 	if err != nil {
 		return a.unsent(err, request.OutcomeUnused)
@@ -262,6 +264,20 @@
 	return a.answer(response, timer)
 }
 
+// mayStillBeSent reports why an attempt that was granted must not be sent any more. A
+// connection may take seconds, and in a process that is behind so may anything else.
+func (a *attempt) mayStillBeSent() error {
+	if a.call.Wanted != nil && !a.call.Wanted() {
+		return ErrCallerGone
+	}
+	config := a.relay.options.Accounting.Config()
+	target, known := config.Upstreams[a.call.Grant.Upstream]
+	if !known || target.Draining || config.UpstreamOut(target) {
+		return ErrWithdrawn
+	}
+	return nil
+}
+
 // answer relays the answer according to its form.
 func (a *attempt) answer(response *http.Response, timer *stallTimer) Result {
 	dialect := a.relay.options.Dialect
@@ -317,9 +333,12 @@
 
 // cause turns an error of the transport into one of this package.
 func (a *attempt) cause(ctx context.Context, err error) error {
-	if errors.Is(err, upstream.ErrNotWanted) || !a.call.Record && a.call.Request.Context().Err() != nil {
+	if errors.Is(err, ErrCallerGone) || !a.call.Record && a.call.Request.Context().Err() != nil {
 		return ErrCallerGone
 	}
+	if errors.Is(err, ErrWithdrawn) {
+		return ErrWithdrawn
+	}
 	if cause := context.Cause(ctx); errors.IsAny(cause, ErrLate, ErrStalled) {
 		return cause
 	}
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -30,6 +30,9 @@
 		outcome = request.OutcomeUnused
 		refusal.Reason = request.ReasonDeadline
 		refusal.Detail = "the deadline passed before anything was sent"
+	case errors.Is(err, ErrWithdrawn):
+		outcome = request.OutcomeUnused
+		refusal.Detail = "the upstream was taken out before anything was sent"
 	case errors.Is(err, ErrPermitOver):
 		refusal.Reason = request.ReasonLedgerUnavailable
 		refusal.Detail = "the claim's permit ended before anything was sent"
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -299,7 +299,7 @@
 // knownCause names the relay's own error behind err.
 func knownCause(err error) string {
 	for _, known := range []error{
-		relay.ErrCrossed, relay.ErrStalled, relay.ErrLate, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrCut,
+		relay.ErrCrossed, relay.ErrStalled, relay.ErrLate, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrCut,
 	} {
 		if errors.Is(err, known) {
 			return known.Error()
