Admit accounts above their share only where nobody waits

Cause: an account above its share stopped where an engine's answer would begin after 0.35 of the objective. An account that asks on all VMs for more than there is so kept every engine's queue near that, and 0.35 is above what an empty engine takes: in what was left up to their own limits, the others' longer prompts did not begin in time. The limit is 0.2 from a tenth above the share on. Where an engine keeps the shared parts and its queue is below a twentieth of the objective, such an account is admitted in any case: nobody waits there, and no account waits while there is capacity.

--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -25,8 +25,11 @@
 	shareFill = 0.6
 	// minFill is for an account that had excess times its share or more: it is
 	// served as long as nobody has to wait.
-	minFill = 0.35
+	minFill = 0.2
 	excess  = 1.1
+	// idleFill is the part that the wait for other prompts may fill, where the engine
+	// keeps the shared parts, for an account above its share: nobody waits there.
+	idleFill = 0.05
 	// awayFill is the factor for an engine that keeps nothing of the prompt's
 	// shared parts: reading them there takes time that others need, so the
 	// engine has to have it to spare.
@@ -48,7 +51,11 @@
 		fill = max(shareFill-(shareFill-minFill)*(used-1)/(excess-1), minFill)
 	}
 	fill *= awayFill + (1-awayFill)*c.keptShare
-	return time.Duration(fill * float64(ticket.Objective))
+	limit := time.Duration(fill * float64(ticket.Objective))
+	if used > 1 && c.keptShare == 1 {
+		limit = max(limit, c.begin-c.wait+time.Duration(idleFill*float64(ticket.Objective)))
+	}
+	return limit
 }
 
 // admit refuses a request that cannot be served in time even at the best
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -14,7 +14,9 @@
 	*upstream
 	// begin is the predicted time until the answer begins here.
 	begin time.Duration
-	// read is the part of it in which the engine reads the prompt.
+	// wait is the part of it in which the engine reads what came before, and read that in
+	// which it reads the prompt.
+	wait     time.Duration
 	read     time.Duration
 	uncached int
 	// score is begin with penalties; the lowest is chosen.
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -19,6 +19,8 @@
 	sent  time.Time
 	grant request.Grant
 	from  version.AccountID
+	// tokens is the length of the prompt; set by a crowd.
+	tokens int
 }
 
 // demand drives a fleet whose engines read prompts one after the other.
--- a/fleet/process/placement/many_test.go
+++ b/fleet/process/placement/many_test.go
@@ -38,6 +38,8 @@
 	// begun counts answers that have begun, and late those that did so after their
 	// objective.
 	begun, late int
+	// inTime counts the prompt tokens of the others by account.
+	inTime map[version.AccountID]int
 }
 
 func newCrowd(vms, engines int) *crowd {
@@ -45,6 +47,7 @@
 		free:   make(map[version.UpstreamID]time.Time),
 		kept:   make(map[version.UpstreamID]*cache),
 		coming: make([][]answer, vms),
+		inTime: make(map[version.AccountID]int),
 	}
 	for i := range vms {
 		f := newFleet(engines, nil)
@@ -74,6 +77,7 @@
 	c.free[grant.Upstream] = begin
 	c.coming[vm] = append(c.coming[vm], answer{
 		at: begin.Add(firstTokenTime), sent: c.now, grant: grant,
+		from: ticket.Account, tokens: ticket.Prompt.Tokens,
 	})
 }
 
@@ -90,6 +94,8 @@
 			c.begun++
 			if a.at.Sub(a.sent) > testObjective {
 				c.late++
+			} else {
+				c.inTime[a.from] += a.tokens
 			}
 			return true
 		})
@@ -142,6 +148,58 @@
 	}
 }
 
+// One account floods all VMs with more than the engines bear, another one asks for its
+// share through two VMs. Engines that the flood kept at a third of the objective had no room
+// for the other one, and answered a quarter of what it was granted late (FAIR on
+// leaving-under-load).
+func TestAFloodOverAllVMsLeavesTheEnginesRoomForOthers(t *testing.T) {
+	const (
+		vms, engines    = 24, 24
+		shared, own     = 3000, 1500
+		warmUp, seconds = 2, 8
+		step            = 5 * time.Millisecond
+		flood, second   = version.AccountID(1), version.AccountID(2)
+	)
+	perSecond := map[version.AccountID]float64{flood: 1500, second: 190, 3: 400}
+	for account := range version.AccountID(10) {
+		perSecond[4+account] = 25
+	}
+	c := newCrowd(vms, engines)
+	due := make(map[version.AccountID]float64)
+	i, late, begun := 0, 0, 0
+	for elapsed := time.Duration(0); elapsed < (warmUp+seconds)*time.Second; elapsed += step {
+		if elapsed == warmUp*time.Second {
+			late, begun = c.late, c.begun
+			clear(c.inTime)
+		}
+		for account := flood; account <= 13; account++ {
+			for due[account] += perSecond[account] * step.Seconds(); due[account] >= 1; due[account]-- {
+				i++
+				vm := 2 + i%(vms-2)
+				if account == second {
+					vm = i % 2
+				}
+				c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+			}
+		}
+		c.pass(step)
+	}
+	late, begun = c.late-late, c.begun-begun
+	if late*5 > begun {
+		t.Errorf("%d of %d answers began late", late, begun)
+	}
+	total := 0
+	for _, tokens := range c.inTime {
+		total += tokens
+	}
+	if capacity := engines * engineRate * seconds; total < capacity {
+		t.Errorf("%d tokens in time, the engines read %d without kept parts", total, capacity)
+	}
+	if 2*c.inTime[second] < c.inTime[flood] {
+		t.Errorf("%d tokens in time beside %d of the flood", c.inTime[second], c.inTime[flood])
+	}
+}
+
 // aged makes a report as old as it is when it arrives.
 func aged(work wire.Work) wire.Work {
 	work.AgeMS = uint32(reportDelay.Milliseconds())
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -49,8 +49,8 @@
 		c.uncached = u.unkept(ticket, home && u.trusted(now))
 		read := float64(c.uncached) / p.readRate(u.pool) * float64(time.Second)
 		c.read = time.Duration(read * pace)
-		wait := p.wait(now, u, pace)
-		c.begin = wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
+		c.wait = p.wait(now, u, pace)
+		c.begin = c.wait + c.read + time.Duration(float64(firstTokenTime)*pace) + net
 		c.full = u.engineFull(now, ticket)
 		c.keptShare = 1
 		if shared := sharedTokens(ticket.Prompt); shared > 0 && !home {
