--- a/daemon/version/mirror/late_test.go
+++ b/daemon/version/mirror/late_test.go
@@ -60,9 +60,8 @@
 type trouble int
 
 const (
-	answering trouble = iota
 	// refusing answers each call with a refusal.
-	refusing
+	refusing trouble = iota + 1
 	// silent answers no call.
 	silent
 	// deaf is silent on connections that are open, which are those of watches.
