--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -65,6 +65,16 @@
 	return f
 }
 
+// askHub lets the process ask another one that reads the store for it.
+func (f *fixture) askHub(t *testing.T, hub *fixture) {
+	t.Helper()
+	tell, known := hub.Tell(f.Ask())
+	if !known {
+		t.Fatal("the hub knows nothing")
+	}
+	f.Take("hub", tell, f.clock.now)
+}
+
 // list lets the mirror know all kinds, without any object.
 func (f *fixture) list() {
 	for _, k := range f.kinds() {
@@ -184,11 +194,7 @@
 			}
 			tellLeaf := func() {
 				t.Helper()
-				tell, known := hub.Tell(leaf.Ask())
-				if !known {
-					t.Fatal("the hub knows nothing")
-				}
-				leaf.Take("hub", tell, leaf.clock.now)
+				leaf.askHub(t, hub)
 				for _, upstream := range leaf.applied.Upstreams {
 					if !upstream.Draining {
 						t.Errorf("%s is used", upstream.Name)
@@ -221,25 +227,17 @@
 	hub.readConfig(t.Context())
 	hub.list()
 	hub.replace(hub.upstreams, platform.Snapshot{Revision: 200, Objects: []platform.Object{registration("x", 119)}}, false)
-	tellLeaf := func() {
-		t.Helper()
-		tell, known := hub.Tell(leaf.Ask())
-		if !known {
-			t.Fatal("the hub knows nothing")
-		}
-		leaf.Take("hub", tell, leaf.clock.now)
-	}
-	tellLeaf()
+	leaf.askHub(t, hub)
 	hub.clock.now = hub.clock.now.Add(time.Second)
 	hub.replace(hub.upstreams, platform.Snapshot{Revision: 210}, true)
-	tellLeaf()
+	leaf.askHub(t, hub)
 	if !leaf.names()["x"] {
 		t.Error("given up at once after an outage")
 	}
 	hub.clock.now = hub.clock.now.Add(returnTime)
 	hub.readConfig(t.Context())
 	hub.change(hub.upstreams, platform.Snapshot{Revision: 215})
-	tellLeaf()
+	leaf.askHub(t, hub)
 	if leaf.names()["x"] {
 		t.Error("kept after the time to return")
 	}
@@ -278,19 +276,11 @@
 	hub.replace(hub.upstreams, platform.Snapshot{Objects: []platform.Object{registration("a", 2)}}, false)
 	hub.clock.now = hub.clock.now.Add(700 * time.Millisecond)
 
-	exchange := func() {
-		t.Helper()
-		tell, known := hub.Tell(leaf.Ask())
-		if !known {
-			t.Fatal("the hub knows nothing")
-		}
-		leaf.Take("hub", tell, leaf.clock.now)
-	}
-	exchange()
+	leaf.askHub(t, hub)
 	if leaf.applied == nil || leaf.applied.Number != 3 || !leaf.names()["a"] {
 		t.Fatalf("the leaf has %+v", leaf.applied)
 	}
-	exchange()
+	leaf.askHub(t, hub)
 	if want := leaf.clock.now.Add(-700 * time.Millisecond); !leaf.Confirmed().Equal(want) {
 		t.Errorf("confirmed at %v, want %v", leaf.Confirmed(), want)
 	}
@@ -303,7 +293,7 @@
 	hub.clock.now = hub.clock.now.Add(configAgeMax)
 	before := leaf.Confirmed()
 	leaf.clock.now = leaf.clock.now.Add(2 * sharedTime)
-	exchange()
+	leaf.askHub(t, hub)
 	if leaf.Shared() || !leaf.Confirmed().Equal(before) {
 		t.Error("an old confirmation is taken")
 	}
