--- a/daemon/version/mirror/late_test.go
+++ b/daemon/version/mirror/late_test.go
@@ -163,12 +163,15 @@
 	return l.learned
 }
 
+// never and always tell whether others read the store for a process.
+func never() bool  { return false }
+func always() bool { return true }
+
 // learn runs the duties of a process until ctx ends.
-func learn(ctx context.Context, duties *sync.WaitGroup, store Store, served bool) *learner {
+func learn(ctx context.Context, duties *sync.WaitGroup, store Store, served func() bool) *learner {
 	l := &learner{}
 	l.Mirror = New(Options{
-		Store: store, Clock: time.Now, Apply: l.apply,
-		Served:  func() bool { return served },
+		Store: store, Clock: time.Now, Apply: l.apply, Served: served,
 		Members: func(map[version.VMID][]byte) {},
 		Lost:    func() {},
 		Log:     slog.New(slog.DiscardHandler),
@@ -219,10 +222,10 @@
 					defer cancel()
 					store := &truth{}
 					read := &way{truth: store}
-					hub := learn(ctx, &duties, read, false)
+					hub := learn(ctx, &duties, read, never)
 					watched := hub
 					if c.told {
-						leaf := learn(ctx, &duties, &way{truth: store}, true)
+						leaf := learn(ctx, &duties, &way{truth: store}, always)
 						duties.Go(func() { ask(ctx, leaf, hub) })
 						watched = leaf
 					}
@@ -283,9 +286,9 @@
 		defer duties.Wait()
 		defer cancel()
 		store := &truth{}
-		hub := learn(ctx, &duties, &way{truth: store}, false)
+		hub := learn(ctx, &duties, &way{truth: store}, never)
 		own := &counted{Store: &way{truth: store}}
-		leaf := learn(ctx, &duties, own, true)
+		leaf := learn(ctx, &duties, own, always)
 		duties.Go(func() { ask(ctx, leaf, hub) })
 		time.Sleep(5 * time.Second)
 		store.join()
--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -340,20 +340,10 @@
 // follow runs all duties of a mirror until the test ends.
 func follow(t *testing.T, store Store, served func() bool) *Mirror {
 	t.Helper()
-	m := New(Options{
-		Store: store, Clock: time.Now, Served: served,
-		Apply:   func(*version.Config) {},
-		Members: func(map[version.VMID][]byte) {},
-		Lost:    func() {},
-		Log:     slog.New(slog.DiscardHandler),
-	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context) error{m.FollowConfig, m.FollowUpstreams, m.FollowEvacuations, m.FollowMembers} {
-		duties.Go(func() { _ = duty(ctx) })
-	}
 	t.Cleanup(func() { cancel(); duties.Wait() })
-	return m
+	return learn(ctx, &duties, store, served).Mirror
 }
 
 // 69 processes asked a store that was down 14 times a second each: four kinds,
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -80,8 +80,9 @@
 }
 
 // Take takes the answer of another process to a question that was asked at a time
-// of the mirror's clock. The configuration counts as confirmed as long before that as the other
-// process says, which does not depend on how long the answer was on its way.
+// of the mirror's clock. The configuration counts as confirmed as long before that
+// as the other process says, which does not depend on how long the answer was on its
+// way.
 //
 // It reports whether the answer replaces own reads: not if the other process has lost
 // its way to the store.
