Leave upstreams alone that say they leave or want a pause

Upstreams now tell in their answers that they leave (Server-Leaving) or, in a 503, for how long they want nothing (Retry-After). Both were passed over: the store's registration alone decided, and a pause of less than a second was read as one second of the caller's.

An upstream's own word is kept beside its registration, by its life, so that no list, watch or hub from before overrides it. It is asked when a request is placed and again when its first byte is sent. If all of a pool want a pause, callers are refused at once with the end of the first one, spread over 0.2 s. Word in an answer that is not the request's, or of another process at the address (421), changes nothing.

--- a/daemon/connection/upstream/dialect.go
+++ b/daemon/connection/upstream/dialect.go
@@ -18,6 +18,8 @@
 	NotRun(status int, answer http.Header) bool
 	// Load reads the load that an answer tells, if it does.
 	Load(answer http.Header) (request.Load, bool)
+	// Advice reads what an answer says of its upstream's wishes.
+	Advice(status int, answer http.Header) request.Advice
 }
 
 // OwnPrefix starts the names of the router's own headers.
@@ -64,3 +66,11 @@
 
 // Load implements Dialect: loads are polled instead.
 func (Native) Load(http.Header) (request.Load, bool) { return request.Load{}, false }
+
+// Advice implements Dialect: an upstream that leaves is taken out by its operator.
+func (Native) Advice(status int, answer http.Header) request.Advice {
+	if status != http.StatusServiceUnavailable {
+		return request.Advice{}
+	}
+	return request.PauseAdvice(answer["Retry-After"])
+}
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -137,7 +137,7 @@
 		ColdOverage: settings.Bounds.ColdOverage,
 		ColdSlack:   settings.Bounds.ColdSlack,
 		ShareWindow: settings.Bounds.ShareWindow,
-	}), exchange.New(settings.VM), e.lag.Lag)
+	}), exchange.New(settings.VM), e.lag.Lag, e.log)
 	e.storing = &http.Transport{MaxIdleConnsPerHost: storeConnections, DisableCompression: true}
 	e.store = platform.NewStore(platform.StoreOptions{URL: "http://" + settings.Store, Transport: e.storing})
 	e.mirror = mirror.New(mirror.Options{
@@ -176,6 +176,8 @@
 			Dialect:    platform.Dialect{},
 			General:    true,
 			Begun:      e.placing.Begun,
+			Advised:    e.placing.Advised,
+			Declines:   e.placing.Declines,
 		}),
 		Incoming:     platform.Incoming,
 		RequestID:    platform.RequestID,
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 // Manager owns a placer. It is safe for concurrent use.
 type Manager struct {
 	lag    func() time.Duration
+	log    *slog.Logger
 	config atomic.Pointer[version.Config]
 	nextID atomic.Uint64
 
@@ -28,8 +30,8 @@
 
 // New returns a manager of a placer and an exchange that nobody else uses.
 // lag tells how late the process is with its own work.
-func New(placer *placement.Placer, exchange *exchange.Exchange, lag func() time.Duration) *Manager {
-	return &Manager{placer: placer, exchange: exchange, lag: lag}
+func New(placer *placement.Placer, exchange *exchange.Exchange, lag func() time.Duration, log *slog.Logger) *Manager {
+	return &Manager{placer: placer, exchange: exchange, lag: lag, log: log}
 }
 
 // SetMembers takes the processes of the fleet and returns those to keep links
@@ -62,9 +64,54 @@
 
 // Acquire grants an upstream for the ticket or refuses it, at once.
 func (m *Manager) Acquire(_ context.Context, ticket request.Ticket) (request.Grant, *request.Refusal) {
+	m.mu.Lock()
+	grant, refusal := m.placer.Place(time.Now(), ticket)
+	notices := m.placer.Notices()
+	m.mu.Unlock()
+	m.logNotices(notices, "")
+	return grant, refusal
+}
+
+// Advised takes what an upstream said of itself in its answer to a request, which the
+// caller identified so.
+func (m *Manager) Advised(at version.UpstreamID, requestID string, advice request.Advice) {
+	if advice.Odd != "" {
+		m.log.Warn("upstream's advice is odd", "upstream", m.name(at), "request", requestID,
+			"value", advice.Odd, "pause_ms", advice.Pause.Milliseconds())
+	}
+	m.mu.Lock()
+	m.placer.Advise(time.Now(), at, advice)
+	notices := m.placer.Notices()
+	m.mu.Unlock()
+	m.logNotices(notices, requestID)
+}
+
+// Declines reports whether an upstream has said that it wants nothing now.
+func (m *Manager) Declines(id version.UpstreamID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.placer.Place(time.Now(), ticket)
+	return m.placer.Declines(time.Now(), id)
+}
+
+// logNotices logs what changed by a request; its identifier is empty if it is not known.
+func (m *Manager) logNotices(notices []placement.Notice, requestID string) {
+	for _, n := range notices {
+		if n.Leaving || n.Pause > 0 {
+			m.log.Info("upstream is left alone", "upstream", m.name(n.Upstream), "request", requestID,
+				"source", "its answer", "leaving", n.Leaving, "pause_ms", n.Pause.Milliseconds())
+			continue
+		}
+		m.log.Info("upstream is used again", "upstream", m.name(n.Upstream),
+			"source", "its pause is over", "age_ms", n.Age.Milliseconds())
+	}
+}
+
+// name returns an upstream's name for the log; empty if it is not registered any more.
+func (m *Manager) name(id version.UpstreamID) string {
+	if config := m.Config(); config != nil && config.Upstreams[id] != nil {
+		return config.Upstreams[id].Name
+	}
+	return ""
 }
 
 // Begun notes that an answer has begun, with the load that it told or nil.
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -68,6 +68,12 @@
 	// Begun is told when an answer begins, with the load that it tells or nil;
 	// default nothing. It must not block.
 	Begun func(grant request.Grant, load *request.Load)
+	// Advised is told what an answer says of its upstream's wishes, with the caller's
+	// identifier of the request; default nothing. It must not block.
+	Advised func(at version.UpstreamID, requestID string, advice request.Advice)
+	// Declines reports whether an upstream has said that it wants nothing now; default
+	// never. It must not block.
+	Declines func(id version.UpstreamID) bool
 }
 
 const (
@@ -97,6 +103,12 @@
 	if options.Begun == nil {
 		options.Begun = func(request.Grant, *request.Load) {}
 	}
+	if options.Advised == nil {
+		options.Advised = func(version.UpstreamID, string, request.Advice) {}
+	}
+	if options.Declines == nil {
+		options.Declines = func(version.UpstreamID) bool { return false }
+	}
 	return &Relay{options: options}
 }
 
@@ -275,6 +287,9 @@
 	if !known || target.Draining || config.UpstreamOut(target) {
 		return ErrWithdrawn
 	}
+	if a.relay.options.Declines(a.call.Grant.Upstream) {
+		return ErrWithdrawn
+	}
 	return nil
 }
 
@@ -287,8 +302,12 @@
 	if response.StatusCode < http.StatusOK {
 		return a.failed(errors.Wrapf(ErrCut, "final status %d", response.StatusCode))
 	}
+	advice := dialect.Advice(response.StatusCode, response.Header)
+	if !advice.None() {
+		a.relay.options.Advised(a.call.Grant.Upstream, a.call.Out.ID, advice)
+	}
 	if dialect.NotRun(response.StatusCode, response.Header) {
-		return a.refusedByUpstream(response)
+		return a.refusedByUpstream(advice)
 	}
 	a.begun(response)
 	switch {
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,7 +108,7 @@
 	return false
 }
 
-func (a *attempt) refusedByUpstream(response *http.Response) Result {
+func (a *attempt) refusedByUpstream(advice request.Advice) Result {
 	result := Result{
 		Ending: EndRefused,
 		NotRun: true,
@@ -117,25 +116,17 @@
 		Refusal: &request.Refusal{
 			Reason:     request.ReasonUpstreamRefused,
 			Execution:  request.NotRun,
-			RetryAfter: retryAfter(response.Header),
+			RetryAfter: unsentRetryAfter,
 			Detail:     "the upstream refused before running",
 		},
 	}
+	if advice.Pause > 0 {
+		result.Refusal.RetryAfter = advice.Pause
+	}
 	result.finish.Outcome = request.OutcomeRefused
 	return result
 }
 
-// maxRetryAfter bounds the advice that is taken from an upstream.
-const maxRetryAfter = 5 * time.Minute
-
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 1 {
-		return unsentRetryAfter
-	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-}
-
 // describe names an error for callers, without addresses.
 func describe(err error) string {
 	for _, known := range []error{ErrCrossed, ErrStalled, ErrCut} {
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -42,9 +42,7 @@
 		candidates = p.suspects(now, ticket)
 	}
 	if len(candidates) == 0 {
-		return candidate{}, &request.Refusal{
-			Reason: request.ReasonNoUpstream, Execution: request.NotRun, RetryAfter: noUpstreamRetryAfter,
-		}
+		return candidate{}, p.nobody(now, ticket)
 	}
 	used := p.accounts.shareUsed(now, ticket.Account)
 	for i := range candidates {
@@ -71,6 +69,19 @@
 	return 0
 }
 
+// nobody is the refusal where no upstream may run the ticket.
+func (p *Placer) nobody(now time.Time, ticket request.Ticket) *request.Refusal {
+	if after, paused := p.pauseEnds(now, ticket); paused {
+		return &request.Refusal{
+			Reason: request.ReasonUpstreamRefused, Execution: request.NotRun, RetryAfter: after,
+			Detail: "every upstream has asked for a pause",
+		}
+	}
+	return &request.Refusal{
+		Reason: request.ReasonNoUpstream, Execution: request.NotRun, RetryAfter: noUpstreamRetryAfter,
+	}
+}
+
 // noUpstreamRetryAfter is when to come back if no upstream may be used.
 const noUpstreamRetryAfter = 500 * time.Millisecond
 
@@ -137,8 +148,17 @@
 	return p.permitted(now, u, ticket) && u.health.ok(now) && !u.silent(now)
 }
 
-// permitted reports whether others than this VM have nothing against an upstream.
+// permitted reports whether others than this VM have nothing against an upstream, the
+// upstream itself among them.
 func (p *Placer) permitted(now time.Time, u *upstream, ticket request.Ticket) bool {
+	if !p.allowed(u, ticket) || u.declined.now(now) {
+		return false
+	}
+	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(u))
+}
+
+// allowed reports whether the configuration and the ticket allow an upstream.
+func (p *Placer) allowed(u *upstream, ticket request.Ticket) bool {
 	switch {
 	case u.Draining, p.config.UpstreamOut(u.Upstream):
 		return false
@@ -147,7 +167,7 @@
 	case ticket.Regions != nil && !slices.Contains(ticket.Regions, u.region):
 		return false
 	}
-	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(u))
+	return true
 }
 
 func (p *Placer) region() version.RegionID { return p.options.Regions[p.options.DataCentre] }
--- a/fleet/process/placement/homes.go
+++ b/fleet/process/placement/homes.go
@@ -28,7 +28,7 @@
 	}
 	shared := ticket.Prompt.Parts[len(ticket.Prompt.Parts)-2].ID
 	for _, u := range p.byPool[ticket.Pool] {
-		if u.Draining || p.config.UpstreamOut(u.Upstream) {
+		if u.Draining || p.config.UpstreamOut(u.Upstream) || u.declined != nil && u.declined.leaving {
 			continue
 		}
 		score := rendezvous(shared, u.ID)
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -41,6 +41,9 @@
 	members  []version.VMID
 	accounts *accounts
 	others   map[version.VMID]*told
+	// declined holds what upstreams have said of further requests.
+	declined map[version.UpstreamID]*declined
+	notices  []Notice
 	// scratch is reused by each decision.
 	scratch []candidate
 	// turn moves the sample of engines in a large pool.
@@ -55,6 +58,7 @@
 		byPool:    make(map[version.PoolID][]*upstream),
 		accounts:  newAccounts(options.ShareWindow),
 		others:    make(map[version.VMID]*told),
+		declined:  make(map[version.UpstreamID]*declined),
 	}
 }
 
@@ -76,6 +80,7 @@
 		u := p.upstreams[id]
 		if u == nil {
 			u = newUpstream(described, pool, p.options.Regions[described.DataCentre])
+			u.declined = p.declined[id]
 			p.upstreams[id] = u
 		}
 		u.Upstream, u.pool = described, pool
@@ -87,6 +92,7 @@
 	for _, pool := range p.byPool {
 		sortByID(pool)
 	}
+	p.forgetDeclined(now)
 }
 
 // SetMembers sets the VMs that share the bounds of cold upstreams.
@@ -109,6 +115,7 @@
 		uncached:  best.uncached,
 	}
 	u.take(f)
+	p.noteUse(now, u)
 	if u.pool.SlowStart.PerSecond > 0 {
 		u.gate.count(now)
 	}
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -47,6 +47,8 @@
 	cache   *cache
 	gate    coldGate
 	health  health
+	// declined is what the upstream has said of further requests; nil is nothing.
+	declined *declined
 	// free is when the engine has read every prompt that was sent to it.
 	free time.Time
 	// pace is the time that answers take to begin, relative to prediction.
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -31,6 +31,10 @@
 type Faults struct {
 	// Refuse is how many requests are refused before they run.
 	Refuse int
+	// RefusePause is the pause that refusals ask for; 0 asks for none.
+	RefusePause time.Duration
+	// Leaving makes every answer say that the upstream is about to end.
+	Leaving bool
 	// Fail is how many requests run and are answered with status 500.
 	Fail int
 	// Vanish is how many requests run and get no answer.
@@ -172,8 +176,14 @@
 	fail, vanish := !refuse && use(&u.faults.Fail), !refuse && use(&u.faults.Vanish)
 	cross, unframed := use(&u.faults.Cross), use(&u.faults.Unframed)
 	u.mu.Unlock()
+	if faults.Leaving {
+		w.Header().Set(platformtest.HeaderLeaving, "1")
+	}
 	if refuse {
 		w.Header().Set(platformtest.HeaderNotRun, "1")
+		if faults.RefusePause > 0 {
+			w.Header().Set(platformtest.HeaderPause, strconv.FormatFloat(faults.RefusePause.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
