Admit accounts that are far behind the best served one

Cause: accounts below the level got less than they asked for, because long prompts could not begin in time. Above the level an account was admitted only at engines where nothing waits, and of those the account with more VMs finds more.

Change: an account above its share that has less than 0.6 of what the best served one had is admitted up to shareFill, the more the further it is behind.

The soak lets upstreams say in the calm that they leave or are full, and checks that.

--- a/fleet/process/placement/accounts.go
+++ b/fleet/process/placement/accounts.go
@@ -38,9 +38,10 @@
 	window time.Duration
 	uses   map[version.AccountID]*use
 	// at is the number of the current bucket since time began.
-	at      int64
-	level   float64
-	levelAt time.Time
+	at int64
+	// level is the max-min share and best the most that an account got, at levelAt.
+	level, best float64
+	levelAt     time.Time
 }
 
 func newAccounts(window time.Duration) *accounts {
@@ -94,17 +95,35 @@
 	u.served[bucket] += served
 }
 
-// shareUsed returns what an account got in the window, relative to the level: 1
-// is the share of an account that asks for more than there is.
-func (a *accounts) shareUsed(now time.Time, account version.AccountID) float64 {
+// standing is what an account had in the window beside others.
+type standing struct {
+	// used is what it got, relative to the level: 1 is the share of an account that
+	// asks for more than there is.
+	used float64
+	// ofBest is what it got, relative to the account that got most, 0 to 1.
+	ofBest float64
+}
+
+// standing returns what an account got.
+func (a *accounts) standing(now time.Time, account version.AccountID) standing {
 	a.advance(now)
 	if now.Sub(a.levelAt) >= levelInterval || now.Before(a.levelAt) {
-		a.level, a.levelAt = a.waterLevel(), now
+		a.level, a.best, a.levelAt = a.waterLevel(), a.mostServed(), now
 	}
-	if a.level <= 0 {
-		return 0
+	if a.level <= 0 || a.best <= 0 {
+		return standing{}
+	}
+	served := sum(a.of(account).served)
+	return standing{used: served / a.level, ofBest: min(served/a.best, 1)}
+}
+
+// mostServed returns what the account got that got most.
+func (a *accounts) mostServed() float64 {
+	most := 0.0
+	for _, u := range a.uses {
+		most = max(most, sum(u.served))
 	}
-	return sum(a.of(account).served) / a.level
+	return most
 }
 
 // waterLevel returns the max-min share: no account gets more than it asks for,
--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -27,6 +27,11 @@
 	// served as long as nobody has to wait.
 	minFill = 0.2
 	excess  = 1.1
+	// behindPart is the part of what the best served account got below which an account
+	// counts as behind: it is admitted up to shareFill, though it has had its share.
+	// The level is low where accounts below it get less than they ask for, and those
+	// above it share what that leaves.
+	behindPart = 0.6
 	// idleFill is the part that the wait for other prompts may fill, where the engine
 	// keeps the shared parts, for an account above its share: nobody waits there.
 	idleFill = 0.05
@@ -37,10 +42,11 @@
 )
 
 // beginLimit returns the latest beginning with which a request is admitted.
-func beginLimit(ticket request.Ticket, c candidate, used float64) time.Duration {
+func beginLimit(ticket request.Ticket, c candidate, had standing) time.Duration {
 	if ticket.Objective <= 0 || c.pool.Engine == nil {
 		return math.MaxInt64
 	}
+	used := had.used
 	fill := freshFill - (freshFill-shareFill)*used
 	switch {
 	case ticket.Attempt > 1:
@@ -48,7 +54,8 @@
 		// tell its caller to come back.
 		fill = freshFill
 	case used > 1:
-		fill = max(shareFill-(shareFill-minFill)*(used-1)/(excess-1), minFill)
+		behind := max(1-had.ofBest/behindPart, 0)
+		fill = max(shareFill-(shareFill-minFill)*(used-1)/(excess-1), minFill+(shareFill-minFill)*behind)
 	}
 	fill *= awayFill + (1-awayFill)*c.keptShare
 	limit := time.Duration(fill * float64(ticket.Objective))
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -44,14 +44,14 @@
 	if len(candidates) == 0 {
 		return candidate{}, p.nobody(now, ticket)
 	}
-	used := p.accounts.shareUsed(now, ticket.Account)
+	had := p.accounts.standing(now, ticket.Account)
 	for i := range candidates {
-		candidates[i].limit = beginLimit(ticket, candidates[i], used)
+		candidates[i].limit = beginLimit(ticket, candidates[i], had)
 	}
 	best := slices.MinFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
 	})
-	if refusal := p.admit(ticket, best, used); refusal != nil {
+	if refusal := p.admit(ticket, best, had.used); refusal != nil {
 		return candidate{}, refusal
 	}
 	return best, nil
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -380,6 +381,26 @@
 	}
 }
 
+// Accounts below the level that get less than they ask for make it low: large accounts are
+// far above it then, and are compared with the best served one.
+func TestLargeAccountsAreComparedWithEachOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newAccounts(4 * time.Second)
+	for small := range version.AccountID(6) {
+		a.add(now, small, 50, 20)
+	}
+	a.add(now, 10, 1000, 240)
+	a.add(now, 11, 2000, 160)
+	for account, want := range map[version.AccountID]standing{
+		0: {20.0 / 110, 20.0 / 240}, 10: {240.0 / 110, 1}, 11: {160.0 / 110, 160.0 / 240},
+	} {
+		got := a.standing(now, account)
+		if math.Abs(got.used-want.used) > 0.001 || math.Abs(got.ofBest-want.ofBest) > 0.001 {
+			t.Errorf("account %d: %+v, want %+v", account, got, want)
+		}
+	}
+}
+
 // Two large accounts: one asks for three times what the engines read, the other for
 // nearly half of it, with prompts that no engine keeps. The second one is served,
 // since it asks for less than its share. On a grown site it got under half of what it
--- a/fleet/process/placement/many_test.go
+++ b/fleet/process/placement/many_test.go
@@ -200,6 +200,53 @@
 	}
 }
 
+// Small accounts ask for prompts that are too long to begin in time, and so get less than
+// they ask for. Two large accounts share the rest, one through all VMs and one through two.
+// What the small ones did not get counted as theirs: the level was a third of what the
+// large ones had, both were far above it, and the one of many VMs took what was idle
+// (broken-streams of grown Kitakaze, seed 338950220059).
+func TestLargeAccountsShareWhatSmallOnesDoNotGet(t *testing.T) {
+	const (
+		vms, engines    = 24, 24
+		shared, own     = 3000, 1500
+		warmUp, seconds = 2, 8
+		step            = 5 * time.Millisecond
+		spread, narrow  = version.AccountID(1), version.AccountID(2)
+	)
+	perSecond := map[version.AccountID]float64{spread: 2000, narrow: 500}
+	for account := range version.AccountID(10) {
+		perSecond[3+account] = 12
+	}
+	c := newCrowd(vms, engines)
+	due := make(map[version.AccountID]float64)
+	i := 0
+	for elapsed := time.Duration(0); elapsed < (warmUp+seconds)*time.Second; elapsed += step {
+		if elapsed == warmUp*time.Second {
+			clear(c.inTime)
+		}
+		for account := spread; account <= 12; account++ {
+			for due[account] += perSecond[account] * step.Seconds(); due[account] >= 1; due[account]-- {
+				i++
+				switch account {
+				case spread:
+					vm := 2 + i%(vms-2)
+					c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+				case narrow:
+					vm := i % 2
+					c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+				default:
+					vm := i % vms
+					c.send(vm, c.vms[vm].ticket(account, uint64(i), 0, 24*own))
+				}
+			}
+		}
+		c.pass(step)
+	}
+	if 3*c.inTime[narrow] < 2*c.inTime[spread] {
+		t.Errorf("%d tokens in time beside %d of the account with more VMs", c.inTime[narrow], c.inTime[spread])
+	}
+}
+
 // aged makes a report as old as it is when it arrives.
 func aged(work wire.Work) wire.Work {
 	work.AgeMS = uint32(reportDelay.Milliseconds())
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -70,6 +70,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Pause is the pause that its answer asked for; 0 is none.
+	Pause time.Duration
 }
 
 // Upstream is the stand-in. It is safe for concurrent use.
@@ -165,8 +167,12 @@
 	}
 	now := time.Now()
 	u.mu.Lock()
-	u.arrivals = append(u.arrivals, Arrival{ID: id, At: now})
 	refuse := use(&u.faults.Refuse)
+	arrival := Arrival{ID: id, At: now}
+	if refuse {
+		arrival.Pause = u.faults.RefusePause
+	}
+	u.arrivals = append(u.arrivals, arrival)
 	if !refuse {
 		u.runs = append(u.runs, Run{
 			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), At: now,
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -42,6 +42,8 @@
 	body   string
 	// whole is set if the answer ended as it should.
 	whole bool
+	// leaving is set if the answer said that its upstream leaves.
+	leaving bool
 }
 
 // ledger keeps all calls. It is safe for concurrent use.
@@ -110,6 +112,7 @@
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
+	c.leaving = answer.Header.Get(platformtest.HeaderLeaving) == "1"
 	c.status, c.seal, c.body, c.whole = answer.StatusCode, answer.Header.Get(platformtest.HeaderReceipt), string(text), err == nil
 }
 
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -50,12 +50,16 @@
 	// drained and cold are spans of each upstream in which it must get nothing, and
 	// little.
 	drained, cold map[int][]span
+	// leaving are calm spans of each upstream in which its answers say that it leaves.
+	leaving map[int][]span
 }
 
 // run is a request at an upstream.
 type run struct {
 	id string
 	at time.Time
+	// pause is the pause that the answer asked for; 0 is none.
+	pause time.Duration
 }
 
 // check returns the promises that were not kept. Those that depend on how fast the
@@ -82,6 +86,8 @@
 	if timing {
 		e.checkCold(report)
 		e.checkDrained(report)
+		e.checkLeaving(byID, report)
+		e.checkPauses(byID, report)
 		e.checkService(report)
 	}
 	return found
@@ -234,6 +240,55 @@
 	}
 }
 
+// checkLeaving checks that a process sends nothing more to an upstream whose answer, which
+// it has passed on, said that it leaves.
+func (e evidence) checkLeaving(byID map[string]call, report func(string, string, ...any)) {
+	for i, spans := range e.leaving {
+		for _, s := range spans {
+			told := make(map[int]time.Time)
+			for _, r := range e.runs[i] {
+				if c := byID[r.id]; c.leaving && s.holds(r.at) && (told[c.vm].IsZero() || c.done.Before(told[c.vm])) {
+					told[c.vm] = c.done
+				}
+			}
+			for _, r := range e.arrivals[i] {
+				c, known := byID[r.id]
+				if at := told[c.vm]; known && !at.IsZero() && s.holds(r.at) && c.sent.Sub(at) > drainBound {
+					report("leaving", "%s reached i-%d from vm-%d, which had passed on that it leaves %v before", r.id, i, c.vm, c.sent.Sub(at))
+				}
+			}
+		}
+	}
+}
+
+// pauseSlack is how long after a request for a pause requests may still come, and
+// pauseExcess how many may come later.
+const (
+	pauseSlack  = 500 * time.Millisecond
+	pauseExcess = 2
+)
+
+// checkPauses checks, while nothing is disturbed, that a process sends an upstream
+// nothing in a pause that it has asked that process for.
+func (e evidence) checkPauses(byID map[string]call, report func(string, string, ...any)) {
+	for i, arrivals := range e.arrivals {
+		for _, asked := range arrivals {
+			if asked.pause == 0 || !slices.ContainsFunc(e.calm, func(s span) bool { return s.holds(asked.at) }) {
+				continue
+			}
+			pause, count := span{asked.at.Add(pauseSlack), asked.at.Add(asked.pause)}, 0
+			for _, r := range arrivals {
+				if pause.holds(r.at) && byID[r.id].vm == byID[asked.id].vm {
+					count++
+				}
+			}
+			if count > pauseExcess {
+				report("pauses", "i-%d got %d requests from vm-%d in a pause of %v", i, count, byID[asked.id].vm, asked.pause)
+			}
+		}
+	}
+}
+
 // checkService checks that requests are served once all disturbances are over.
 func (e evidence) checkService(report func(string, string, ...any)) {
 	for _, s := range e.calm {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -103,7 +103,7 @@
 			runs = append(runs, run{id: r.ID, at: r.At})
 		}
 		for _, a := range u.Arrivals() {
-			arrivals = append(arrivals, run{id: a.ID, at: a.At})
+			arrivals = append(arrivals, run{id: a.ID, at: a.At, pause: a.Pause})
 		}
 		e.runs, e.arrivals = append(e.runs, runs), append(e.arrivals, arrivals)
 		report.Runs += len(runs)
@@ -113,7 +113,7 @@
 			report.Served++
 		}
 	}
-	report.Disturbances, e.calm, e.drained, e.cold = s.seen()
+	report.Disturbances, e.calm, e.drained, e.cold, e.leaving = s.seen()
 	report.Violations = e.check(timing)
 	return report
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -90,6 +90,9 @@
 		"a step back":     {with(evidenceOf(whole, 1), refusedLater), "no step back"},
 		"a cold upstream": {cold(evidenceOf(whole, 12), at), "cold upstreams"},
 		"a drained one":   {drained(evidenceOf(whole, 1), at), "draining"},
+		"leaving":         {leaving(evidenceOf(whole, 1), at, drainBound+time.Second), "leaving"},
+		"just leaving":    {leaving(evidenceOf(whole, 1), at, drainBound/2), ""},
+		"a pause":         {paused(evidenceOf(whole, 1), at), "pauses"},
 		"no service":      {calm(evidenceOf(whole, 1), at), "recovery"},
 		"too many again":  {evidenceOf(changed(func(c *call) { c.kind = "safe" }), retrySlack+3), "retry budget"},
 	} {
@@ -126,6 +129,29 @@
 	return e
 }
 
+// leaving lets another request of the VM reach an upstream after one whose answer said
+// that the upstream leaves.
+func leaving(e evidence, at time.Time, after time.Duration) evidence {
+	e.calls[0].leaving = true
+	later := e.calls[0]
+	later.id, later.sent, later.done, later.seal, later.body = "b", e.calls[0].done.Add(after), e.calls[0].done.Add(after+time.Second), "seal-b", "answer to b"
+	e.calls = append(e.calls, later)
+	e.runs[0] = append(e.runs[0], run{id: "b", at: later.sent})
+	e.arrivals = e.runs
+	e.leaving = map[int][]span{0: {{at.Add(-time.Second), at.Add(time.Minute)}}}
+	return e
+}
+
+// paused lets three requests come in a pause.
+func paused(e evidence, at time.Time) evidence {
+	e.calm = []span{{at.Add(-time.Second), at.Add(time.Second)}}
+	e.arrivals = [][]run{{{id: "a", at: at, pause: 3 * time.Second}}}
+	for range pauseExcess + 1 {
+		e.arrivals[0] = append(e.arrivals[0], run{id: "a", at: at.Add(time.Second)})
+	}
+	return e
+}
+
 func calm(e evidence, at time.Time) evidence {
 	e.calm = []span{{at, at.Add(time.Minute)}}
 	for i := range leastCalls {
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,7 @@
 	calm         []span
 	drained      map[int][]span
 	cold         map[int][]span
+	leaving      map[int][]span
 	// restarting are the upstreams that are away.
 	restarting map[int]bool
 }
@@ -38,23 +40,25 @@
 		log:     options.Log,
 		drained: make(map[int][]span),
 		cold:    make(map[int][]span),
+		leaving: make(map[int][]span),
 
 		restarting: make(map[int]bool),
 	}
 }
 
 // seen returns what was done so far.
-func (s *storm) seen() (disturbances int, calm []span, drained, cold map[int][]span) {
+func (s *storm) seen() (disturbances int, calm []span, drained, cold, leaving map[int][]span) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	drained, cold = make(map[int][]span), make(map[int][]span)
-	for i, spans := range s.drained {
-		drained[i] = append([]span(nil), spans...)
-	}
-	for i, spans := range s.cold {
-		cold[i] = append([]span(nil), spans...)
+	return s.disturbances, slices.Clone(s.calm), cloneSpans(s.drained), cloneSpans(s.cold), cloneSpans(s.leaving)
+}
+
+func cloneSpans(spans map[int][]span) map[int][]span {
+	clone := make(map[int][]span, len(spans))
+	for i, list := range spans {
+		clone[i] = slices.Clone(list)
 	}
-	return s.disturbances, append([]span(nil), s.calm...), drained, cold
+	return clone
 }
 
 // disturbance does something and undoes it after a while.
@@ -73,6 +77,10 @@
 	// portPause is the time between two tries to listen on a port again.
 	portPause = 20 * time.Millisecond
 	portTries = 500
+	// pauses is how many requests an upstream that is full turns away, and pauseTime
+	// the pause that it asks for.
+	pauses    = 12
+	pauseTime = 1200 * time.Millisecond
 )
 
 // run disturbs until ctx ends. A storm starts after a calm.
@@ -116,11 +124,21 @@
 	s.world.register(i, platformtest.Draining, 0)
 	drained := time.Now()
 	s.world.configure()
+	// Two others say of themselves that they are full, and that they leave.
+	full, leaves := s.world.upstreams[(i+1)%len(s.world.upstreams)], (i+2)%len(s.world.upstreams)
+	full.SetFaults(generalupstream.Faults{Refuse: pauses, RefusePause: pauseTime})
+	s.world.upstreams[leaves].SetFaults(generalupstream.Faults{Leaving: true})
+	defer func() {
+		full.SetFaults(generalupstream.Faults{})
+		s.world.upstreams[leaves].SetFaults(generalupstream.Faults{})
+		s.comeBack(leaves)
+	}()
 	if wait.Sleep(ctx, calmTime-settleTime) != nil {
 		return
 	}
 	now := time.Now()
 	s.mu.Lock()
+	s.leaving[leaves] = append(s.leaving[leaves], span{from: drained, to: now})
 	s.calm = append(s.calm, span{from: began.Add(settleTime), to: now.Add(-time.Second)})
 	s.drained[i] = append(s.drained[i], span{from: drained.Add(drainBound), to: now})
 	s.mu.Unlock()
