Split the fixed part of the retry budget over the processes there are

A sixteenth of the permitted number for each process is 18 times the whole with 295. The part follows the fleet now, with a quarter more for processes that replace others.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -337,24 +337,30 @@
 
 // retryOptions is this process's part of the fleet's retry budget.
 func (e *Edge) retryOptions() retry.WindowOptions {
-	bounds := e.settings.Load().Bounds
-	return retry.WindowOptions{
-		Length: bounds.RetryWindow,
-		Ratio:  bounds.RetryRatio * retryShare,
-		Slack:  bounds.RetrySlack / slackParts,
-	}
+	return retryPart(e.settings.Load().Bounds, int(e.fleetSize.Load()))
 }
 
 const (
 	// retryShare is the part of the permitted ratio that is used, because the
 	// permitted window need not match this process's.
 	retryShare = 0.8
-	// slackParts is how many processes the permitted number is split over. It
-	// exceeds the processes of the smallest fleet with those that replace
-	// others.
-	slackParts = 16
+	// minSlackParts is over how many processes the permitted number is split at
+	// least: it exceeds those of the smallest fleet with others that replace them.
+	// spareParts is how many times the processes of a larger fleet are counted for
+	// the same reason.
+	minSlackParts = 16
+	spareParts    = 1.25
 )
 
+// retryPart is the part of the fleet's retry budget that each of its processes has.
+func retryPart(bounds platform.Bounds, processes int) retry.WindowOptions {
+	return retry.WindowOptions{
+		Length: bounds.RetryWindow,
+		Ratio:  bounds.RetryRatio * retryShare,
+		Slack:  bounds.RetrySlack / max(minSlackParts, spareParts*float64(processes)),
+	}
+}
+
 // ready answers the balancer.
 func (e *Edge) ready(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadinessPath {
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -31,7 +31,7 @@
 	// Counter counts final answers; default none.
 	Counter Counter
 	// Retry bounds the attempts beyond the first of each request, for each
-	// pool.
+	// pool. It is asked again and again.
 	Retry func() retry.WindowOptions
 	// Lag returns how far the process is behind with its work; default 0.
 	Lag func() time.Duration
@@ -315,6 +315,7 @@
 		window = retry.NewWindow(g.options.Retry())
 		g.budgets[pool] = window
 	}
+	window.Configure(g.options.Retry())
 	return ask(window)
 }
 
--- a/fleet/request/retry/window.go
+++ b/fleet/request/retry/window.go
@@ -30,6 +30,12 @@
 // NewWindow returns a window without requests.
 func NewWindow(options WindowOptions) *Window { return &Window{options: options} }
 
+// Configure sets the bounds from now on. The length stays as it is.
+func (w *Window) Configure(options WindowOptions) {
+	options.Length = w.options.Length
+	w.options = options
+}
+
 // Request counts a request.
 func (w *Window) Request(now time.Time) {
 	w.advance(now)
