--- a/lab/proxy/proxy.go
+++ b/lab/proxy/proxy.go
@@ -43,10 +43,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewOn(listener, target), nil
+}
+
+// NewOn returns a proxy that takes the connections of a listener, which is its own then.
+func NewOn(listener net.Listener, target string) *Proxy {
 	p := &Proxy{listener: listener, near: listener.Addr().String(), target: target, conns: make(map[net.Conn]bool)}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept(listener)
-	return p, nil
+	return p
 }
 
 // Address is where the proxy takes connections.
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -49,6 +48,7 @@
 	storeHTTP *httptest.Server
 	upstreams []*backend
 	daemons   []*daemon
+	ports     *ports
 
 	mu sync.Mutex
 	// version is the number of the configuration, and changedAt when the store
@@ -83,11 +83,11 @@
 }
 
 func newWorld(options Options) (*world, error) {
-	w := &world{dir: options.Dir, binary: options.Binary, store: metastore.New(), changedAt: make(map[int]time.Time)}
+	w := &world{dir: options.Dir, binary: options.Binary, store: metastore.New(), changedAt: make(map[int]time.Time), ports: newPorts()}
 	w.storeHTTP = httptest.NewServer(w.store)
 	for i := range options.Upstreams {
 		u := generalupstream.New("i-" + strconv.Itoa(i))
-		p, err := proxy.New(u.Address())
+		p, err := w.proxy(u.Address())
 		if err != nil {
 			return nil, err
 		}
@@ -168,18 +168,16 @@
 	d := &daemon{name: name, settings: filepath.Join(w.dir, name+".json")}
 	var addresses [3]string
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "free port")
+		var err error
+		if addresses[i], err = w.ports.address(); err != nil {
+			return nil, err
 		}
-		defer listener.Close()
-		addresses[i] = listener.Addr().String()
 	}
 	var err error
-	if d.store, err = proxy.New(w.storeHTTP.Listener.Addr().String()); err != nil {
+	if d.store, err = w.proxy(w.storeHTTP.Listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	if d.callers, err = proxy.New(addresses[0]); err != nil {
+	if d.callers, err = w.proxy(addresses[0]); err != nil {
 		return nil, err
 	}
 	if d.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
@@ -197,6 +195,15 @@
 	}.Write(d.settings)
 }
 
+// proxy returns a proxy on a port of the soak's own.
+func (w *world) proxy(target string) (*proxy.Proxy, error) {
+	listener, err := w.ports.listen()
+	if err != nil {
+		return nil, err
+	}
+	return proxy.NewOn(listener, target), nil
+}
+
 // restart waits until a VM's process has ended and begins the next one, unless
 // somebody else has.
 func (w *world) restart(d *daemon, life int) error {
