Log what holds memory while it is scarce

Beyond 0.9 of the runtime's limit it logs once a second: objects, stacks, goroutines, connections, requests, bodies, members, upstreams.

--- a/daemon/connection/turnaway/turnaway.go
+++ b/daemon/connection/turnaway/turnaway.go
@@ -127,6 +127,13 @@
 	return d.counts
 }
 
+// Waiting returns how many connections wait for their request or its rest.
+func (d *Desk) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)
+}
+
 // Run looks after waiting connections until ctx ends, and then closes them.
 func (d *Desk) Run(ctx context.Context) error {
 	defer d.closeAll()
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -82,6 +82,7 @@
 	crowd   *crowd
 	intake  *intake
 	desk    *turnaway.Desk
+	plan    memoryPlan
 
 	callers   server
 	readiness server
@@ -130,9 +131,9 @@
 	e.settings.Store(settings)
 	e.log = slog.New(slog.NewJSONHandler(e.sink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
-	plan := planMemory(settings.MemoryBytes)
-	limitResources(settings, plan)
-	e.crowd = newCrowd(settings.MaxDescriptors, plan.callers)
+	e.plan = planMemory(settings.MemoryBytes)
+	limitResources(settings, e.plan)
+	e.crowd = newCrowd(settings.MaxDescriptors, e.plan.callers)
 	e.intake = newIntake(options.MaxLag, e.log)
 	e.metrics.vars.Set("lag_ms", expvar.Func(func() any { return e.lag.Lag().Milliseconds() }))
 	e.desk = newDesk()
@@ -159,7 +160,7 @@
 		Lost:    e.storing.CloseIdleConnections,
 		Log:     e.log,
 	})
-	e.handler = e.newHandler(plan)
+	e.handler = e.newHandler(e.plan)
 	return e, e.listen(settings)
 }
 
@@ -278,6 +279,7 @@
 	addDuty(&group, ctx, e.askReaders)
 	addDuty(&group, ctx, func(ctx context.Context) error { return e.lag.Run(ctx, e.intake.measured) })
 	addDuty(&group, ctx, e.desk.Run)
+	addDuty(&group, ctx, e.followUsage)
 	addDuty(&group, ctx, e.followSettings)
 	addDuty(&group, ctx, e.sink.Run)
 	err := group.Run()
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	placer   *placement.Placer
 	exchange *exchange.Exchange
+	// members is how many processes the fleet has.
+	members int
 }
 
 // New returns a manager of a placer and an exchange that nobody else uses.
@@ -43,6 +45,7 @@
 	for _, member := range members {
 		names = append(names, member.VM)
 	}
+	m.members = len(names)
 	m.placer.SetMembers(names)
 	m.exchange.SetMembers(members)
 	return m.exchange.Peers()
@@ -152,6 +155,13 @@
 	m.placer.Hear(now, from, work, m.exchange.Hear(now, from, work))
 }
 
+// Known returns how many processes and upstreams this one keeps something of.
+func (m *Manager) Known() (members, upstreams int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members, m.placer.Known()
+}
+
 // Forget drops what a VM said.
 func (m *Manager) Forget(from version.VMID) {
 	m.mu.Lock()
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -102,9 +102,15 @@
 
 // Held returns how many requests have no final answer yet.
 func (g *General) Held() int {
+	requests, _ := g.Holds()
+	return requests
+}
+
+// Holds returns how many requests are held and the bytes of their bodies.
+func (g *General) Holds() (requests int, bodies int64) {
 	g.holdings.mu.Lock()
 	defer g.holdings.mu.Unlock()
-	return g.holdings.all.requests
+	return g.holdings.all.requests, g.holdings.all.bytes
 }
 
 // ServeHTTP implements http.Handler.
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -101,6 +101,9 @@
 // SetMembers sets the VMs that share the bounds of cold upstreams.
 func (p *Placer) SetMembers(members []version.VMID) { p.members = members }
 
+// Known returns how many upstreams the placer keeps something of.
+func (p *Placer) Known() int { return len(p.upstreams) }
+
 // Place grants the ticket an upstream or refuses it. It reports one of both.
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
 	if ticket.Attempt <= 1 {
