--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -105,7 +105,10 @@
 		if err != nil {
 			return s.cause(response.Request.Context(), err)
 		}
-		timer.progress(s.relay.options.StallTimeout)
+		if next.data != nil {
+			// Comments keep a connection open; they are no progress.
+			timer.progress(s.relay.options.StallTimeout)
+		}
 		if err := s.relayEvent(next, !reader.pending()); err != nil {
 			return err
 		}
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -14,6 +14,11 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
+// progressBytes is how much of an answer must come within the stall timeout; of a service's
+// stream of events, the end of a line. A sound upstream sends so much in one piece, one
+// that drips does not.
+const progressBytes = 256
+
 // holdBytes bounds the answer that is held until it is whole. One that is held
 // and cut has not been written at all, so that it may be retried.
 const holdBytes = 256 << 10
@@ -120,9 +125,16 @@
 		return a.done(EndRelayed, response.StatusCode)
 	}
 	err := a.passPiece(read)
-	buffer := make([]byte, readBytes)
+	timer.progress(a.relay.options.StallTimeout)
+	buffer, fresh, events := make([]byte, readBytes), 0, isEventStream(response)
 	for err == nil {
-		err = a.passNext(response, buffer, timer)
+		var n int
+		n, err = a.passNext(response, buffer)
+		fresh += n
+		if fresh >= progressBytes || events && bytes.IndexByte(buffer[:n], '\n') >= 0 {
+			timer.progress(a.relay.options.StallTimeout)
+			fresh = 0
+		}
 	}
 	a.count(response, nil)
 	switch {
@@ -134,19 +146,19 @@
 	return a.broken()
 }
 
-// passNext passes on what the upstream sends next; io.EOF is the proper end.
-func (a *attempt) passNext(response *http.Response, buffer []byte, timer *stallTimer) error {
+// passNext passes on what the upstream sends next and returns its length; io.EOF is the
+// proper end.
+func (a *attempt) passNext(response *http.Response, buffer []byte) (int, error) {
 	n, err := response.Body.Read(buffer)
-	timer.progress(a.relay.options.StallTimeout)
 	if n > 0 {
 		if err := a.passPiece(buffer[:n]); err != nil {
-			return err
+			return n, err
 		}
 	}
 	if err == nil || errors.Is(err, io.EOF) {
-		return err
+		return n, err
 	}
-	return a.cause(response.Request.Context(), err)
+	return n, a.cause(response.Request.Context(), err)
 }
 
 func (a *attempt) passPiece(piece []byte) error {
