Keep a process when one of its duties or links panics

An unexpected error in a goroutine that reads the store, a link or the settings ended the process with all of its requests; net/http guards only its own. Duties that may begin again do so after a second; those whose state a panic may have spoilt (the dispatchers' loop, the ledger, the configuration's core) end the process in order; a link ends alone. Each panic is logged with its stack and counted (duty_panics). A panic while a request is placed no longer leaves the placer locked. The test of memory measured beside garbage of other tests and failed once in three runs; it collects first now.

--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/duty"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -245,7 +246,11 @@
 	defer m.options.Handler.LinkDown(hello)
 	go l.write(ctx)
 	go l.keepAlive(ctx, m.options.AliveInterval, m.options.AliveTimeout)
-	l.read(ctx, m.options.Handler)
+	// What one link brings must not end the process; the link ends with it.
+	_ = duty.Try("link of "+string(hello.VM), m.options.Log, func() error {
+		l.read(ctx, m.options.Handler)
+		return nil
+	})
 }
 
 // greet exchanges the first messages.
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/duty"
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
@@ -157,13 +158,13 @@
 	addCallers(&group, a.callers, a.callersListener)
 	addServer(&group, a.links, a.peersListener)
 	addServer(&group, a.operators, a.operatorsListener)
-	addLoop(&group, ctx, a.loop.Run)
-	addLoop(&group, ctx, a.follower.Run)
-	addLoop(&group, ctx, a.followDirectory)
-	addLoop(&group, ctx, a.poller.Run)
-	addLoop(&group, ctx, a.ledger.Run)
-	addLoop(&group, ctx, a.ledger.Sweep)
-	addLoop(&group, ctx, a.followOwners)
+	duty.AddVital(&group, ctx, "loop", a.log, a.loop.Run)
+	duty.AddVital(&group, ctx, "configuration", a.log, a.follower.Run)
+	duty.Add(&group, ctx, "directory", a.log, a.followDirectory)
+	duty.Add(&group, ctx, "poller", a.log, a.poller.Run)
+	duty.AddVital(&group, ctx, "ledger", a.log, a.ledger.Run)
+	duty.AddVital(&group, ctx, "ledger sweep", a.log, a.ledger.Sweep)
+	duty.Add(&group, ctx, "owners", a.log, a.followOwners)
 	err := group.Run()
 	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
@@ -230,8 +231,3 @@
 		server.Close()
 	})
 }
-
-func addLoop(group *run.Group, ctx context.Context, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/connection/turnaway"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
+	"github.com/trefoilwell/trefoilwell/daemon/process/duty"
 	"github.com/trefoilwell/trefoilwell/daemon/process/lag"
 	"github.com/trefoilwell/trefoilwell/daemon/process/logsink"
 	"github.com/trefoilwell/trefoilwell/daemon/process/placing"
@@ -139,6 +140,7 @@
 	e.desk = newDesk()
 	e.metrics.vars.Set("connections_turned_away", expvar.Func(func() any { return e.intake.connectionsTurnedAway() }))
 	e.metrics.vars.Set("connections_closed", expvar.Func(func() any { return e.desk.Counts().Closed }))
+	e.metrics.vars.Set("duty_panics", expvar.Func(func() any { return duty.Panics() }))
 	e.metrics.vars.Set("config_age_ms", expvar.Func(func() any { return clock.Boot().Sub(e.mirror.Confirmed()).Milliseconds() }))
 	e.placing = placing.New(placement.New(placement.Options{
 		VM:          settings.VM,
@@ -270,18 +272,18 @@
 	if e.observed != nil {
 		e.observed.add(&group)
 	}
-	addDuty(&group, ctx, e.mirror.FollowConfig)
-	addDuty(&group, ctx, e.mirror.FollowUpstreams)
-	addDuty(&group, ctx, e.mirror.FollowEvacuations)
-	addDuty(&group, ctx, e.mirror.FollowMembers)
-	addDuty(&group, ctx, e.register)
-	addDuty(&group, ctx, e.link)
-	addDuty(&group, ctx, e.askReaders)
-	addDuty(&group, ctx, func(ctx context.Context) error { return e.lag.Run(ctx, e.intake.measured) })
-	addDuty(&group, ctx, e.desk.Run)
-	addDuty(&group, ctx, e.followUsage)
-	addDuty(&group, ctx, e.followSettings)
-	addDuty(&group, ctx, e.sink.Run)
+	duty.Add(&group, ctx, "configuration", e.log, e.mirror.FollowConfig)
+	duty.Add(&group, ctx, "upstreams", e.log, e.mirror.FollowUpstreams)
+	duty.Add(&group, ctx, "evacuations", e.log, e.mirror.FollowEvacuations)
+	duty.Add(&group, ctx, "members", e.log, e.mirror.FollowMembers)
+	duty.Add(&group, ctx, "registration", e.log, e.register)
+	duty.Add(&group, ctx, "links", e.log, e.link)
+	duty.Add(&group, ctx, "readers", e.log, e.askReaders)
+	duty.Add(&group, ctx, "lag", e.log, func(ctx context.Context) error { return e.lag.Run(ctx, e.intake.measured) })
+	duty.Add(&group, ctx, "desk", e.log, e.desk.Run)
+	duty.Add(&group, ctx, "memory", e.log, e.followUsage)
+	duty.Add(&group, ctx, "settings", e.log, e.followSettings)
+	duty.Add(&group, ctx, "log", e.log, e.sink.Run)
 	err := group.Run()
 	e.log.Info("stopped")
 	e.sink.Flush()
@@ -307,11 +309,6 @@
 	})
 }
 
-func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return duty(ctx) }, func(error) { cancel() })
-}
-
 // acceptLink accepts a link from another process.
 func (e *Edge) acceptLink(w http.ResponseWriter, r *http.Request) {
 	peers := e.peers.Load()
--- a/daemon/process/edge/usage_test.go
+++ b/daemon/process/edge/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"runtime/debug"
 	"testing"
 )
 
@@ -10,16 +11,18 @@
 func TestWhatIsHeldIsMeasured(t *testing.T) {
 	const held = 64 << 20
 	u := newUsage()
-	before := u.read()
 	block := make([]byte, held)
 	for i := 0; i < held; i += 4096 {
 		block[i] = 1
 	}
-	if after := u.read(); after < before+held {
-		t.Errorf("%d bytes before, %d with %d more", before, after, held)
-	}
-	if u.value(2) < held || u.value(4) == 0 {
-		t.Errorf("%v", u.attributes())
+	debug.FreeOSMemory()
+	with := u.read()
+	if with < held || u.value(2) < held || u.value(4) == 0 {
+		t.Errorf("%d bytes, %v", with, u.attributes())
 	}
 	runtime.KeepAlive(block)
+	debug.FreeOSMemory()
+	if without := u.read(); without > with-held*9/10 {
+		t.Errorf("%d bytes with %d held and %d without", with, held, without)
+	}
 }
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -68,11 +68,9 @@
 // Acquire grants an upstream for the ticket or refuses it, at once.
 func (m *Manager) Acquire(_ context.Context, ticket request.Ticket) (request.Grant, *request.Refusal) {
 	m.mu.Lock()
-	grant, refusal := m.placer.Place(time.Now(), ticket)
-	notices := m.placer.Notices()
-	m.mu.Unlock()
-	m.logNotices(notices, "")
-	return grant, refusal
+	defer m.mu.Unlock()
+	defer m.logNotices("")
+	return m.placer.Place(time.Now(), ticket)
 }
 
 // Advised takes what an upstream said of itself in its answer to a request, which the
@@ -83,10 +81,9 @@
 			"value", advice.Odd, "pause_ms", advice.Pause.Milliseconds())
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.placer.Advise(time.Now(), at, advice)
-	notices := m.placer.Notices()
-	m.mu.Unlock()
-	m.logNotices(notices, requestID)
+	m.logNotices(requestID)
 }
 
 // Declines reports whether an upstream has said that it wants nothing now.
@@ -97,8 +94,9 @@
 }
 
 // logNotices logs what changed by a request; its identifier is empty if it is not known.
-func (m *Manager) logNotices(notices []placement.Notice, requestID string) {
-	for _, n := range notices {
+// It is called with mu held: the log does not block.
+func (m *Manager) logNotices(requestID string) {
+	for _, n := range m.placer.Notices() {
 		if n.Leaving || n.Pause > 0 {
 			m.log.Info("upstream is left alone", "upstream", m.name(n.Upstream), "request", requestID,
 				"source", "its answer", "leaving", n.Leaving, "pause_ms", n.Pause.Milliseconds())
