Answer what was accepted when a process stops under load

What callers saw: with 8 callers that go on while the process gets SIGTERM, 1 to 6 requests ended with EOF or a reset. They had just been accepted: the server did not know of them yet when it looked whether any connection was left, and closed them.

Before the listener closes, the gate turns away all that comes (503, Retry-After), what was accepted before is known to the server after 50 ms and waited for, and the desk finishes.

--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -63,13 +63,21 @@
 	crowd  *crowd
 	intake *intake
 	desk   *turnaway.Desk
+	// closed is set once no connection is taken any more.
+	closed atomic.Bool
 }
 
+// close turns away all connections from now on.
+func (g *gate) close() { g.closed.Store(true) }
+
+// full reports whether no connection may be taken, whatever the processor allows.
+func (g *gate) full() bool { return g.closed.Load() || g.crowd.overflows() }
+
 // Accept implements net.Listener.
-func (g gate) Accept() (net.Conn, error) {
+func (g *gate) Accept() (net.Conn, error) {
 	for {
 		conn, err := g.Listener.Accept()
-		if err != nil || !g.crowd.overflows() && g.intake.takesConnection() {
+		if err != nil || !g.full() && g.intake.takesConnection() {
 			return conn, err
 		}
 		g.turnAway(conn)
@@ -77,7 +85,7 @@
 	}
 }
 
-func (g gate) turnAway(conn net.Conn) {
+func (g *gate) turnAway(conn net.Conn) {
 	g.intake.countTurnedAway()
 	fd, err := turnaway.Detach(conn)
 	if err != nil {
@@ -91,7 +99,7 @@
 // turnAwayWaiting turns away the connections that wait to be accepted, up to one that is
 // to be taken. Accepting through the runtime takes three calls of the kernel more, and
 // memory.
-func (g gate) turnAwayWaiting() {
+func (g *gate) turnAwayWaiting() {
 	listener, known := g.Listener.(syscall.Conn)
 	if !known {
 		return
@@ -102,7 +110,7 @@
 	}
 	// An error leaves the rest to Accept, which reports it.
 	_ = raw.Control(func(fd uintptr) {
-		for g.crowd.overflows() || !g.intake.takesNext() {
+		for g.full() || !g.intake.takesNext() {
 			conn, _, err := unix.Accept4(int(fd), unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
 			if err != nil {
 				return
--- a/daemon/process/edge/crowd_test.go
+++ b/daemon/process/edge/crowd_test.go
@@ -44,7 +44,7 @@
 	h := &herd{waiting: 500}
 	taken := 0
 	for {
-		conn, err := (gate{h, c, newIntake(0, slog.New(slog.DiscardHandler)), newDesk()}).Accept()
+		conn, err := (&gate{Listener: h, crowd: c, intake: newIntake(0, slog.New(slog.DiscardHandler)), desk: newDesk()}).Accept()
 		if err != nil {
 			break
 		}
@@ -75,7 +75,7 @@
 	taken := 0
 	for {
 		late.measured(time.Second)
-		if _, err := (gate{h, newCrowd(8192, waiting), late, newDesk()}).Accept(); err != nil {
+		if _, err := (&gate{Listener: h, crowd: newCrowd(8192, waiting), intake: late, desk: newDesk()}).Accept(); err != nil {
 			break
 		}
 		taken++
@@ -115,7 +115,7 @@
 	accepted := &accepts{Listener: listener}
 	desk := newDesk()
 	go func() { _ = desk.Run(t.Context()) }()
-	g := gate{accepted, newCrowd(8192, waiting), late, desk}
+	g := &gate{Listener: accepted, crowd: newCrowd(8192, waiting), intake: late, desk: desk}
 	taken := 0
 	for taken+int(late.connectionsTurnedAway()) < waiting {
 		conn, err := g.Accept()
--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -17,9 +17,9 @@
 	noticeTime = 2800 * time.Millisecond
 	// noticeShare bounds noticeTime by a part of the grace, if that is short.
 	noticeShare = 0.4
-	// killMargin is kept back from the platform's grace for the last answers
-	// and the exit.
-	killMargin = 600 * time.Millisecond
+	// killShare is the part of the platform's grace that is kept back for the last
+	// answers and the exit. A small VM with many connections takes over half a second.
+	killShare = 0.125
 	// pollInterval is how often the drain looks for requests.
 	pollInterval = 50 * time.Millisecond
 	// lastBytesTime bounds the sending of the last bytes of answers.
@@ -33,8 +33,8 @@
 
 // addDrain adds the duty that drains the daemon once ctx ends: not ready and
 // every answer the last of its connection, while requests are still served;
-// then idle connections end and new requests are refused; when none is left, or
-// the grace is over, the end.
+// then new requests are refused; when none is left, or the grace is over, no connection
+// is taken any more and idle ones end.
 func (e *Edge) addDrain(group *run.Group, ctx context.Context) {
 	over, stop := context.WithCancel(context.Background())
 	group.Add(func() error {
@@ -59,18 +59,29 @@
 	}
 	e.handler.Close()
 	e.callers.http.SetKeepAlivesEnabled(false)
-	last := began.Add(grace - killMargin)
+	last := began.Add(time.Duration((1 - killShare) * float64(grace)))
 	for time.Now().Before(last) && e.handler.Held() > 0 {
 		if err := wait.Sleep(over, pollInterval); err != nil {
 			return err
 		}
 	}
 	left := e.handler.Held()
+	// What has been accepted is known to the server after a moment, and is then waited
+	// for; what comes later is turned away until the listener closes.
+	e.gate.close()
+	if err := wait.Sleep(over, pollInterval); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(over, lastBytesTime)
 	defer cancel()
 	if err := e.callers.http.Shutdown(ctx); err != nil {
 		e.log.Warn("requests are cut off at the end of the grace", "requests", left)
 	}
+	for ctx.Err() == nil && e.desk.Waiting() > 0 {
+		if err := wait.Sleep(ctx, pollInterval); err != nil {
+			break
+		}
+	}
 	return errDrained
 }
 
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -83,6 +83,7 @@
 	crowd   *crowd
 	intake  *intake
 	desk    *turnaway.Desk
+	gate    *gate
 	plan    memoryPlan
 
 	callers   server
@@ -225,7 +226,8 @@
 	if e.callers, err = e.newServer(handler, settings.Callers); err != nil {
 		return errors.Wrap(err, "callers listener")
 	}
-	e.callers.listener = gate{e.callers.listener, e.crowd, e.intake, e.desk}
+	e.gate = &gate{Listener: e.callers.listener, crowd: e.crowd, intake: e.intake, desk: e.desk}
+	e.callers.listener = e.gate
 	ready := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: time.Second}
 	if e.readiness, err = e.newServer(ready, settings.Readiness); err != nil {
 		return errors.Wrap(err, "readiness listener")
