Let an upstream that said it leaves come back warm in the soak

The soak itself registered a new, cold life of an upstream that was in service; the processes learned of it after 0.12 s. Traced by their log lines. A new life that nobody waits for is warm now.

--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -131,7 +131,7 @@
 	defer func() {
 		full.SetFaults(generalupstream.Faults{})
 		s.world.upstreams[leaves].SetFaults(generalupstream.Faults{})
-		s.comeBack(leaves)
+		s.world.renew(leaves)
 	}()
 	if wait.Sleep(ctx, calmTime-settleTime) != nil {
 		return
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -110,6 +110,15 @@
 	return w, nil
 }
 
+// renew gives an upstream that is ready a new life, which is warm: processes that have not
+// heard that the last one leaves go on sending to it.
+func (w *world) renew(i int) {
+	w.mu.Lock()
+	w.upstreams[i].born = 0
+	w.mu.Unlock()
+	w.register(i, platformtest.Ready, 0)
+}
+
 // register writes an upstream's entry. One that is cold has just started.
 func (w *world) register(i int, state string, cold time.Duration) {
 	u := w.upstreams[i]
