Ask the other hub before the store when a hub ends

When a hub ended, each process that it read for read configuration, upstreams, evacuations and members itself before it asked the other hub: after 0.7 s, with the question to the other one after 0.9 s. The other one is asked after 0.6 s now and what was told is used for 1 s; an upstream that leaves is still known within 3 s whatever the reader meets. With the figures before, the new test counts own reads at each end of a hub.

Members' changes are taken soon at the first start only: in a herd that restarts they come one by one for a second, and each is a call.

--- a/daemon/process/edge/readers.go
+++ b/daemon/process/edge/readers.go
@@ -18,7 +18,7 @@
 	askInterval = 300 * time.Millisecond
 	// askTimeout is how long a reader may take to answer before another one is
 	// asked.
-	askTimeout = 700 * time.Millisecond
+	askTimeout = 450 * time.Millisecond
 )
 
 // reading is what a process keeps of its questions to the process that reads the
--- a/daemon/version/mirror/late_test.go
+++ b/daemon/version/mirror/late_test.go
@@ -299,3 +299,51 @@
 		}
 	})
 }
+
+// A hub ended, and the 48 processes that it read for read the store themselves before they
+// asked the other hub.
+func TestTheOtherHubIsAskedBeforeTheStore(t *testing.T) {
+	// silence is how long a hub may take to answer before the other one is asked, as in
+	// daemon/process/edge.
+	const silence = 450 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var duties sync.WaitGroup
+		defer duties.Wait()
+		defer cancel()
+		store := &truth{}
+		hubs := [2]*learner{
+			learn(ctx, &duties, &way{truth: store}, never),
+			learn(ctx, &duties, &way{truth: store}, never),
+		}
+		own := &counted{Store: &way{truth: store}}
+		leaf := learn(ctx, &duties, own, always)
+		var gone atomic.Bool
+		duties.Go(func() {
+			asked, answered := 0, time.Now()
+			for wait.Sleep(ctx, askEvery) == nil {
+				if time.Since(answered) > silence {
+					asked = 1 - asked
+				}
+				if asked == 0 && gone.Load() {
+					continue
+				}
+				now := time.Now()
+				if tell, known := hubs[asked].Tell(leaf.Ask()); known {
+					leaf.Take("hub", tell, now)
+					answered = now
+				}
+			}
+		})
+		for range offsets {
+			time.Sleep(15*time.Second + offsetStep)
+			before := own.calls.Load()
+			gone.Store(true)
+			time.Sleep(15 * time.Second)
+			gone.Store(false)
+			if calls := own.calls.Load() - before; calls != 0 {
+				t.Errorf("%d own reads when a hub ended", calls)
+			}
+		}
+	})
+}
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -345,10 +345,10 @@
 	}
 }
 
-// gatherOf returns the pause after a change of a kind. While the fleet starts, the members
-// are told soon: links wait for them.
+// gatherOf returns the pause after a change of a kind. While the fleet starts for the first
+// time, the members are told soon: links wait for them.
 func (m *Mirror) gatherOf(k *kind) time.Duration {
-	if m.options.Clock().Sub(m.started) < expectTime {
+	if m.options.Settle > 0 && m.options.Clock().Sub(m.started) < expectTime {
 		return min(k.gather, gatherTime)
 	}
 	return k.gather
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// sharedTime is how long what another process told replaces own reads: two
-	// questions, of which one is lost. With configAgeMax it leaves a second of the
-	// shortest bound in a fleet with hubs, 4 s, to the request itself.
-	sharedTime = 700 * time.Millisecond
+	// sharedTime is how long what another process told replaces own reads: a question
+	// that is lost and one to another reader. With configAgeMax it leaves a second of
+	// the shortest bound in a fleet with hubs, 4 s, to the request itself.
+	sharedTime = time.Second
 	// configAgeMax is how old the other's confirmation of the configuration may
 	// be: the time between two reads and a slow answer.
 	configAgeMax = 1600 * time.Millisecond
