--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -132,6 +132,7 @@
 	}
 	account := p.ticket.Account
 	if refusal := g.holdings.enter(account); refusal != nil {
+		p.sendElsewhere(refusal)
 		p.refuse(refusal)
 		return
 	}
@@ -166,6 +167,13 @@
 	}
 }
 
+// sendElsewhere makes a refusal for want of room here send the caller to another router at
+// once.
+func (p *passage) sendElsewhere(refusal *request.Refusal) {
+	p.w.Header().Set("Connection", "close")
+	refusal.RetryAfter = shedRetryAfter
+}
+
 // admit reads the request's headers and finds its route and account.
 func (p *passage) admit() *request.Refusal {
 	g := p.general
@@ -295,7 +303,7 @@
 	}
 	holdings, account := p.general.holdings, p.ticket.Account
 	if refusal := holdings.reserve(account, reserved); refusal != nil {
-		p.w.Header().Set("Connection", "close")
+		p.sendElsewhere(refusal)
 		return nil, refusal
 	}
 	control := http.NewResponseController(p.w)
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -212,6 +212,7 @@
 // refuse answers with a refusal. It promises that the request has not run only
 // if no attempt of it may have.
 func (p *passage) refuse(refusal *request.Refusal) {
+	p.boundUnreadBody()
 	status := p.status(refusal)
 	header := p.w.Header()
 	after := time.Duration(0)
@@ -239,6 +240,18 @@
 	}})
 }
 
+// unreadBodyTime bounds the wait for the rest of a body that nobody needs any more.
+const unreadBodyTime = time.Second
+
+// boundUnreadBody ends the connection of a refused request whose body does not come: the
+// server reads it to its end, and sets a deadline of its own only for the next request.
+func (p *passage) boundUnreadBody() {
+	if p.body == nil && p.r.ContentLength != 0 {
+		// A writer without deadlines is one of a test.
+		_ = http.NewResponseController(p.w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
+}
+
 // status returns the status of a refusal: one that promises that the request
 // has not run if that is so, and none that does otherwise.
 func (p *passage) status(refusal *request.Refusal) int {
