Keep the bound of cold upstreams while processes come and go

A process that stops went on using its part after the others had taken it over; one that starts used its part before the others, who learn of it up to 1.7 s later, gave it back; and what a process had sent before it left fell into the same second as what the others sent from its part.

A process that gets SIGTERM gives up its part at once, one that starts has none for 3 s, and the part of one that has left is free after 1.1 s.

--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -51,6 +51,7 @@
 	began := time.Now()
 	e.leaving.Store(true)
 	e.handler.Leave()
+	e.placing.Leave()
 	e.log.Info("stopping", "requests", e.handler.Held())
 	e.unregister(over)
 	grace := e.settings.Load().Bounds.Grace
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -46,11 +46,18 @@
 		names = append(names, member.VM)
 	}
 	m.members = len(names)
-	m.placer.SetMembers(names)
+	m.placer.SetMembers(time.Now(), names)
 	m.exchange.SetMembers(members)
 	return m.exchange.Peers()
 }
 
+// Leave gives up what this process has of bounds that are shared with others.
+func (m *Manager) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.placer.Leave()
+}
+
 // Configure takes a configuration with its upstreams.
 func (m *Manager) Configure(config *version.Config) {
 	m.mu.Lock()
--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -31,7 +31,7 @@
 	// counts as behind: it is admitted up to shareFill, though it has had its share.
 	// The level is low where accounts below it get less than they ask for, and those
 	// above it share what that leaves.
-	behindPart = 0.6
+	behindPart = 0.8
 	// idleFill is the part that the wait for other prompts may fill, where the engine
 	// keeps the shared parts, for an account above its share: nobody waits there.
 	idleFill = 0.05
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -164,7 +164,7 @@
 	if !p.allowed(u, ticket) || u.declined.now(now) {
 		return false
 	}
-	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(u))
+	return !u.gate.cold(now) || u.gate.allows(now, p.coldLimit(now, u))
 }
 
 // allowed reports whether the configuration and the ticket allow an upstream.
--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -19,6 +19,11 @@
 // for VMs that do not know of each other yet.
 const coldShare = 0.9
 
+// joinTime is how long the others may take to learn that this VM has joined: the pause
+// between two watches on the members, a question to a hub and a slow answer. Until then
+// they share its part.
+const joinTime = 3 * time.Second
+
 // coldGate keeps this VM's part of what a cold upstream bears.
 type coldGate struct {
 	until time.Time
@@ -55,19 +60,20 @@
 // Each of the requests that may arrive in a second belongs to one VM: an even
 // part to all, and what is left to those that rendezvous hashing gives for the
 // upstream. So the parts of all VMs never exceed the whole.
-func (p *Placer) coldLimit(u *upstream) int {
+func (p *Placer) coldLimit(now time.Time, u *upstream) int {
 	if u.pool.SlowStart.PerSecond <= 0 {
 		return math.MaxInt
 	}
 	bound := u.pool.SlowStart.PerSecond*p.options.ColdOverage + p.options.ColdSlack
 	total := int(coldShare * bound)
-	if !slices.Contains(p.members, p.options.VM) {
-		// The others do not count on this VM yet.
+	if p.left || p.joined.IsZero() || now.Sub(p.joined) < joinTime {
+		// The others do not count on this VM yet, or not any more.
 		return 0
 	}
-	even, left := total/len(p.members), total%len(p.members)
+	sharers := p.sharers(now)
+	even, left := total/len(sharers), total%len(sharers)
 	mine, before := memberRank(p.options.VM, u.ID), 0
-	for _, vm := range p.members {
+	for _, vm := range sharers {
 		if memberRank(vm, u.ID) < mine {
 			before++
 		}
@@ -78,6 +84,15 @@
 	return even
 }
 
+// sharers returns the VMs over which bounds are split: the members, and those that have left
+// so lately that what they sent before still counts.
+func (p *Placer) sharers(now time.Time) []version.VMID {
+	if now.Sub(p.departedAt) >= coldWindow {
+		return p.members
+	}
+	return append(slices.Clip(p.members), p.departed...)
+}
+
 func memberRank(vm version.VMID, id version.UpstreamID) uint64 {
 	return rendezvous(xxhash.Sum64String(string(vm)), id)
 }
--- a/fleet/process/placement/placement_test.go
+++ b/fleet/process/placement/placement_test.go
@@ -56,7 +56,7 @@
 		now:  time.Unix(1000, 0),
 		pool: pool.ID,
 	}
-	f.SetMembers([]version.VMID{"vm-0"})
+	f.SetMembers(f.now.Add(-joinTime), []version.VMID{"vm-0"})
 	f.Configure(f.now, &version.Config{
 		Number:    1,
 		Pools:     map[version.PoolID]*version.Pool{pool.ID: pool},
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -38,9 +39,16 @@
 	upstreams map[version.UpstreamID]*upstream
 	byPool    map[version.PoolID][]*upstream
 	// members are the VMs that share the bounds of cold upstreams.
-	members  []version.VMID
-	accounts *accounts
-	others   map[version.VMID]*told
+	members []version.VMID
+	// joined is when this VM was first among them; zero while it is not. left is set once
+	// it gives up its part.
+	joined time.Time
+	left   bool
+	// departed are those that have left since, the last one at departedAt.
+	departed   []version.VMID
+	departedAt time.Time
+	accounts   *accounts
+	others     map[version.VMID]*told
 	// declined holds what upstreams have said of further requests.
 	declined map[version.UpstreamID]*declined
 	notices  []Notice
@@ -99,7 +107,28 @@
 }
 
 // SetMembers sets the VMs that share the bounds of cold upstreams.
-func (p *Placer) SetMembers(members []version.VMID) { p.members = members }
+func (p *Placer) SetMembers(now time.Time, members []version.VMID) {
+	if now.Sub(p.departedAt) >= coldWindow {
+		p.departed = nil
+	}
+	for _, vm := range p.members {
+		if !slices.Contains(members, vm) && !slices.Contains(p.departed, vm) {
+			p.departed, p.departedAt = append(p.departed, vm), now
+		}
+	}
+	p.departed = slices.DeleteFunc(p.departed, func(vm version.VMID) bool { return slices.Contains(members, vm) })
+	p.members = members
+	switch present := slices.Contains(members, p.options.VM); {
+	case !present:
+		p.joined = time.Time{}
+	case p.joined.IsZero():
+		p.joined = now
+	}
+}
+
+// Leave gives up this VM's part of the bounds of cold upstreams, which the others take
+// over once they know that it has left.
+func (p *Placer) Leave() { p.left = true }
 
 // Known returns how many upstreams the placer keeps something of.
 func (p *Placer) Known() int { return len(p.upstreams) }
