--- a/daemon/process/edge/usage.go
+++ b/daemon/process/edge/usage.go
@@ -62,9 +62,8 @@
 			continue
 		}
 		requests, bodies := e.handler.Holds()
-		members, upstreams := e.placing.Known()
 		e.log.With(u.attributes()...).Warn("memory is scarce", "used_bytes", used, "limit_bytes", limit,
 			"callers_connections", e.crowd.open.Load(), "requests", requests, "bodies_bytes", bodies,
-			"members", members, "upstreams", upstreams, "waiting_to_be_turned_away", e.desk.Waiting())
+			"members", e.fleetSize.Load(), "upstreams", e.placing.Upstreams(), "waiting_to_be_turned_away", e.desk.Waiting())
 	}
 }
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -26,8 +26,6 @@
 	mu       sync.Mutex
 	placer   *placement.Placer
 	exchange *exchange.Exchange
-	// members is how many processes the fleet has.
-	members int
 }
 
 // New returns a manager of a placer and an exchange that nobody else uses.
@@ -45,7 +43,6 @@
 	for _, member := range members {
 		names = append(names, member.VM)
 	}
-	m.members = len(names)
 	m.placer.SetMembers(time.Now(), names)
 	m.exchange.SetMembers(members)
 	return m.exchange.Peers()
@@ -160,11 +157,11 @@
 	m.placer.Hear(now, from, work, m.exchange.Hear(now, from, work))
 }
 
-// Known returns how many processes and upstreams this one keeps something of.
-func (m *Manager) Known() (members, upstreams int) {
+// Upstreams returns how many upstreams something is kept of.
+func (m *Manager) Upstreams() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members, m.placer.Known()
+	return m.placer.Upstreams()
 }
 
 // Forget drops what a VM said.
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -113,8 +113,8 @@
 	confirmed time.Time
 	available bool
 	// longer is how many times as long the next pause after a failed call is, where
-	// others read the store for this process; 0 is once.
-	longer int
+	// others read the store for this process.
+	longer time.Duration
 	// shared is when another process last told what it has read.
 	shared time.Time
 	// started is when the mirror was made, by its clock.
@@ -129,7 +129,7 @@
 	if options.Served == nil {
 		options.Served = func() bool { return false }
 	}
-	m := &Mirror{options: options, available: true, started: options.Clock()}
+	m := &Mirror{options: options, available: true, started: options.Clock(), longer: 1}
 	m.upstreams = newKind(platform.KindUpstream, upstreamsWait, gatherTime)
 	m.evacuated = newKind(platform.KindEvacuation, evacuationsWait, gatherTime)
 	m.members = newKind(platform.KindMember, membersWait, membersGatherTime)
@@ -468,7 +468,7 @@
 func (m *Mirror) reached() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.longer = 0
+	m.longer = 1
 	if !m.available {
 		m.available = true
 		m.options.Log.Info("store answers again")
@@ -493,7 +493,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	longer := m.longer
-	m.longer = min(2*max(longer, 1), servedRetryMax)
-	return servedRetryFactor * pause * time.Duration(max(longer, 1))
+	pause *= servedRetryFactor * m.longer
+	m.longer = min(2*m.longer, servedRetryMax)
+	return pause
 }
--- a/fleet/process/placement/many_test.go
+++ b/fleet/process/placement/many_test.go
@@ -117,6 +117,30 @@
 	}
 }
 
+// play offers the requests of accounts, numbered from 1, at their rates a second and passes
+// time. After warmUp it forgets what was in time so far and calls warm; then it goes on for
+// length. Requests are numbered from 1.
+func (c *crowd) play(
+	warmUp, length time.Duration, perSecond map[version.AccountID]float64,
+	warm func(), offer func(account version.AccountID, i int),
+) {
+	const step = 5 * time.Millisecond
+	due, i := make(map[version.AccountID]float64), 0
+	for elapsed := time.Duration(0); elapsed < warmUp+length; elapsed += step {
+		if elapsed == warmUp {
+			clear(c.inTime)
+			warm()
+		}
+		for account := version.AccountID(1); int(account) <= len(perSecond); account++ {
+			for due[account] += perSecond[account] * step.Seconds(); due[account] >= 1; due[account]-- {
+				i++
+				offer(account, i)
+			}
+		}
+		c.pass(step)
+	}
+}
+
 // Overload: many VMs whose reports are old by two hubs send to the same engines. Each
 // took an engine for idle until it heard of what the others had just sent there: answers
 // that were predicted to begin after 0.1 s began after 0.5 s (leaving-under-load).
@@ -157,7 +181,6 @@
 		vms, engines    = 24, 24
 		shared, own     = 3000, 1500
 		warmUp, seconds = 2, 8
-		step            = 5 * time.Millisecond
 		flood, second   = version.AccountID(1), version.AccountID(2)
 	)
 	perSecond := map[version.AccountID]float64{flood: 1500, second: 190, 3: 400}
@@ -165,25 +188,15 @@
 		perSecond[4+account] = 25
 	}
 	c := newCrowd(vms, engines)
-	due := make(map[version.AccountID]float64)
-	i, late, begun := 0, 0, 0
-	for elapsed := time.Duration(0); elapsed < (warmUp+seconds)*time.Second; elapsed += step {
-		if elapsed == warmUp*time.Second {
-			late, begun = c.late, c.begun
-			clear(c.inTime)
+	late, begun := 0, 0
+	warm := func() { late, begun = c.late, c.begun }
+	c.play(warmUp*time.Second, seconds*time.Second, perSecond, warm, func(account version.AccountID, i int) {
+		vm := 2 + i%(vms-2)
+		if account == second {
+			vm = i % 2
 		}
-		for account := flood; account <= 13; account++ {
-			for due[account] += perSecond[account] * step.Seconds(); due[account] >= 1; due[account]-- {
-				i++
-				vm := 2 + i%(vms-2)
-				if account == second {
-					vm = i % 2
-				}
-				c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
-			}
-		}
-		c.pass(step)
-	}
+		c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+	})
 	late, begun = c.late-late, c.begun-begun
 	if late*5 > begun {
 		t.Errorf("%d of %d answers began late", late, begun)
@@ -210,7 +223,6 @@
 		vms, engines    = 24, 24
 		shared, own     = 3000, 1500
 		warmUp, seconds = 2, 8
-		step            = 5 * time.Millisecond
 		spread, narrow  = version.AccountID(1), version.AccountID(2)
 	)
 	perSecond := map[version.AccountID]float64{spread: 2000, narrow: 500}
@@ -218,32 +230,21 @@
 		perSecond[3+account] = 12
 	}
 	c := newCrowd(vms, engines)
-	due := make(map[version.AccountID]float64)
-	i := 0
-	for elapsed := time.Duration(0); elapsed < (warmUp+seconds)*time.Second; elapsed += step {
-		if elapsed == warmUp*time.Second {
-			clear(c.inTime)
-		}
-		for account := spread; account <= 12; account++ {
-			for due[account] += perSecond[account] * step.Seconds(); due[account] >= 1; due[account]-- {
-				i++
-				switch account {
-				case spread:
-					vm := 2 + i%(vms-2)
-					c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
-				case narrow:
-					vm := i % 2
-					c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
-				default:
-					vm := i % vms
-					ticket := c.vms[vm].ticket(account, uint64(i), 0, 24*own)
-					ticket.Wait = testObjective
-					c.send(vm, ticket)
-				}
-			}
+	c.play(warmUp*time.Second, seconds*time.Second, perSecond, func() {}, func(account version.AccountID, i int) {
+		switch account {
+		case spread:
+			vm := 2 + i%(vms-2)
+			c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+		case narrow:
+			vm := i % 2
+			c.send(vm, c.vms[vm].ticket(account, uint64(i%200), shared, own))
+		default:
+			vm := i % vms
+			ticket := c.vms[vm].ticket(account, uint64(i), 0, 24*own)
+			ticket.Wait = testObjective
+			c.send(vm, ticket)
 		}
-		c.pass(step)
-	}
+	})
 	if 3*c.inTime[narrow] < 2*c.inTime[spread] {
 		t.Errorf("%d tokens in time beside %d of the account with more VMs", c.inTime[narrow], c.inTime[spread])
 	}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -130,8 +130,8 @@
 // over once they know that it has left.
 func (p *Placer) Leave() { p.left = true }
 
-// Known returns how many upstreams the placer keeps something of.
-func (p *Placer) Known() int { return len(p.upstreams) }
+// Upstreams returns how many upstreams the placer keeps something of.
+func (p *Placer) Upstreams() int { return len(p.upstreams) }
 
 // Place grants the ticket an upstream or refuses it. It reports one of both.
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
