Log the prompt segments and the events of failed attempts

What callers saw: reports cut by engines that end one after the other. Now the line of a failed attempt has the segments (16 at most) and the events relayed before; with log level debug the request line has the segments too.

--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -182,6 +182,8 @@
 	Err error
 	// TTFB is the time to the first byte of the response; 0 if none arrived.
 	TTFB time.Duration
+	// Events is the number of complete events that were relayed.
+	Events int
 
 	finish request.Finish
 	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
@@ -208,6 +210,8 @@
 	firstToken time.Duration
 	// ttfb is the time from started to the response header; 0 before it arrives.
 	ttfb time.Duration
+	// events is the number of complete events that were relayed.
+	events int
 }
 
 // Do sends the attempt and relays the response until it ends.
@@ -227,6 +231,7 @@
 	result := a.run()
 	result.finish = a.finish(result.finish.Outcome)
 	result.TTFB = a.ttfb
+	result.Events = a.events
 	return result
 }
 
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -143,6 +143,7 @@
 	}
 	if next.data != nil && !next.endsStream() {
 		s.eventsWritten++
+		s.events++
 		s.meter.countEvent(next.data)
 	}
 	return nil
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -358,6 +358,9 @@
 		base = append(base, slog.Uint64("version", uint64(c.config.Number)),
 			slog.Int64("config_age_ms", c.configAge.Milliseconds()))
 	}
+	if c.handler.options.Log.Enabled(context.Background(), slog.LevelDebug) {
+		base = append(base, slog.Any("segments", segmentNames(c.incoming.Prompt)))
+	}
 	c.handler.options.Log.LogAttrs(context.Background(), slog.LevelInfo, "request",
 		append(base, attributes...)...)
 }
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -313,7 +313,25 @@
 		slog.Int("attempt", c.sentAttempts),
 		slog.String("upstream", c.upstreamName(grant.Upstream)),
 		slog.Bool("not_run", result.NotExecuted),
-		slog.String("reason", reason))
+		slog.String("reason", reason),
+		slog.Int("events", result.Events),
+		slog.Any("segments", segmentNames(c.incoming.Prompt)))
+}
+
+// maxLoggedSegments limits the prompt segments in a log line.
+const maxLoggedSegments = 16
+
+// segmentNames returns the identifiers of a prompt's segments as callers write them.
+func segmentNames(prompt *request.Prompt) []string {
+	if prompt == nil {
+		return nil
+	}
+	segments := prompt.Segments[:min(len(prompt.Segments), maxLoggedSegments)]
+	names := make([]string, 0, len(segments))
+	for _, segment := range segments {
+		names = append(names, strconv.FormatUint(segment.ID, 16))
+	}
+	return names
 }
 
 // relayErrorText returns the text of the relay's error that err matches, or "".
