Reproduce a prompt segment that crashes one upstream after the other

The fake upstream of the users' platform can crash when it begins to answer a prompt with a given segment, before the first byte or inside the first event.

--- /dev/null
+++ b/lab/edge/crash_test.go
@@ -0,0 +1,313 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/edge"
+	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
+	"github.com/trefoilwell/trefoilwell/lab/proxy"
+	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
+)
+
+const (
+	// contactBound is the time after the fifth crash within which every VM has to hold the
+	// requests with the segment that crashes upstreams.
+	contactBound = 3 * time.Second
+	// crashDowntime is how long a crashed upstream is down.
+	crashDowntime = 400 * time.Millisecond
+	// deadlySegment crashes every upstream. commonSegment is in all prompts, and
+	// callerSegment in all prompts of the caller who sends the deadly one.
+	deadlySegment = "dead"
+	commonSegment = "c0"
+	callerSegment = "ca11e4"
+)
+
+// crashingFleet is a fleet of several VMs with upstreams that crash and come back.
+type crashingFleet struct {
+	t         *testing.T
+	store     *metastore.Store
+	upstreams []*crashingUpstream
+	callers   []string
+	client    *http.Client
+}
+
+// crashingUpstream is an upstream behind a proxy, which refuses connections while the
+// upstream is down.
+type crashingUpstream struct {
+	*generalupstream.Upstream
+	proxy *proxy.Proxy
+	store *metastore.Store
+
+	mu   sync.Mutex
+	born int64
+	down bool
+}
+
+// register writes the registration of a new incarnation.
+func (u *crashingUpstream) register() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.born++
+	u.store.Put(platform.KindUpstream, u.Instance, platformtest.Registration("calls", u.proxy.Address(), platformtest.StateReady,
+		platformtest.Fields{"born": 1700000000000 + u.born, "slots": 64}))
+}
+
+// crash makes the upstream unreachable for crashDowntime.
+func (u *crashingUpstream) crash() {
+	u.mu.Lock()
+	alreadyDown := u.down
+	u.down = true
+	u.mu.Unlock()
+	if alreadyDown {
+		return
+	}
+	u.proxy.StopListening()
+	time.AfterFunc(crashDowntime, func() {
+		for u.proxy.ResumeListening() != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		u.mu.Lock()
+		u.down = false
+		u.mu.Unlock()
+		u.register()
+	})
+}
+
+// startCrashingFleet starts daemons and upstreams and waits until all daemons are ready.
+func startCrashingFleet(t *testing.T, vms, upstreams int, faults generalupstream.Faults) *crashingFleet {
+	t.Helper()
+	f := &crashingFleet{t: t, store: metastore.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}}
+	storeHTTP := httptest.NewServer(f.store)
+	t.Cleanup(func() { f.store.Close(); storeHTTP.CloseClientConnections(); storeHTTP.Close() })
+	for i := range upstreams {
+		u := &crashingUpstream{Upstream: generalupstream.New(fmt.Sprintf("i-%d", i)), store: f.store}
+		var err error
+		if u.proxy, err = proxy.New(u.Address()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { u.proxy.Close(); u.Close() })
+		u.OnCrash(u.crash)
+		u.SetFaults(faults)
+		u.register()
+		f.upstreams = append(f.upstreams, u)
+	}
+	f.store.Put(platform.KindConfig, platform.ConfigName, platformtest.Config(1, []any{
+		platformtest.Route("stream", host, "/stream/", platformtest.KindStreaming, "calls", nil),
+		platformtest.Route("resume", host, "/resume-stream/", platformtest.KindStreaming, "calls", platformtest.Fields{"resumable": true}),
+	}, platformtest.Service("calls", nil), account, key))
+	for i := range vms {
+		f.startDaemon(fmt.Sprintf("vm-%d", i), storeHTTP.Listener.Addr().String())
+	}
+	return f
+}
+
+// startDaemon starts the daemon of one more VM and waits until it is ready.
+func (f *crashingFleet) startDaemon(name, storeAddress string) {
+	f.t.Helper()
+	settings := platformtest.Settings{
+		VM: name, CallerAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t),
+		StoreAddress: storeAddress, MemoryMB: 512, Bounds: platformtest.Bounds(nil),
+	}
+	path := filepath.Join(f.t.TempDir(), name+".json")
+	if err := settings.Write(path); err != nil {
+		f.t.Fatal(err)
+	}
+	daemon, err := edge.New(edge.Options{SettingsPath: path, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- daemon.Run(ctx) }()
+	f.t.Cleanup(func() { cancel(); <-stopped })
+	for deadline := time.Now().Add(waitTimeout); ; time.Sleep(10 * time.Millisecond) {
+		answer, err := f.client.Get("http://" + settings.ReadinessAddress + platform.ReadinessPath)
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatal("the daemon is not ready")
+		}
+	}
+	f.callers = append(f.callers, settings.CallerAddress)
+}
+
+// promptReply is the answer to a request with a prompt.
+type promptReply struct {
+	status int
+	// reason and execution are those of a refusal.
+	reason, execution string
+	complete          bool
+	sentAt            time.Time
+	duration          time.Duration
+	retryAfter        string
+}
+
+// send sends a request with prompt segments to one VM.
+func (f *crashingFleet) send(vm int, path, id string, segments ...string) promptReply {
+	var prefix []string
+	for _, segment := range append(segments, fmt.Sprintf("%x", rand.Uint64()>>1)) {
+		prefix = append(prefix, segment+":100")
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.callers[vm]+path, strings.NewReader("body"))
+	if err != nil {
+		f.t.Error(err)
+		return promptReply{}
+	}
+	request.Host = host
+	request.Header.Set(platformtest.HeaderRequestID, id)
+	request.Header.Set(platformtest.HeaderKey, key)
+	request.Header.Set(platformtest.HeaderDeadline, "4000")
+	request.Header.Set(platformtest.HeaderTokens, fmt.Sprintf("%d,20", 100*len(prefix)))
+	request.Header.Set(platformtest.HeaderPromptSegments, strings.Join(prefix, ","))
+	reply := promptReply{sentAt: time.Now()}
+	defer func() { reply.duration = time.Since(reply.sentAt) }()
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return reply
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	reply.status, reply.complete, reply.retryAfter = answer.StatusCode, err == nil, answer.Header.Get("Retry-After")
+	var refusal struct {
+		Error struct{ Type, Execution string }
+	}
+	if answer.StatusCode != http.StatusOK && json.Unmarshal(text, &refusal) == nil {
+		reply.reason, reply.execution = refusal.Error.Type, refusal.Error.Execution
+	}
+	return reply
+}
+
+// crashTimes returns the times of all crashes by a deadly segment, in order.
+func (f *crashingFleet) crashTimes() []time.Time {
+	var all []time.Time
+	for _, u := range f.upstreams {
+		all = append(all, u.Crashes()...)
+	}
+	sortTimes(all)
+	return all
+}
+
+// deadlyArrivals returns how many requests whose identifier begins with a prefix reached
+// upstreams after a time.
+func (f *crashingFleet) deadlyArrivals(prefix string, after time.Time) int {
+	count := 0
+	for _, u := range f.upstreams {
+		for _, arrival := range u.Arrivals() {
+			if strings.HasPrefix(arrival.ID, prefix) && arrival.At.After(after) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// soundTraffic sends sound requests that share the common segment, and some that share the
+// caller's segment too, until stop is closed. It returns their replies.
+func (f *crashingFleet) soundTraffic(path string, stop <-chan struct{}) func() []promptReply {
+	var mu sync.Mutex
+	var replies []promptReply
+	var running sync.WaitGroup
+	for vm := range f.callers {
+		running.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				segments := []string{commonSegment, fmt.Sprintf("50%d", n%7)}
+				if n%10 == 0 {
+					segments[1] = callerSegment
+				}
+				reply := f.send(vm, path, fmt.Sprintf("sound-%d-%d", vm, n), segments...)
+				mu.Lock()
+				replies = append(replies, reply)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []promptReply {
+		running.Wait()
+		return replies
+	}
+}
+
+// Guards against the fault of 4 December 2026: requests with one prompt segment that
+// crashes any upstream were sent to one upstream after the other, by every VM.
+func TestRequestsThatCrashUpstreamsAreHeldByEveryVM(t *testing.T) {
+	for name, variant := range map[string]struct {
+		path   string
+		faults generalupstream.Faults
+	}{
+		"no byte of the answer":                         {"/stream/x", generalupstream.Faults{}},
+		"half an event, on a route that may be resumed": {"/resume-stream/x", generalupstream.Faults{CrashInEvent: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			variant.faults.DeadlySegments = []string{deadlySegment}
+			variant.faults.Delay = 30 * time.Millisecond
+			f := startCrashingFleet(t, 3, 8, variant.faults)
+			stop := make(chan struct{})
+			soundReplies := f.soundTraffic(variant.path, stop)
+			time.Sleep(500 * time.Millisecond)
+			var deadly sync.WaitGroup
+			for n := range 80 {
+				deadly.Go(func() {
+					f.send(n%len(f.callers), variant.path, fmt.Sprintf("deadly-%d", n), commonSegment, callerSegment, deadlySegment)
+				})
+				time.Sleep(75 * time.Millisecond)
+			}
+			deadly.Wait()
+			close(stop)
+			crashes := f.crashTimes()
+			if len(crashes) == 0 {
+				t.Fatal("no upstream crashed")
+			}
+			last := crashes[len(crashes)-1]
+			if len(crashes) >= 5 {
+				last = crashes[4]
+				if got := f.deadlyArrivals("deadly", last.Add(contactBound)); got > 3 {
+					t.Errorf("%d requests with the segment reached upstreams later than %v after the fifth crash, want at most 3; %d crashes", got, contactBound, len(crashes))
+				}
+			}
+			checkSoundReplies(t, soundReplies(), last)
+		})
+	}
+}
+
+// checkSoundReplies checks that sound requests are served while the deadly ones are held.
+func checkSoundReplies(t *testing.T, replies []promptReply, lastCrash time.Time) {
+	t.Helper()
+	sent, served := 0, 0
+	for _, reply := range replies {
+		if reply.sentAt.Sub(lastCrash) > 2*time.Second {
+			sent++
+			if reply.status == http.StatusOK && reply.complete {
+				served++
+			}
+		}
+	}
+	if sent < 20 || served < sent*9/10 {
+		t.Errorf("%d of %d sound requests served 2 s after the crashes, want 9 of 10", served, sent)
+	}
+}
+
+func sortTimes(times []time.Time) { slices.SortFunc(times, time.Time.Compare) }
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,15 @@
 	Delay time.Duration
 	// Pause is the time between two events of a stream.
 	Pause time.Duration
+	// DeadlySegments are the prompt segments that crash the process when it begins to
+	// write the answer to a request that has one of them.
+	DeadlySegments []string
+	// CrashInEvent makes a crash follow the first half of the first event of a stream.
+	// Otherwise not a byte of the answer is written.
+	CrashInEvent bool
+	// NoFraming makes every answer, streams included, come with neither a length nor
+	// chunks: it ends when the connection is closed.
+	NoFraming bool
 }
 
 // Run is a request that was executed.
@@ -94,6 +104,9 @@
 	arrivals []Arrival
 	// callerDisconnects counts the executions whose caller disconnected.
 	callerDisconnects int
+	// crashed is called when a deadly segment crashes the process.
+	crashed func()
+	crashes []time.Time
 }
 
 // New starts an upstream on a loopback port.
@@ -126,6 +139,44 @@
 	u.faults = faults
 }
 
+// OnCrash sets the function that is called when a deadly segment crashes the process. It
+// has to make the upstream unreachable and break its connections.
+func (u *Upstream) OnCrash(crashed func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashed = crashed
+}
+
+// Crashes returns the times of the crashes by a deadly segment.
+func (u *Upstream) Crashes() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]time.Time(nil), u.crashes...)
+}
+
+// crash crashes the process.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	u.crashes = append(u.crashes, time.Now())
+	crashed := u.crashed
+	u.mu.Unlock()
+	if crashed != nil {
+		crashed()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// deadly reports whether the prompt of a request has one of the segments.
+func deadly(r *http.Request, segments []string) bool {
+	for entry := range strings.SplitSeq(r.Header.Get(platformtest.HeaderPromptSegments), ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		if slices.Contains(segments, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Runs returns the executed requests in order.
 func (u *Upstream) Runs() []Run {
 	u.mu.Lock()
@@ -208,15 +259,25 @@
 		w.Header().Set(platformtest.HeaderRequestID, "another")
 	}
 	w.Header().Set(platformtest.HeaderReceipt, Receipt(id))
+	if deadly(r, faults.DeadlySegments) {
+		if faults.CrashInEvent && strings.Contains(r.URL.Path, StreamPath) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, Event(1)[:len(Event(1))/2])
+			_ = http.NewResponseController(w).Flush()
+		}
+		u.crash()
+	}
 	switch {
 	case noAnswer:
 		panic(http.ErrAbortHandler)
 	case fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed "+id)
+	case faults.NoFraming && strings.Contains(r.URL.Path, StreamPath):
+		writeUnframedStream(w, id, faults)
 	case strings.Contains(r.URL.Path, StreamPath):
 		u.stream(w, r, faults)
-	case noLength:
+	case noLength, faults.NoFraming:
 		writeWithoutLength(w, id)
 	default:
 		_, _ = io.WriteString(w, Answer(id))
@@ -323,4 +384,21 @@
 	_ = buffered.Flush()
 }
 
+// writeUnframedStream sends a stream that ends when the connection is closed, inside an
+// event if the faults truncate it.
+func writeUnframedStream(w http.ResponseWriter, id string, faults Faults) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer closeConn(conn)
+	text := CompleteStream()
+	if faults.TruncateAfter > 0 {
+		text = text[:strings.Index(text, Event(faults.TruncateAfter+1))+len(Event(1))/2]
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + platformtest.HeaderRequestID + ": " + id +
+		"\r\n" + platformtest.HeaderReceipt + ": " + Receipt(id) + "\r\nConnection: close\r\n\r\n" + text)
+	_ = buffered.Flush()
+}
+
 func closeConn(conn net.Conn) { _ = conn.Close() }
