Refuse prompts with a segment that crashes upstreams

Cause: nothing but the outcome at one upstream was learned from an attempt that broke off (class: query of death). Both front paths now ask the quarantine before a request waits, before it is repeated and before its first byte is sent. When a segment becomes known, requests with it that wait or were sent and have no event yet end at once. The refusal is 400 prompt-held without Retry-After, which callers of the platform do not repeat; it says whether an upstream may have run the request. A request that met two crashes is not sent to a third upstream.

An upstream counts as crashed if it cut off an attempt and refuses the next connection, or is replaced by another incarnation; a connection that broke off alone, and an upstream that drains, are no evidence. Daemons exchange evidence over their links, hubs pass it on, and a daemon that is linked is told all.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -21,6 +21,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/metrics"
+	"github.com/trefoilwell/trefoilwell/daemon/process/quarantine"
 	"github.com/trefoilwell/trefoilwell/daemon/process/settings"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
@@ -47,12 +48,14 @@
 	platform *objectstore.Client
 	loop     *loop.Loop
 	inbox    *inbox
-	peers    *peer.Manager
-	ledger   *ledger.Ledger
-	poller   *upstream.Poller
-	follower *follow.Follower
-	timeline *timeline.Ring
-	handler  *serve.Handler
+	// quarantine keeps prompts that crash upstreams away from them.
+	quarantine *quarantine.Quarantine
+	peers      *peer.Manager
+	ledger     *ledger.Ledger
+	poller     *upstream.Poller
+	follower   *follow.Follower
+	timeline   *timeline.Ring
+	handler    *serve.Handler
 	// callersServer serves callers' requests by handler.
 	callersServer *http.Server
 	// peersServer accepts the links of other daemons.
@@ -96,7 +99,8 @@
 		Observe:        observe,
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
-	a.inbox = &inbox{loop: a.loop, linked: make(map[version.VMID]linkedDaemon)}
+	a.quarantine = quarantine.New(quarantine.Options{VM: s.VM, Config: a.loop.Config, Log: log})
+	a.inbox = &inbox{loop: a.loop, quarantine: a.quarantine, linked: make(map[version.VMID]linkedDaemon)}
 	a.peers = peer.New(peer.Options{
 		Secret:  s.Peers.Secret,
 		Scheme:  a.transports.peerScheme,
@@ -107,6 +111,7 @@
 	})
 	a.ledger = a.newLedger(observe)
 	a.inbox.ledger = a.ledger
+	a.inbox.sender = a.peers
 	a.inbox.linksChanged = a.updateOwners
 	a.loop.SetSender(a.peers)
 	a.loop.SetLinker(a.peers)
@@ -164,6 +169,8 @@
 	addServer(&group, a.operatorsServer, a.operatorsListener)
 	duty.AddVital(&group, ctx, "loop", a.log, a.loop.Run)
 	duty.AddVital(&group, ctx, "configuration", a.log, a.follower.Run)
+	duty.Add(&group, ctx, "quarantine", a.log, a.quarantine.Run)
+	duty.Add(&group, ctx, "crash checks", a.log, a.quarantine.Check)
 	duty.Add(&group, ctx, "directory", a.log, a.followDirectory)
 	duty.Add(&group, ctx, "poller", a.log, a.poller.Run)
 	duty.AddVital(&group, ctx, "ledger", a.log, a.ledger.Run)
@@ -197,6 +204,7 @@
 		Fleet:      a.loop,
 		Relay:      upstreamRelay,
 		Ledger:     a.ledger,
+		Guard:      a.quarantine,
 		Counter:    a.metrics,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
@@ -223,6 +231,7 @@
 // apply hands a new configuration to the decision loop.
 func (a *App) apply(config *version.Config) {
 	a.log.Info("configuration", "version", config.Number, "preset", config.Preset)
+	a.quarantine.Configured(config)
 	a.loop.Post(node.Configure{Config: config})
 }
 
--- a/daemon/process/app/inbox.go
+++ b/daemon/process/app/inbox.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
+	"github.com/trefoilwell/trefoilwell/daemon/process/quarantine"
 	"github.com/trefoilwell/trefoilwell/daemon/version/follow"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -20,6 +21,9 @@
 	loop     *loop.Loop
 	follower *follow.Follower
 	ledger   *ledger.Ledger
+
+	quarantine *quarantine.Quarantine
+	sender     quarantine.Sender
 	// linksChanged is called when the last link to a daemon has gone down.
 	linksChanged func()
 
@@ -42,13 +46,17 @@
 	i.mu.Unlock()
 	i.follower.LinkUp(hello)
 	i.loop.LinkUp(hello)
+	i.quarantine.SetMembers(i.linkedVMs())
+	i.quarantine.LinkUp(hello.VM, i.sender)
 }
 
 // Receive implements peer.Handler.
 func (i *inbox) Receive(from wire.Hello, messages []wire.Message) {
 	var ledgerMessages, loopMessages []wire.Message
 	for _, message := range messages {
-		switch message.(type) {
+		switch m := message.(type) {
+		case wire.PromptEvidence:
+			i.quarantine.Receive(m)
 		case wire.Announce, wire.HeadRequest, wire.HeadOffer, wire.PartRequest, wire.PartChunk:
 			i.follower.Receive(from.VM, message)
 		default:
@@ -66,6 +74,8 @@
 // LinkDown implements peer.Handler.
 func (i *inbox) LinkDown(hello wire.Hello) {
 	if i.unlink(hello.VM) {
+		i.quarantine.LinkDown(hello.VM)
+		i.quarantine.SetMembers(i.linkedVMs())
 		i.follower.LinkDown(hello.VM)
 		i.linksChanged()
 		i.ledger.LinkDown(hello.VM)
@@ -87,6 +97,13 @@
 	return true
 }
 
+// linkedVMs returns the VMs of the linked daemons.
+func (i *inbox) linkedVMs() []version.VMID {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Collect(maps.Keys(i.linked))
+}
+
 // members returns the linked daemons, sorted by VM.
 func (i *inbox) members() []operator.Member {
 	i.mu.Lock()
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/lag"
 	"github.com/trefoilwell/trefoilwell/daemon/process/logsink"
 	"github.com/trefoilwell/trefoilwell/daemon/process/placing"
+	"github.com/trefoilwell/trefoilwell/daemon/process/quarantine"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
 	"github.com/trefoilwell/trefoilwell/daemon/version/mirror"
@@ -77,6 +78,7 @@
 	storeTransport *http.Transport
 	mirror         *mirror.Mirror
 	placing        *placing.Placer
+	quarantine     *quarantine.Quarantine
 	handler        *serve.GeneralHandler
 	metrics        *metrics
 	lag            lag.Monitor
@@ -152,6 +154,8 @@
 		ColdSlack:   settings.Bounds.ColdSlack,
 		ShareWindow: settings.Bounds.ShareWindow,
 	}), exchange.New(settings.VM), d.lag.Lag, d.log)
+	d.quarantine = quarantine.New(quarantine.Options{VM: settings.VM, Config: d.placing.Config, Log: d.log})
+	d.metrics.vars.Set("prompt_quarantine", expvar.Func(func() any { return d.quarantine.Stats() }))
 	d.storeTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true}
 	d.store = platform.NewStore(platform.StoreOptions{URL: "http://" + settings.StoreAddress, Transport: d.storeTransport})
 	d.mirror = mirror.New(mirror.Options{
@@ -203,6 +207,7 @@
 			OnAdvice:    d.placing.RecordAdvice,
 			Declines:    d.placing.UpstreamDeclines,
 		}),
+		Guard:             d.quarantine,
 		ParseHeaders:      platform.DecodeIncoming,
 		RequestID:         platform.RequestID,
 		Lag:               d.lag.Lag,
@@ -284,6 +289,8 @@
 	duty.Add(&group, ctx, "registration", d.log, d.register)
 	duty.Add(&group, ctx, "links", d.log, d.linkPeers)
 	duty.Add(&group, ctx, "readers", d.log, d.requestState)
+	duty.Add(&group, ctx, "quarantine", d.log, d.quarantine.Run)
+	duty.Add(&group, ctx, "crash checks", d.log, d.quarantine.Check)
 	duty.Add(&group, ctx, "lag", d.log, func(ctx context.Context) error { return d.lag.Run(ctx, d.admission.observeLag) })
 	duty.Add(&group, ctx, "desk", d.log, d.rejecter.Run)
 	duty.Add(&group, ctx, "memory", d.log, d.logScarceMemory)
@@ -328,6 +335,7 @@
 // applyConfig applies a new state of the store.
 func (d *Daemon) applyConfig(config *version.Config) {
 	d.placing.Configure(config)
+	d.quarantine.Configured(config)
 	d.log.Debug("state applied", "version", config.Number, "upstreams", len(config.Upstreams),
 		"out", config.Out.DataCentres)
 }
--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -185,6 +187,7 @@
 		members = append(members, exchange.Member{VM: vm, DataCentre: m.DataCentre, Capacity: m.Cores})
 	}
 	d.isFirstMember.Store(lowestName == d.settings.Load().VM)
+	d.quarantine.SetMembers(slices.Sorted(maps.Keys(addresses)))
 	peerAddresses := make(map[version.VMID]string)
 	for _, vm := range d.placing.SetMembers(members) {
 		peerAddresses[vm] = addresses[vm]
@@ -223,6 +226,9 @@
 // LinkUp implements peer.Handler.
 func (h *peerHandler) LinkUp(hello wire.Hello) {
 	h.log.Info("linked", "peer", hello.VM, "incarnation", hello.Incarnation)
+	if peers := h.peers.Load(); peers != nil {
+		h.quarantine.LinkUp(hello.VM, peers)
+	}
 }
 
 // Receive implements peer.Handler.
@@ -237,6 +243,8 @@
 			}
 		case wire.StateResponse:
 			(*Daemon)(h).receiveState(from.VM, m)
+		case wire.PromptEvidence:
+			h.quarantine.Receive(m)
 		}
 	}
 }
@@ -245,4 +253,5 @@
 func (h *peerHandler) LinkDown(hello wire.Hello) {
 	h.log.Info("link lost", "peer", hello.VM)
 	h.placing.ForgetReports(hello.VM)
+	h.quarantine.LinkDown(hello.VM)
 }
--- /dev/null
+++ b/daemon/process/quarantine/quarantine.go
@@ -0,0 +1,262 @@
+// Package quarantine keeps prompts with segments that crash upstreams away from them. It feeds
+// a quarantine.Tracker with the outcomes of attempts, checks which upstreams have crashed, and
+// exchanges the evidence with the other daemons of the fleet.
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/daemon/request/serve"
+	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/quarantine"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// tickInterval is the time between two judgements of the evidence, and between two messages to
+// other daemons.
+const tickInterval = 100 * time.Millisecond
+
+// Sender sends messages to other daemons.
+type Sender interface {
+	// Send reports whether the message could be sent.
+	Send(to version.VMID, message wire.Message) bool
+}
+
+// Options configure a Quarantine.
+type Options struct {
+	VM version.VMID
+	// Config returns the active configuration, or nil before the first one.
+	Config func() *version.Config
+	// Dial opens a connection to an upstream; default net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  *slog.Logger
+}
+
+// Quarantine is the daemon's part of the fleet's quarantine. It is safe for concurrent use.
+type Quarantine struct {
+	options Options
+	// checks are the upstreams whose connections broke off and that may have crashed.
+	checks chan version.UpstreamID
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	// passes are the requests in progress.
+	passes map[*pass]struct{}
+	// disconnects are the upstreams that ended connections and may have crashed.
+	disconnects map[version.UpstreamID]*disconnect
+	// linked are the daemons to which messages are sent, by sender.
+	linked map[version.VMID]struct{}
+	sender Sender
+	// refused counts the requests that were refused, crashed the crashes that this daemon saw,
+	// and dropped the checks for which there was no room.
+	refused, crashed, dropped uint64
+}
+
+// New returns a Quarantine that is started by Run and Check.
+func New(options Options) *Quarantine {
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	return &Quarantine{
+		options:     options,
+		checks:      make(chan version.UpstreamID, maxPendingChecks),
+		tracker:     quarantine.New(quarantine.Options{Self: options.VM}),
+		passes:      make(map[*pass]struct{}),
+		disconnects: make(map[version.UpstreamID]*disconnect),
+		linked:      make(map[version.VMID]struct{}),
+	}
+}
+
+// SetMembers sets the VMs of the fleet, which divide the trials of held segments.
+func (q *Quarantine) SetMembers(members []version.VMID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.SetMembers(members)
+}
+
+// Run judges the evidence and tells the other daemons of it until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) error {
+	for {
+		q.tick()
+		if err := wait.Sleep(ctx, tickInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (q *Quarantine) tick() {
+	q.mu.Lock()
+	now := time.Now()
+	q.expireDisconnects(now)
+	message := q.tracker.Tick(now)
+	q.applyNotices(now)
+	var peers []version.VMID
+	if message != nil {
+		for vm := range q.linked {
+			peers = append(peers, vm)
+		}
+	}
+	sender := q.sender
+	q.mu.Unlock()
+	for _, vm := range peers {
+		// A daemon whose link is lost is told everything when it is linked again.
+		sender.Send(vm, *message)
+	}
+}
+
+// LinkUp tells a daemon that has just been linked what this one knows. From then on it is told
+// what is new.
+func (q *Quarantine) LinkUp(vm version.VMID, sender Sender) {
+	q.mu.Lock()
+	q.sender = sender
+	q.linked[vm] = struct{}{}
+	message := q.tracker.All(time.Now())
+	q.mu.Unlock()
+	if message != nil {
+		sender.Send(vm, *message)
+	}
+}
+
+// LinkDown ends the messages to a daemon whose link is lost.
+func (q *Quarantine) LinkDown(vm version.VMID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.linked, vm)
+}
+
+// Receive adds what another daemon knows.
+func (q *Quarantine) Receive(message wire.PromptEvidence) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.tracker.Merge(now, message)
+	q.applyNotices(now)
+}
+
+// applyNotices logs which segments are held or no longer held, and ends the requests with
+// segments that are held now. mu must be held.
+func (q *Quarantine) applyNotices(now time.Time) {
+	notices := q.tracker.Notices()
+	if len(notices) == 0 {
+		return
+	}
+	for _, notice := range notices {
+		hold := notice.Hold
+		if notice.Cause == quarantine.CauseNone {
+			q.options.Log.Warn("prompt segment is held", "segment", SegmentName(hold.Segment), "crashes", hold.Crashes,
+				"upstreams", q.upstreamNames(hold.Upstreams), "verdict", hold.Round, "last_crash_ms", now.Sub(hold.LastCrash).Milliseconds())
+			continue
+		}
+		q.options.Log.Info("prompt segment is released", "segment", SegmentName(hold.Segment), "cause", notice.Cause.String(),
+			"held_ms", now.Sub(hold.Since).Milliseconds(), "refused", hold.Refused, "trials", hold.Trials)
+	}
+	for p := range q.passes {
+		p.endIfHeld(now)
+	}
+}
+
+func (q *Quarantine) upstreamNames(ids []version.UpstreamID) []string {
+	config := q.options.Config()
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if config != nil && config.Upstreams[id] != nil {
+			names = append(names, config.Upstreams[id].Name)
+			continue
+		}
+		// A crashed upstream is no longer registered under its identifier.
+		names = append(names, "#"+strconv.FormatUint(uint64(id), 10))
+	}
+	return names
+}
+
+// SegmentName returns a segment's identifier as callers and logs write it.
+func SegmentName(segment uint64) string { return strconv.FormatUint(segment, 16) }
+
+// HeldSegment is a held segment as operators see it.
+type HeldSegment struct {
+	Segment string    `json:"segment"`
+	Since   time.Time `json:"since"`
+	// Crashes is the number of crashes that led to the verdict, and LastCrash the time of the
+	// last one with the segment in flight.
+	Crashes   int       `json:"crashes"`
+	LastCrash time.Time `json:"last_crash"`
+	// Upstreams are some of the upstreams that crashed.
+	Upstreams []string `json:"upstreams"`
+	// Refused counts the requests that this daemon refused because of the segment.
+	Refused uint64 `json:"refused"`
+	// Trials counts the requests that were sent to find out whether the segment is sound again,
+	// and NextTrial is when the next one may be sent.
+	Trials    int       `json:"trials"`
+	NextTrial time.Time `json:"next_trial"`
+}
+
+// Held returns the held segments, the oldest first.
+func (q *Quarantine) Held() []HeldSegment {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := []HeldSegment{}
+	for _, hold := range q.tracker.Holds() {
+		list = append(list, HeldSegment{
+			Segment: SegmentName(hold.Segment), Since: hold.Since, Crashes: hold.Crashes, LastCrash: hold.LastCrash,
+			Upstreams: q.upstreamNames(hold.Upstreams), Refused: hold.Refused, Trials: hold.Trials, NextTrial: hold.NextTrial,
+		})
+	}
+	slices.SortFunc(list, func(a, b HeldSegment) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Segment, b.Segment))
+	})
+	return list
+}
+
+// Release ends the hold on a segment, here and at the other daemons. It reports whether the
+// segment was held.
+func (q *Quarantine) Release(segment uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	released := q.tracker.Release(now, segment)
+	q.applyNotices(now)
+	return released
+}
+
+// Stats are the counters of a Quarantine.
+type Stats struct {
+	// Held is the number of held segments, Suspects that of segments under suspicion.
+	Held     int `json:"held"`
+	Suspects int `json:"suspects"`
+	// Refused counts the requests that were refused, Crashes the crashes of upstreams that this
+	// daemon saw, and ChecksDropped those that it had no room to check.
+	Refused       uint64 `json:"refused"`
+	Crashes       uint64 `json:"crashes"`
+	ChecksDropped uint64 `json:"checks_dropped"`
+}
+
+// Stats returns the counters.
+func (q *Quarantine) Stats() Stats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, suspects := q.tracker.Counts()
+	return Stats{
+		Held: len(q.tracker.Holds()), Suspects: suspects,
+		Refused: q.refused, Crashes: q.crashed, ChecksDropped: q.dropped,
+	}
+}
+
+var _ serve.Guard = (*Quarantine)(nil)
+
+// refusal returns the refusal of requests with a held segment.
+func refusal(hold *quarantine.Hold) *request.Refusal {
+	return &request.Refusal{
+		Reason:    request.ReasonPromptHeld,
+		Execution: request.NotExecuted,
+		Detail:    "segment " + SegmentName(hold.Segment) + " of the prompt crashes upstreams; do not repeat the request",
+	}
+}
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	// ErrWithdrawn is returned if the upstream left service, or asked for no requests,
 	// before the attempt was sent.
 	ErrWithdrawn = errors.New("upstream was withdrawn before the attempt was sent")
+	// ErrAborted is returned for an attempt whose Call.Context was cancelled with a refusal.
+	ErrAborted = errors.New("request was refused while its attempt was in progress")
 	// ErrUnconfigured is returned if the grant's upstream is no longer configured.
 	ErrUnconfigured = errors.New("upstream is not configured")
 )
@@ -142,6 +145,12 @@
 	// Record keeps the response for the ledger, and lets the attempt complete after the
 	// caller has disconnected.
 	Record bool
+	// Context ends the attempt early; nil is the context of Request. If it is cancelled with a
+	// *request.Refusal as its cause, the attempt ends with that refusal. It has no effect on
+	// an attempt that is recorded.
+	Context context.Context
+	// OnBegin is called when the first event of a stream has arrived; nil does nothing.
+	OnBegin func()
 }
 
 // Delivery says how much of the response the caller has received.
@@ -184,6 +193,15 @@
 	TTFB time.Duration
 	// Events is the number of complete events that were relayed.
 	Events int
+	// Status is the status of a complete response.
+	Status int
+	// SentAt is when the attempt was started, and BegunAt when its first event, or the header
+	// of a response that is not a stream, arrived; zero if none did.
+	SentAt, BegunAt time.Time
+	// DisconnectedAt is when the upstream ended the connection before the response was
+	// complete; zero if it did not. UpstreamDown is set if it refused a connection since.
+	DisconnectedAt time.Time
+	UpstreamDown   bool
 
 	finish request.Finish
 	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
@@ -210,8 +228,14 @@
 	firstToken time.Duration
 	// ttfb is the time from started to the response header; 0 before it arrives.
 	ttfb time.Duration
-	// events is the number of complete events that were relayed.
-	events int
+	// events is the number of complete events that were relayed, and begunAt when the first one
+	// or the header of a response that is not a stream arrived.
+	events  int
+	begunAt time.Time
+	// disconnectedAt is when the upstream first ended the connection, and upstreamDown is set if
+	// it refused a connection since.
+	disconnectedAt time.Time
+	upstreamDown   bool
 }
 
 // Do sends the attempt and relays the response until it ends.
@@ -231,7 +255,10 @@
 	result := a.run()
 	result.finish = a.finish(result.finish.Outcome)
 	result.TTFB = a.ttfb
-	result.Events = a.events
+	result.Events, result.SentAt, result.BegunAt = a.events, a.started, a.begunAt
+	if result.finish.Outcome == request.OutcomeBroken {
+		result.DisconnectedAt, result.UpstreamDown = a.disconnectedAt, a.upstreamDown
+	}
 	return result
 }
 
@@ -294,6 +321,9 @@
 	if a.call.CallerWaits != nil && !a.call.CallerWaits() {
 		return ErrCallerGone
 	}
+	if a.abortRefusal() != nil {
+		return ErrAborted
+	}
 	config := a.relay.options.Accounting.Config()
 	target, found := config.Upstreams[a.call.Grant.Upstream]
 	if !found || target.Draining || config.UpstreamOut(target) {
@@ -346,8 +376,11 @@
 // cancelled when its caller disconnects.
 func (a *attempt) newContext(limit time.Duration, cause error) (context.Context, *stallTimer) {
 	parent := a.call.Request.Context()
-	if a.call.Record {
+	switch {
+	case a.call.Record:
 		parent = context.WithoutCancel(parent)
+	case a.call.Context != nil:
+		parent = a.call.Context
 	}
 	return newStallTimer(parent, limit, cause, a.call.CompletionDeadline)
 }
@@ -371,8 +404,31 @@
 	if errors.Is(err, ErrWithdrawn) {
 		return ErrWithdrawn
 	}
+	if a.abortRefusal() != nil {
+		return ErrAborted
+	}
 	if contextCause := context.Cause(ctx); errors.IsAny(contextCause, ErrDeadlinePassed, ErrStalled) {
 		return contextCause
 	}
+	a.recordDisconnect(err)
 	return errors.Mark(errors.Wrap(err, "upstream"), ErrTruncated)
 }
+
+// recordDisconnect records that the upstream ended a connection, or refused one.
+func (a *attempt) recordDisconnect(err error) {
+	if a.disconnectedAt.IsZero() {
+		a.disconnectedAt = time.Now()
+		return
+	}
+	a.upstreamDown = a.upstreamDown || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// abortRefusal returns the refusal with which Call.Context was cancelled, or nil.
+func (a *attempt) abortRefusal() *request.Refusal {
+	if a.call.Context == nil || a.call.Record {
+		return nil
+	}
+	var refusal *request.Refusal
+	errors.As(context.Cause(a.call.Context), &refusal)
+	return refusal
+}
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -33,6 +33,9 @@
 	case errors.Is(err, ErrWithdrawn):
 		outcome = request.OutcomeUnused
 		refusal.Detail = "the upstream was taken out before anything was sent"
+	case errors.Is(err, ErrAborted):
+		outcome = request.OutcomeUnused
+		refusal = a.abortRefusal()
 	case errors.Is(err, ErrPermitExpired):
 		refusal.Reason = request.ReasonLedgerUnavailable
 		refusal.Detail = "the claim's permit ended before anything was sent"
@@ -41,7 +44,7 @@
 		Delivery:    DeliveryNone,
 		Refusal:     refusal,
 		NotExecuted: true,
-		Retryable:   !errors.IsAny(err, ErrDeadlinePassed, ErrPermitExpired),
+		Retryable:   !errors.IsAny(err, ErrDeadlinePassed, ErrPermitExpired, ErrAborted),
 		Err:         err,
 		finish:      a.finish(outcome),
 	}
@@ -56,6 +59,11 @@
 	case errors.Is(err, ErrCallerGone):
 		result.Delivery = DeliveryCallerGone
 		result.finish.Outcome = request.OutcomeCancelled
+	case errors.Is(err, ErrAborted):
+		result.finish.Outcome = request.OutcomeCancelled
+		refusal := *a.abortRefusal()
+		refusal.Execution = request.ExecutionUnknown
+		result.Refusal = &refusal
 	case errors.Is(err, ErrDeadlinePassed):
 		// The upstream may be healthy and the deadline too short, so this doesn't count as
 		// its failure.
@@ -93,7 +101,7 @@
 
 // completedResult returns the result of an attempt whose response is complete.
 func (a *attempt) completedResult(delivery Delivery, status int) Result {
-	result := Result{Delivery: delivery, Answer: a.writer.recordedAnswer()}
+	result := Result{Delivery: delivery, Status: status, Answer: a.writer.recordedAnswer()}
 	if a.upstreamAtFault(status) {
 		result.finish.Outcome = request.OutcomeBroken
 	}
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -101,7 +101,7 @@
 	defer reader.release()
 	for {
 		next, err := reader.next()
-		if errors.Is(err, io.EOF) && s.relay.options.General {
+		if errors.Is(err, io.EOF) && s.relay.options.General && !s.isEmpty(response) {
 			return nil
 		}
 		if err != nil {
@@ -124,6 +124,12 @@
 	}
 }
 
+// isEmpty reports whether a stream that ended with its connection had no events, though it is
+// no continuation, of which no event may be left. Nothing else tells it from one that broke off.
+func (s *streamRelay) isEmpty(response *http.Response) bool {
+	return s.events == 0 && lacksFraming(response) && s.call.Outgoing.LastEvent == ""
+}
+
 // relayEvent writes one event to the caller and counts it.
 func (s *streamRelay) relayEvent(next event, flush bool) error {
 	if !s.writer.headerWritten {
@@ -142,6 +148,7 @@
 		s.lastEvent = string(next.id)
 	}
 	if next.data != nil && !next.endsStream() {
+		s.recordBegin()
 		s.eventsWritten++
 		s.events++
 		s.meter.countEvent(next.data)
@@ -149,6 +156,17 @@
 	return nil
 }
 
+// recordBegin records that the first event of the attempt has arrived.
+func (s *streamRelay) recordBegin() {
+	if !s.begunAt.IsZero() {
+		return
+	}
+	s.begunAt = time.Now()
+	if s.call.OnBegin != nil {
+		s.call.OnBegin()
+	}
+}
+
 // resume waits for the retry backoff, then requests the rest of the response from the same
 // upstream and relays it.
 func (s *streamRelay) resume(failures int) error {
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -53,6 +53,7 @@
 	if lacksFraming(response) && !a.relay.options.General {
 		return a.failedResult(errors.Wrap(ErrTruncated, "response has neither a length nor chunked encoding"))
 	}
+	a.begunAt = time.Now()
 	if a.call.Kind == version.PoolService {
 		a.firstToken = time.Since(a.started)
 	}
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -40,6 +40,8 @@
 	// stream is set if the caller requested an event stream.
 	stream      bool
 	reservation *reservation
+	// pass may end the request early.
+	pass Pass
 	// mayHaveExecuted is set after an attempt that the upstream may have executed.
 	mayHaveExecuted bool
 }
@@ -56,6 +58,7 @@
 		started:        now,
 		grantDeadline:  now.Add(DefaultDeadline),
 		idempotencyKey: admitted.idempotencyKey,
+		pass:           openPass{r.Context()},
 		singleAttempt:  admitted.idempotencyKey != nil || !pool.Repeatable(r.Method),
 	}
 	if admitted.deadline > 0 {
@@ -97,11 +100,15 @@
 
 // acquire waits for a grant.
 func (c *call) acquire() (request.Grant, *request.Refusal) {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.grantDeadline)
+	ctx, cancel := context.WithDeadline(c.pass.Context(), c.grantDeadline)
 	defer cancel()
 	c.ticket.Age = time.Since(c.started)
 	c.ticket.Wait = time.Until(c.grantDeadline)
-	return c.handler.options.Fleet.Acquire(ctx, c.ticket)
+	grant, refusal := c.handler.options.Fleet.Acquire(ctx, c.ticket)
+	if held := refusalOf(c.pass); refusal != nil && held != nil {
+		return request.Grant{}, held
+	}
+	return grant, refusal
 }
 
 // attempt makes one attempt and reports whether the caller has received the final response.
@@ -117,11 +124,14 @@
 		Outgoing:          request.Outgoing{ID: id.String()},
 		FirstByteDeadline: c.attemptDeadline(),
 		Stream:            c.stream,
+		Context:           c.pass.Context(),
+		OnBegin:           c.pass.Begin,
 	}
 	if c.idempotencyKey != nil {
 		return c.runClaimed(attempt, id)
 	}
 	result := relayer.Do(c.w, attempt)
+	c.pass.EndAttempt(grant.Upstream, result)
 	if c.takeRetry(result) {
 		c.mayHaveExecuted = c.mayHaveExecuted || !result.NotExecuted
 		relayer.Settle(result)
@@ -162,6 +172,9 @@
 	if c.r.Context().Err() != nil || !time.Now().Before(c.grantDeadline) {
 		return false
 	}
+	if refusalOf(c.pass) != nil || !c.pass.MayRepeat(result.SentAt) {
+		return false
+	}
 	return c.handler.retryBudget.take()
 }
 
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -52,6 +52,7 @@
 	}
 	go func() {
 		result := c.handler.options.Relay.Do(running.writer, attempt)
+		c.pass.EndAttempt(attempt.Grant.Upstream, result)
 		if result.NotExecuted {
 			c.handler.options.Ledger.Release(keyClaim)
 		} else {
--- a/daemon/request/serve/completion.go
+++ b/daemon/request/serve/completion.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -100,6 +101,8 @@
 	// OutputLimit is the request's limit on generated tokens; 0 means none.
 	OutputLimit int
 	prefix      uint64
+	// segments are the messages of a chat, by their text.
+	segments []request.PromptSegment
 }
 
 // parseResult is the result of parseCompletion.
@@ -144,9 +147,28 @@
 		prompt = parsed.Prompt
 	}
 	result.prefix = request.Prefix(prompt)
+	result.segments = messageSegments(parsed.Messages)
 	return result, nil
 }
 
+// maxMessageSegments limits the messages of a chat that are told apart.
+const maxMessageSegments = 64
+
+// messageSegments returns the messages of a chat as the segments of its prompt. Requests of one
+// application begin with the same ones.
+func messageSegments(messages json.RawMessage) []request.PromptSegment {
+	var texts []json.RawMessage
+	if err := json.Unmarshal(messages, &texts); err != nil {
+		// The engine judges the form of the messages.
+		return nil
+	}
+	segments := make([]request.PromptSegment, 0, min(len(texts), maxMessageSegments))
+	for _, text := range texts[:min(len(texts), maxMessageSegments)] {
+		segments = append(segments, request.PromptSegment{ID: xxhash.Sum64(text), Tokens: request.PromptTokens(len(text))})
+	}
+	return segments
+}
+
 // estimate returns the expected cost in generated tokens. The caller's hint is capped by
 // the request's own limit on generated tokens.
 func (c *completion) estimate(bodyBytes int, hint request.Cost) request.Cost {
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -28,6 +28,8 @@
 	// ConfigFresh reports whether the active configuration was confirmed recently enough to
 	// trust API keys, and the time since it was confirmed.
 	ConfigFresh func() (bool, time.Duration)
+	// Guard keeps prompts that crash upstreams away from them; the default admits all.
+	Guard Guard
 	// Counter counts final responses; the default counts nothing.
 	Counter Counter
 	// Retry returns the limits on retries, which apply to each pool separately. It is
@@ -69,6 +71,9 @@
 	if options.Counter == nil {
 		options.Counter = noopCounter{}
 	}
+	if options.Guard == nil {
+		options.Guard = openGuard{}
+	}
 	if options.MaxRequests == 0 {
 		options.MaxRequests = DefaultMaxRequests
 	}
@@ -115,7 +120,8 @@
 
 // ServeHTTP implements http.Handler.
 func (g *GeneralHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &generalCall{handler: g, w: w, r: r, started: time.Now()}
+	c := &generalCall{handler: g, w: w, r: r, started: time.Now(), pass: openPass{r.Context()}}
+	defer func() { c.pass.Close() }()
 	// The server drops the length of a request that has both a length and chunks. The bytes
 	// after such a request could be meant as part of it (request smuggling), so the
 	// connection is closed after any chunked request.
@@ -195,7 +201,15 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
-	return c.prepareTicket()
+	if refusal := c.prepareTicket(); refusal != nil || c.incoming.Prompt == nil {
+		return refusal
+	}
+	pass, refusal := g.options.Guard.Admit(c.r.Context(), c.incoming.Prompt.Segments)
+	if refusal != nil {
+		return refusal
+	}
+	c.pass = pass
+	return nil
 }
 
 // findRoute returns the route of a request, or nil. Paths and prefixes are compared in the
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -48,6 +48,8 @@
 	// sentAttempts counts the attempts that were granted, executedAttempts those that an
 	// upstream may have executed.
 	sentAttempts, executedAttempts int
+	// pass may end the request early.
+	pass Pass
 	// continuation is the interrupted stream to be continued; nil if there is none.
 	continuation *relay.Continuation
 }
@@ -81,9 +83,13 @@
 	if c.callerGone() {
 		return request.Grant{}, refuse(request.ReasonCallerGone, "the caller went away before the request was sent")
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.pass.Context(), c.deadline)
 	defer cancel()
-	return c.handler.options.Fleet.Acquire(ctx, c.ticket)
+	grant, refusal := c.handler.options.Fleet.Acquire(ctx, c.ticket)
+	if held := refusalOf(c.pass); refusal != nil && held != nil {
+		return request.Grant{}, held
+	}
+	return grant, refusal
 }
 
 // attempt makes one attempt and reports whether the caller has received the final response.
@@ -101,8 +107,11 @@
 		CompletionDeadline: c.deadline,
 		Continuation:       c.continuation,
 		CallerWaits:        func() bool { return !c.callerGone() },
+		Context:            c.pass.Context(),
+		OnBegin:            c.pass.Begin,
 	})
 	relayer.Settle(result)
+	c.pass.EndAttempt(grant.Upstream, result)
 	if !result.NotExecuted {
 		c.executedAttempts++
 	}
@@ -145,7 +154,7 @@
 	if c.sentAttempts >= maxSentAttempts || c.r.Context().Err() != nil || !time.Now().Before(c.deadline) {
 		return false
 	}
-	if !c.retryable(result) {
+	if !c.retryable(result) || refusalOf(c.pass) != nil || !c.pass.MayRepeat(result.SentAt) {
 		return false
 	}
 	return c.handler.withRetryBudget(c.pool.ID, func(w *retry.Window) bool { return w.Take(time.Now()) })
@@ -337,7 +346,7 @@
 // relayErrorText returns the text of the relay's error that err matches, or "".
 func relayErrorText(err error) string {
 	for _, sentinel := range []error{
-		relay.ErrWrongAttempt, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrTruncated,
+		relay.ErrWrongAttempt, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrAborted, relay.ErrTruncated,
 	} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -78,6 +78,8 @@
 	// OnClaim is called with the ledger's verdict on each claim. The default does nothing. It
 	// must not block.
 	OnClaim func(ClaimEvent)
+	// Guard keeps prompts that crash upstreams away from them; the default admits all.
+	Guard Guard
 	// Counter counts final responses; the default counts nothing.
 	Counter Counter
 	// VM and DataCentre identify this daemon. It isn't ready while operators have taken one
@@ -102,6 +104,9 @@
 
 // New returns a handler with the defaults filled in.
 func New(options Options) *Handler {
+	if options.Guard == nil {
+		options.Guard = openGuard{}
+	}
 	if options.MaxRequests == 0 {
 		options.MaxRequests = DefaultMaxRequests
 	}
@@ -208,6 +213,9 @@
 		c.ticket.Estimate = parsed.estimate(len(body), admitted.costHint)
 		c.ticket.Prefix = parsed.prefix
 		c.stream = parsed.Stream
+		if c.pass, refusal = h.options.Guard.Admit(r.Context(), parsed.segments); refusal != nil {
+			return nil, refusal
+		}
 		return c, nil
 	})
 }
@@ -252,5 +260,6 @@
 		return
 	}
 	c.reservation = reserved
+	defer c.pass.Close()
 	c.run()
 }
--- a/fleet/request/refusal.go
+++ b/fleet/request/refusal.go
@@ -50,6 +50,9 @@
 	// ReasonAnswerNotKept is used for a non-idempotent request that was executed and
 	// whose answer was too large to be recorded.
 	ReasonAnswerNotKept Reason = "answer-not-kept"
+	// ReasonPromptHeld is used for a prompt with a segment that has crashed the upstreams
+	// which began to answer it.
+	ReasonPromptHeld Reason = "prompt-held"
 	// ReasonOutcomeUnknown is used for a non-idempotent request that may have been
 	// executed.
 	ReasonOutcomeUnknown Reason = "outcome-unknown"
--- a/lab/calls/harness_test.go
+++ b/lab/calls/harness_test.go
@@ -157,11 +157,12 @@
 type routerOptions struct {
 	engines  []http.Handler
 	services []http.Handler
-	// addresses are further upstreams of the service pool.
-	addresses []string
-	ledger    serve.Ledger
-	serve     serve.Options
-	relay     relay.Options
+	// addresses are further upstreams of the service pool, engineAddresses of the model pool.
+	addresses       []string
+	engineAddresses []string
+	ledger          serve.Ledger
+	serve           serve.Options
+	relay           relay.Options
 }
 
 // newRouter serves a router over loopback, with a model pool of the engines and a
@@ -184,6 +185,9 @@
 	for i, handler := range options.engines {
 		add("polish", "engine-"+string(rune('a'+i)), listen(t, handler))
 	}
+	for _, address := range options.engineAddresses {
+		add("polish", address, address)
+	}
 	for i, handler := range options.services {
 		add("booking", "service-"+string(rune('a'+i)), listen(t, handler))
 	}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -46,6 +46,10 @@
 	// ChecksFencing makes the engine refuse orders whose fencing number is
 	// lower than that of an earlier order.
 	ChecksFencing bool
+	// DeadlyText crashes the engine when it begins to answer a prompt that contains it; empty
+	// is none. OnCrash is then called, and may make the engine unreachable.
+	DeadlyText string
+	OnCrash    func()
 	// Seed seeds the jitter of the token intervals.
 	Seed uint64
 }
@@ -79,8 +83,10 @@
 	Runs int
 	// Served counts the attempts that generated all their tokens.
 	Served int
-	// Overloads counts the crashes of a cold engine by overload.
-	Overloads int
+	// Overloads counts the crashes of a cold engine by overload, DeadlyPrompts those by
+	// Options.DeadlyText.
+	Overloads     int
+	DeadlyPrompts int
 	// Cancelled and Resumed count attempts.
 	Cancelled int
 	Resumed   int
@@ -212,6 +218,7 @@
 	e.counters.Runs++
 	e.runsByAttempt[id]++
 	if e.isCold() && e.running >= e.options.ColdLimit+e.answersSinceCold {
+		e.counters.Overloads++
 		e.crash()
 		return overloaded
 	}
@@ -224,7 +231,6 @@
 
 // crash stops all attempts and restarts the engine cold. It requires e.mu.
 func (e *Engine) crash() {
-	e.counters.Overloads++
 	e.answersSinceCold = 0
 	e.downUntil = time.Now().Add(e.options.RestartTime)
 	e.prefixCache = newPrefixCache(e.options.CachedPrefixes)
@@ -234,6 +240,18 @@
 	}
 }
 
+// crashByPrompt crashes the engine because of a deadly prompt.
+func (e *Engine) crashByPrompt() {
+	e.mu.Lock()
+	e.counters.DeadlyPrompts++
+	e.running--
+	e.crash()
+	e.mu.Unlock()
+	if e.options.OnCrash != nil {
+		e.options.OnCrash()
+	}
+}
+
 // finishRun counts an attempt as no longer running, and as served if it generated
 // all its tokens.
 func (e *Engine) finishRun(allGenerated bool) {
--- a/lab/engine/handlers.go
+++ b/lab/engine/handlers.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,6 +60,11 @@
 		http.Error(w, "out of memory", http.StatusInternalServerError)
 		return
 	}
+	if e.options.DeadlyText != "" && bytes.Contains(body.prompt(), []byte(e.options.DeadlyText)) {
+		time.Sleep(e.options.FirstToken)
+		e.crashByPrompt()
+		panic(http.ErrAbortHandler)
+	}
 	a := e.start(id, body)
 	e.answer(w, r, a, body.Stream)
 }
