Show and release held prompt segments with trefoilctl

An engineer on call could see a held segment in the log only, and not lift it. `trefoilctl prompt held` merges what the daemons say: which segment, since when, after how many crashes of which upstreams, how many requests were refused, and when it is tried again. `trefoilctl prompt release` ends the hold at one daemon, which tells the others. On the users' platform the calls are served at the metrics port and need the fleet's secret.

--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -138,6 +138,7 @@
 		PeerBytesReceived: a.peers.BytesReceived,
 		PlatformCalls:     platformCalls.Load,
 		Ledger:            func() any { return a.ledger.Stats() },
+		PromptQuarantine:  func() any { return a.quarantine.Stats() },
 	})
 	a.callersServer = a.newCallersServer()
 	a.peersServer = newServer(a.peers)
--- a/daemon/process/app/operators.go
+++ b/daemon/process/app/operators.go
@@ -21,6 +21,7 @@
 		Status:     a.status,
 		Timeline:   a.timeline,
 		Metrics:    a.metrics,
+		Prompts:    a.quarantine,
 		ApplyOrder: a.order,
 		Log:        a.log,
 	})
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -246,7 +246,7 @@
 		return nil
 	}
 	address := net.JoinHostPort(settings.IP, portString(d.options.MetricsPort))
-	metricsServer, err := d.newServer(&http.Server{Handler: d.metrics, ReadHeaderTimeout: time.Second}, address)
+	metricsServer, err := d.newServer(&http.Server{Handler: d.newOperatorHandler(), ReadHeaderTimeout: time.Second}, address)
 	if err != nil {
 		return errors.Wrap(err, "open metrics listener")
 	}
--- a/daemon/process/metrics/metrics.go
+++ b/daemon/process/metrics/metrics.go
@@ -41,6 +41,8 @@
 	// Ledger returns the totals of the ledger of non-idempotent requests as a value
 	// that can be encoded as JSON.
 	Ledger func() any
+	// PromptQuarantine returns the counters of held prompt segments, likewise.
+	PromptQuarantine func() any
 }
 
 // Metrics holds the variables of one daemon. It is safe for concurrent use.
@@ -64,6 +66,9 @@
 	if counters.Ledger != nil {
 		m.vars.Set("ledger", expvar.Func(counters.Ledger))
 	}
+	if counters.PromptQuarantine != nil {
+		m.vars.Set("prompt_quarantine", expvar.Func(counters.PromptQuarantine))
+	}
 	m.vars.Set("event_ring", expvar.Func(func() any { return m.eventQueue() }))
 	m.vars.Set("memory", expvar.Func(func() any { return memory() }))
 	m.vars.Set("fleet", expvar.Func(func() any { return m.fleet() }))
--- a/daemon/process/operator/operator.go
+++ b/daemon/process/operator/operator.go
@@ -53,6 +53,8 @@
 	Timeline *timeline.Ring
 	// Metrics serves the daemon's metrics; required.
 	Metrics http.Handler
+	// Prompts are the held prompt segments; required.
+	Prompts Prompts
 	// ApplyOrder applies an order on this daemon and forwards it to others; required. It
 	// returns the number of the configuration that includes the order.
 	ApplyOrder func(ctx context.Context, order version.Order) (version.Number, error)
@@ -72,45 +74,40 @@
 
 // Handler serves the operators' interface.
 type Handler struct {
-	options     Options
-	tokenDigest [sha256.Size]byte
-	mux         *http.ServeMux
+	options Options
+	mux     *http.ServeMux
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	h := &Handler{
-		options:     options,
-		tokenDigest: sha256.Sum256([]byte(options.Token)),
-		mux:         http.NewServeMux(),
-	}
+	h := &Handler{options: options, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET "+PathStatus, h.status)
 	h.mux.HandleFunc("GET "+PathTimeline, h.timeline)
 	h.mux.HandleFunc("POST "+PathOrders, h.order)
 	h.mux.Handle("GET "+PathMetrics, options.Metrics)
+	AddPrompts(h.mux, options.Prompts, options.Log)
 	return h
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !h.authorised(r) {
-		w.Header().Set("WWW-Authenticate", "Bearer")
-		fail(w, http.StatusUnauthorized, "send the operators' token as a bearer token")
-		return
+	if Authorise(w, r, h.options.Token) {
+		h.mux.ServeHTTP(w, r)
 	}
-	h.mux.ServeHTTP(w, r)
 }
 
-// authorised reports whether a request carries the operators' token. It compares digests in
-// constant time, so that the response time reveals neither the token's content nor its
-// length.
-func (h *Handler) authorised(r *http.Request) bool {
-	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !found || h.options.Token == "" {
-		return false
+// Authorise reports whether a request carries the operators' token, and answers it with status
+// 401 if not. It compares digests in constant time, so that the response time reveals neither
+// the token's content nor its length. An empty token authorises nobody.
+func Authorise(w http.ResponseWriter, r *http.Request, token string) bool {
+	given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	givenDigest, digest := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(token))
+	if found && token != "" && subtle.ConstantTimeCompare(givenDigest[:], digest[:]) == 1 {
+		return true
 	}
-	digest := sha256.Sum256([]byte(token))
-	return subtle.ConstantTimeCompare(digest[:], h.tokenDigest[:]) == 1
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	fail(w, http.StatusUnauthorized, "send the operators' token as a bearer token")
+	return false
 }
 
 func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
--- a/lab/edge/crash_test.go
+++ b/lab/edge/crash_test.go
@@ -1,22 +1,27 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilctl/command"
 	"github.com/trefoilwell/trefoilwell/daemon/process/edge"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
 	"github.com/trefoilwell/trefoilwell/lab/proxy"
@@ -44,6 +49,10 @@
 	upstreams []*crashingUpstream
 	callers   []string
 	client    *http.Client
+	// storeURL is the URL of the store, and operators are the host:port of the operators'
+	// listeners.
+	storeURL  string
+	operators []string
 }
 
 // crashingUpstream is an upstream behind a proxy, which refuses connections while the
@@ -93,6 +102,7 @@
 	t.Helper()
 	f := &crashingFleet{t: t, store: metastore.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}}
 	storeHTTP := httptest.NewServer(f.store)
+	f.storeURL = storeHTTP.URL
 	t.Cleanup(func() { f.store.Close(); storeHTTP.CloseClientConnections(); storeHTTP.Close() })
 	for i := range upstreams {
 		u := &crashingUpstream{Upstream: generalupstream.New(fmt.Sprintf("i-%d", i)), store: f.store}
@@ -127,7 +137,12 @@
 	if err := settings.Write(path); err != nil {
 		f.t.Fatal(err)
 	}
-	daemon, err := edge.New(edge.Options{SettingsPath: path, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute})
+	operators := freeAddress(f.t)
+	_, port, _ := net.SplitHostPort(operators)
+	metricsPort, _ := strconv.Atoi(port)
+	daemon, err := edge.New(edge.Options{
+		SettingsPath: path, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute, MetricsPort: metricsPort,
+	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -148,6 +163,27 @@
 		}
 	}
 	f.callers = append(f.callers, settings.CallerAddress)
+	f.operators = append(f.operators, operators)
+}
+
+// operate runs a command of trefoilctl against one VM and returns its output.
+func (f *crashingFleet) operate(vm int, args ...string) string {
+	f.t.Helper()
+	store := platform.NewStore(platform.StoreOptions{URL: f.storeURL, Transport: http.DefaultTransport})
+	object, err := store.Get(f.t.Context(), platform.KindMember, "fleet-secret")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var stored struct{ Secret string }
+	if err := json.Unmarshal(object.Spec, &stored); err != nil {
+		f.t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	args = append([]string{"--operator", f.operators[vm], "--operator-token", stored.Secret, "--json"}, args...)
+	if code := command.Run(f.t.Context(), args, &out, &errs); code != command.ExitOK {
+		f.t.Fatalf("%v exits with %d: %s", args, code, errs.String())
+	}
+	return out.String()
 }
 
 // promptReply is the answer to a request with a prompt.
@@ -167,20 +203,20 @@
 	for _, segment := range append(segments, fmt.Sprintf("%x", rand.Uint64()>>1)) {
 		prefix = append(prefix, segment+":100")
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.callers[vm]+path, strings.NewReader("body"))
+	call, err := http.NewRequest(http.MethodPost, "http://"+f.callers[vm]+path, strings.NewReader("body"))
 	if err != nil {
 		f.t.Error(err)
 		return promptReply{}
 	}
-	request.Host = host
-	request.Header.Set(platformtest.HeaderRequestID, id)
-	request.Header.Set(platformtest.HeaderKey, key)
-	request.Header.Set(platformtest.HeaderDeadline, "4000")
-	request.Header.Set(platformtest.HeaderTokens, fmt.Sprintf("%d,20", 100*len(prefix)))
-	request.Header.Set(platformtest.HeaderPromptSegments, strings.Join(prefix, ","))
+	call.Host = host
+	call.Header.Set(platformtest.HeaderRequestID, id)
+	call.Header.Set(platformtest.HeaderKey, key)
+	call.Header.Set(platformtest.HeaderDeadline, "4000")
+	call.Header.Set(platformtest.HeaderTokens, fmt.Sprintf("%d,20", 100*len(prefix)))
+	call.Header.Set(platformtest.HeaderPromptSegments, strings.Join(prefix, ","))
 	reply := promptReply{sentAt: time.Now()}
 	defer func() { reply.duration = time.Since(reply.sentAt) }()
-	answer, err := f.client.Do(request)
+	answer, err := f.client.Do(call)
 	if err != nil {
 		return reply
 	}
@@ -293,6 +329,67 @@
 	}
 }
 
+// holdDeadly sends requests with the deadly segment until every VM refuses them.
+func (f *crashingFleet) holdDeadly(path string) {
+	f.t.Helper()
+	deadline := time.Now().Add(waitTimeout)
+	for refusing, n := 0, 0; refusing < len(f.callers); n++ {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%d of %d VMs refuse the segment after %d crashes", refusing, len(f.callers), len(f.crashTimes()))
+		}
+		reply := f.send(n%len(f.callers), path, fmt.Sprintf("holding-%d", n), commonSegment, callerSegment, deadlySegment)
+		if reply.reason == string(request.ReasonPromptHeld) {
+			refusing++
+		} else {
+			refusing = 0
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Guards against a refusal that callers repeat, that is late or not true, and against a hold
+// that the engineer on call cannot see or lift, or that a VM without a link to the first does
+// not learn: it is linked after the verdict.
+func TestHeldSegmentIsRefusedShownAndReleased(t *testing.T) {
+	f := startCrashingFleet(t, 2, 6, generalupstream.Faults{DeadlySegments: []string{deadlySegment}, Delay: 20 * time.Millisecond})
+	stop := make(chan struct{})
+	soundReplies := f.soundTraffic("/stream/x", stop)
+	defer func() { close(stop); soundReplies() }()
+	time.Sleep(300 * time.Millisecond)
+	f.holdDeadly("/stream/x")
+	f.startDaemon("vm-late", strings.TrimPrefix(f.storeURL, "http://"))
+	late := len(f.callers) - 1
+	for deadline := time.Now().Add(waitTimeout); !strings.Contains(f.operate(late, "prompt", "held"), deadlySegment); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a VM that was linked after the verdict does not hold the segment")
+		}
+	}
+	for vm := range f.callers {
+		reply := f.send(vm, "/stream/x", fmt.Sprintf("refused-%d", vm), commonSegment, callerSegment, deadlySegment)
+		if reply.status != http.StatusBadRequest || reply.reason != string(request.ReasonPromptHeld) ||
+			reply.execution != string(request.NotExecuted) || reply.retryAfter != "" || reply.duration > time.Second {
+			t.Errorf("vm %d: %+v, want status 400 at once, not to be repeated", vm, reply)
+		}
+	}
+	if got := f.deadlyArrivals("refused", time.Time{}); got > 0 {
+		t.Errorf("%d requests reached upstreams after the verdict", got)
+	}
+	for _, u := range f.upstreams {
+		u.SetFaults(generalupstream.Faults{})
+	}
+	f.operate(late, "prompt", "release", deadlySegment)
+	for vm := range f.callers {
+		for deadline := time.Now().Add(waitTimeout); ; time.Sleep(50 * time.Millisecond) {
+			if f.send(vm, "/stream/x", "released", commonSegment, deadlySegment).status == http.StatusOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("vm %d refuses the segment after its release", vm)
+			}
+		}
+	}
+}
+
 // checkSoundReplies checks that sound requests are served while the deadly ones are held.
 func checkSoundReplies(t *testing.T, replies []promptReply, lastCrash time.Time) {
 	t.Helper()
