Relay answers of engines that end with their connection

What callers saw in the OpenAI form: a whole JSON completion without a length and chunks was refused with 502 after the engine had run it three times, since a truncated one could not be told from it. Its JSON tells: an answer that parses is whole, one that does not is retried. On the users' platform a stream with neither that ended before its first event was relayed as whole and empty, and events that arrived together with a broken one were not flushed before the connection was aborted.

Class: the end of an answer inferred from its framing. Streams on both paths end by their events, JSON by its form. A plain service's answer without a length is still refused in the OpenAI form, where nothing shows its end.

Evidence: TestCompletionThatEndsWithItsConnection failed (3 runs, 502) and TestAnswerThatEndsWithItsConnection failed (no events before the cut); both pass now.

--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -73,6 +73,9 @@
 func (s *streamRelay) interruptedResult(err error) Result {
 	result := s.brokenResult()
 	result.Err = err
+	// The events that arrived together with the broken one were not flushed yet. A caller that
+	// has disconnected needs none.
+	_ = s.writer.flush()
 	if errors.Is(err, ErrDeadlinePassed) {
 		result.finish.Outcome = request.OutcomeCancelled
 		return result
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -50,7 +50,7 @@
 
 // relayNonStream relays a response that is not a model engine's event stream.
 func (a *attempt) relayNonStream(response *http.Response, timer *stallTimer) Result {
-	if lacksFraming(response) && !a.relay.options.General {
+	if lacksFraming(response) && !a.relay.options.General && !a.validatesJSON(response) {
 		return a.failedResult(errors.Wrap(ErrTruncated, "response has neither a length nor chunked encoding"))
 	}
 	a.begunAt = time.Now()
@@ -100,10 +100,15 @@
 		result.Retryable = false
 		return result
 	}
+	if n > maxBufferedBytes && lacksFraming(response) && !a.relay.options.General {
+		result := a.failedResult(errors.New("response without a length exceeds the buffer limit, so its end cannot be told from a truncation"))
+		result.Retryable = false
+		return result
+	}
 	if n > maxBufferedBytes {
 		return a.passThrough(response, body.Bytes(), timer)
 	}
-	if a.call.Kind == version.PoolModel && declaresJSON(response) && !json.Valid(body.Bytes()) {
+	if a.validatesJSON(response) && !json.Valid(body.Bytes()) {
 		return a.failedResult(errors.Wrap(ErrTruncated, "response is not complete JSON"))
 	}
 	a.chargeResponse(response, body.Bytes())
@@ -131,9 +136,11 @@
 	err := a.writeAndFlush(alreadyRead)
 	timer.restart(a.relay.options.StallTimeout)
 	buffer, bytesSinceProgress, events := make([]byte, readBufferBytes), 0, isEventStream(response)
+	empty := len(alreadyRead) == 0
 	for err == nil {
 		var n int
 		n, err = a.passNextChunk(response, buffer)
+		empty = empty && n == 0
 		bytesSinceProgress += n
 		if bytesSinceProgress >= minProgressBytes || events && bytes.IndexByte(buffer[:n], '\n') >= 0 {
 			timer.restart(a.relay.options.StallTimeout)
@@ -141,6 +148,10 @@
 		}
 	}
 	a.chargeResponse(response, nil)
+	if empty && lacksFraming(response) {
+		// Nothing shows that the upstream has begun to write it.
+		a.begunAt = time.Time{}
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		return a.completedResult(DeliveryComplete, response.StatusCode)
@@ -183,6 +194,12 @@
 	a.meter.settle()
 }
 
+// validatesJSON reports whether a response is an engine's JSON, whose end is recognised by its
+// form once it is buffered.
+func (a *attempt) validatesJSON(response *http.Response) bool {
+	return a.call.Kind == version.PoolModel && declaresJSON(response)
+}
+
 func declaresJSON(response *http.Response) bool {
 	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	return err == nil && media == "application/json"
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -66,6 +66,8 @@
 	// NoFraming makes every answer, streams included, come with neither a length nor
 	// chunks: it ends when the connection is closed.
 	NoFraming bool
+	// NoEvents ends a stream without framing before its first event.
+	NoEvents bool
 }
 
 // Run is a request that was executed.
@@ -393,7 +395,10 @@
 	}
 	defer closeConn(conn)
 	text := CompleteStream()
-	if faults.TruncateAfter > 0 {
+	if faults.NoEvents {
+		text = ""
+	}
+	if faults.TruncateAfter > 0 && !faults.NoEvents {
 		text = text[:strings.Index(text, Event(faults.TruncateAfter+1))+len(Event(1))/2]
 	}
 	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + platformtest.HeaderRequestID + ": " + id +
