Count a restarted upstream's requests once against its cold limit

What callers saw: upstreams that came back cold got up to 16 requests in a second where 11 are allowed, and may crash again.

Cause: an upstream that restarts under its name is another upstream to the placer, with an empty count. In the moment between its return and its registration the VMs that had found it unreachable sent their part of the limit, and then their part again. The remainder of the limit went to other VMs too, since it was chosen by the incarnation. The count now goes on over a restart and the remainder is chosen by the name. Class: state keyed by incarnation for a limit of the process behind the name.

--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -72,9 +72,11 @@
 	}
 	sharers := p.sharers(now)
 	own, remainder := total/len(sharers), total%len(sharers)
-	ownRank, lowerRanked := memberRank(p.options.VM, u.ID), 0
+	// The name stays over a restart, so that the remainder does too.
+	name := version.NewUpstreamID(u.Name)
+	ownRank, lowerRanked := memberRank(p.options.VM, name), 0
 	for _, vm := range sharers {
-		if memberRank(vm, u.ID) < ownRank {
+		if memberRank(vm, name) < ownRank {
 			lowerRanked++
 		}
 	}
--- a/fleet/process/placement/cold_test.go
+++ b/fleet/process/placement/cold_test.go
@@ -157,3 +157,52 @@
 		t.Errorf("only %d requests in three minutes", len(sent))
 	}
 }
+
+// Guards against an upstream that restarts under its name and gets the limit of a cold upstream
+// twice in a second: before VMs learn of its new registration, from those that found it
+// unreachable, and again after that. With three VMs one got 13 and 15 requests of 11.
+func TestRestartedUpstreamGetsTheColdLimitOnce(t *testing.T) {
+	const perSecond, overage, slack = 4.0, 1.5, 5.0
+	members := []version.VMID{"vm-0", "vm-1", "vm-2"}
+	var sent []time.Time
+	for _, vm := range members {
+		f := newFixture(1, func(pool *version.Pool, _ map[version.UpstreamID]*version.Upstream) {
+			pool.SlowStart = version.SlowStart{ColdTime: 3 * time.Second, RequestsPerSecond: perSecond}
+		})
+		f.options.VM, f.options.ColdOverage, f.options.ColdSlack = vm, overage, slack
+		f.SetMembers(f.now.Add(-joinDelay), nil)
+		f.SetMembers(f.now.Add(-joinDelay), members)
+		now := f.now
+		place := func() {
+			if grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10)); refusal == nil {
+				sent = append(sent, now)
+				f.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+				f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+			}
+		}
+		grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10))
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeUnreachable})
+		// It is back, and a moment later its registration says so.
+		now = now.Add(2 * minEjection)
+		for range 20 {
+			place()
+		}
+		now = now.Add(40 * time.Millisecond)
+		upstreams := make(map[version.UpstreamID]*version.Upstream)
+		for id, old := range f.config.Upstreams {
+			restarted := *old
+			restarted.ID, restarted.ColdUntil = id+1000, now.Add(3*time.Second)
+			upstreams[restarted.ID] = &restarted
+		}
+		f.Configure(now, f.config.WithUpstreams(upstreams, version.OutOfService{}))
+		for range 20 {
+			place()
+		}
+	}
+	if float64(len(sent)) > perSecond*overage+slack {
+		t.Errorf("the upstream got %d requests within 40 ms, want at most %v", len(sent), perSecond*overage+slack)
+	}
+}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -81,8 +81,16 @@
 func (p *Placer) Configure(now time.Time, config *version.Config) {
 	p.config = config
 	clear(p.upstreamsByPool)
+	// replaced holds the upstreams that are no longer configured, by name.
+	replaced := make(map[string]*upstream)
 	for id, u := range p.upstreams {
-		if _, present := config.Upstreams[id]; !present && len(u.inFlight) == 0 {
+		if _, present := config.Upstreams[id]; present {
+			continue
+		}
+		if other := replaced[u.Name]; other == nil || other.firstWorkAt.Before(u.firstWorkAt) {
+			replaced[u.Name] = u
+		}
+		if len(u.inFlight) == 0 {
 			delete(p.upstreams, id)
 		}
 	}
@@ -95,6 +103,11 @@
 		if u == nil {
 			u = newUpstream(spec, pool, p.options.Regions[spec.DataCentre])
 			u.advice = p.advice[id]
+			if before := replaced[spec.Name]; before != nil {
+				// An upstream that restarts under its name may have got requests that were
+				// meant for its last incarnation.
+				u.coldLimiter.sentAt = slices.Clone(before.coldLimiter.sentAt)
+			}
 			p.upstreams[id] = u
 		}
 		u.Upstream, u.pool = spec, pool
