Play prompts that crash upstreams in the soak, and check both rules

The soak had no upstream that a prompt crashes. Now one or two segments at a time crash them, before a byte or inside the first event, in phases that overlap all other disturbances; the upstream is down for 1.5 s and comes back cold. Checked: after the fifth crash and 3 s at most three requests with the segment reach upstreams from VMs in touch; in calm spans sound prompts beside them are served at least half as often as else; a refusal as not executed is true; and no prompt is refused while nothing crashed.

Spans in which an upstream crashed are not calm, and its next incarnation is not bound by the advice and the pauses of the last one.

--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
@@ -24,6 +26,11 @@
 	// deadline that it gives in the request.
 	callTimeout  = 4 * time.Second
 	callDeadline = 3 * time.Second
+	// deadlyDivisor is the reciprocal of the fraction of the prompts that have a deadly
+	// segment while there is one.
+	deadlyDivisor = 8
+	// rareSegments is the number of segments of which each sound prompt has one.
+	rareSegments = 40
 )
 
 // call is one request of a caller and its answer.
@@ -34,6 +41,8 @@
 	// incarnation and incarnationAfter number the VM's process before and after
 	// the request. They differ if it was restarted meanwhile.
 	incarnation, incarnationAfter int
+	// deadly is the segment of its prompt that crashes upstreams; empty if it is sound.
+	deadly string
 	// keyVersion is the configuration version that introduced the API key.
 	keyVersion     int
 	sentAt, doneAt time.Time
@@ -87,6 +96,9 @@
 		case 1:
 			c.keyVersion = max(c.keyVersion-2-random.IntN(2), 0)
 		}
+		if deadly := f.deadlySegments(); len(deadly) > 0 && c.prompted() && random.IntN(deadlyDivisor) == 0 {
+			c.deadly = deadly[random.IntN(len(deadly))]
+		}
 		d := f.daemons[c.vm]
 		c.incarnation = d.currentIncarnation()
 		c.sentAt = time.Now()
@@ -111,6 +123,10 @@
 	request.Header.Set(platformtest.HeaderRequestID, c.id)
 	request.Header.Set(platformtest.HeaderKey, apiKeyOf(c.keyVersion))
 	request.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(callDeadline.Milliseconds()))
+	if c.prompted() {
+		request.Header.Set(platformtest.HeaderTokens, "400,20")
+		request.Header.Set(platformtest.HeaderPromptSegments, c.promptSegments())
+	}
 	answer, err := client.Do(request)
 	if err != nil {
 		return
@@ -121,6 +137,20 @@
 	c.status, c.receipt, c.body, c.complete = answer.StatusCode, answer.Header.Get(platformtest.HeaderReceipt), string(text), err == nil
 }
 
+// prompted reports whether the call has a prompt.
+func (c call) prompted() bool { return strings.Contains(c.kind, generalupstream.StreamPath) }
+
+// promptSegments returns the prompt of the call: a segment that all calls have, one that few
+// others have, perhaps a deadly one, and one of its own.
+func (c call) promptSegments() string {
+	own := xxhash.Sum64String(c.id)
+	segments := []string{"c0:100", fmt.Sprintf("%x:100", 0x5000+own%rareSegments)}
+	if c.deadly != "" {
+		segments = append(segments, c.deadly+":100")
+	}
+	return strings.Join(append(segments, fmt.Sprintf("%x:100", own|1<<63)), ",")
+}
+
 // wantBody returns the complete body of an upstream's answer to a call.
 func (c call) wantBody() string {
 	if !strings.Contains(c.kind, generalupstream.StreamPath) {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -28,14 +28,17 @@
 	// CheckTiming also checks the promises with a time limit. They can be broken merely
 	// because the machine is busy.
 	CheckTiming bool
-	Log         *slog.Logger
+	// NoDeadly leaves out prompts that crash upstreams.
+	NoDeadly bool
+	Log      *slog.Logger
 }
 
 // Report is the result of a run. Requests counts the ended calls, Served those with a
-// complete answer, and Executions the executions at upstreams.
+// complete answer, Executions the executions at upstreams, and Crashes their crashes by deadly
+// prompts.
 type Report struct {
-	Requests, Served, Executions, Disturbances int
-	Violations                                 []Violation
+	Requests, Served, Executions, Disturbances, Crashes int
+	Violations                                          []Violation
 }
 
 const (
@@ -49,6 +52,9 @@
 	// checkInterval is the interval at which the observations are checked during a
 	// run.
 	checkInterval = 5 * time.Second
+	// deadlyStream is the stream of the seed's random numbers for deadly prompts. Those of the
+	// callers begin with 1.
+	deadlyStream = 1 << 32
 )
 
 // Run runs and disturbs the daemons for Options.Length, or until a promise is broken.
@@ -72,6 +78,10 @@
 	}
 	s := newScenario(f, options)
 	background.Go(func() { s.run(ctx) })
+	if !options.NoDeadly {
+		random := rand.New(rand.NewPCG(options.Seed, deadlyStream))
+		background.Go(func() { s.runDeadly(ctx, random) })
+	}
 	var report Report
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -111,6 +121,8 @@
 		for _, a := range u.Arrivals() {
 			arrivals = append(arrivals, upstreamRequest{id: a.ID, at: a.At, pause: a.Pause})
 		}
+		crashes := u.Crashes()
+		e.crashes, e.crashesByUpstream = append(e.crashes, crashes...), append(e.crashesByUpstream, crashes)
 		e.executions, e.arrivals = append(e.executions, executions), append(e.arrivals, arrivals)
 		report.Executions += len(executions)
 	}
@@ -120,6 +132,9 @@
 		}
 	}
 	report.Disturbances, e.calm, e.drained, e.cold, e.leaving = s.observed()
+	e.deadly = s.observedDeadly()
+	e.disturbed, e.heldUp = s.observedDisturbances()
+	report.Crashes = len(e.crashes)
 	report.Violations = e.violations(timing)
 	return report
 }
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -30,12 +30,20 @@
 	drained      map[int][]span
 	cold         map[int][]span
 	leaving      map[int][]span
-	// restarting are the upstreams that are down because of a restart.
-	restarting map[int]bool
+	// restarting are the upstreams that are down because of a restart or crash, draining those
+	// that are registered as draining.
+	restarting, draining map[int]bool
+	// disturbed are the spans by VM in which its process or connections were disturbed; a
+	// span without an end lasts on.
+	disturbed map[int][]*span
+	// heldUp are the spans by upstream in which its connections were disturbed.
+	heldUp map[int][]*span
+	// deadly are the phases in which prompt segments crash upstreams.
+	deadly []deadlyPhase
 }
 
 func newScenario(f *fleet, options Options) *scenario {
-	return &scenario{
+	s := &scenario{
 		fleet:   f,
 		random:  rand.New(rand.NewPCG(options.Seed, 0)),
 		log:     options.Log,
@@ -44,7 +52,14 @@
 		leaving: make(map[int][]span),
 
 		restarting: make(map[int]bool),
+		draining:   make(map[int]bool),
+		disturbed:  make(map[int][]*span),
+		heldUp:     make(map[int][]*span),
 	}
+	for i, u := range f.upstreams {
+		u.OnCrash(func() { s.crash(i) })
+	}
+	return s
 }
 
 // observed returns the number of disturbances and the spans of evidence so far.
@@ -86,6 +101,23 @@
 	pauseLength   = 1200 * time.Millisecond
 )
 
+// disturbVM records that a VM is disturbed until the returned function is called.
+func (s *scenario) disturbVM(vm int) (end func()) { return s.disturb(s.disturbed, vm) }
+
+// disturb records in one of the scenario's maps that a VM or an upstream's connections are
+// disturbed until the returned function is called.
+func (s *scenario) disturb(spans map[int][]*span, i int) (end func()) {
+	disturbed := &span{from: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spans[i] = append(spans[i], disturbed)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		disturbed.to = time.Now()
+	}
+}
+
 // run alternates calm and storm phases until ctx ends, calm first.
 func (s *scenario) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -126,8 +158,10 @@
 		return
 	}
 	i := s.random.IntN(len(s.fleet.upstreams))
-	s.fleet.register(i, platformtest.StateDraining, 0)
 	drainedAt := time.Now()
+	s.setDraining(i, true)
+	defer s.setDraining(i, false)
+	s.fleet.register(i, platformtest.StateDraining, 0)
 	s.fleet.publishNextVersion()
 	// Of two other upstreams, one is at capacity and asks for pauses, and one gives
 	// drain advice.
@@ -144,17 +178,36 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	s.leaving[leaving] = append(s.leaving[leaving], span{from: drainedAt, to: now})
+	// An upstream that has crashed has another incarnation, which did not give the advice.
+	if !s.crashedSince(leaving, drainedAt) {
+		s.leaving[leaving] = append(s.leaving[leaving], span{from: drainedAt, to: now})
+	}
 	s.calm = append(s.calm, span{from: startedAt.Add(settleTime), to: now.Add(-time.Second)})
-	s.drained[i] = append(s.drained[i], span{from: drainedAt.Add(drainBound), to: now})
+	if !s.crashedSince(i, drainedAt.Add(-crashDowntime)) {
+		s.drained[i] = append(s.drained[i], span{from: drainedAt.Add(drainBound), to: now})
+	}
 	s.mu.Unlock()
+	s.setDraining(i, false)
 	s.registerCold(i)
 }
 
+// setDraining records whether an upstream is registered as draining.
+func (s *scenario) setDraining(i int, draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining[i] = draining
+}
+
 // registerCold registers a new, cold incarnation of an upstream.
 func (s *scenario) registerCold(i int) {
 	now := time.Now()
-	s.fleet.register(i, platformtest.StateReady, coldTime)
+	s.mu.Lock()
+	state := platformtest.StateReady
+	if s.draining[i] {
+		state = platformtest.StateDraining
+	}
+	s.mu.Unlock()
+	s.fleet.register(i, state, coldTime)
 	s.mu.Lock()
 	s.cold[i] = append(s.cold[i], span{from: now, to: now.Add(coldTime)})
 	s.mu.Unlock()
@@ -162,9 +215,10 @@
 
 var disturbances = []disturbance{
 	{"pause", func(s *scenario, pick func(int) int) func() {
-		d := s.fleet.daemons[pick(len(s.fleet.daemons))]
+		vm := pick(len(s.fleet.daemons))
+		d, end := s.fleet.daemons[vm], s.disturbVM(vm)
 		d.signal(syscall.SIGSTOP)
-		return func() { d.signal(syscall.SIGCONT) }
+		return func() { d.signal(syscall.SIGCONT); end() }
 	}},
 	{"kill", func(s *scenario, pick func(int) int) func() {
 		return s.restart(pick, syscall.SIGKILL)
@@ -189,13 +243,19 @@
 		return func() {}
 	}},
 	{"store connection fails", func(s *scenario, pick func(int) int) func() {
-		return disturbProxy(s.fleet.daemons[pick(len(s.fleet.daemons))].storeProxy, pick)
+		vm := pick(len(s.fleet.daemons))
+		undo, end := disturbProxy(s.fleet.daemons[vm].storeProxy, pick), s.disturbVM(vm)
+		return func() { undo(); end() }
 	}},
 	{"callers' connections fail", func(s *scenario, pick func(int) int) func() {
-		return disturbProxy(s.fleet.daemons[pick(len(s.fleet.daemons))].callersProxy, pick)
+		vm := pick(len(s.fleet.daemons))
+		undo, end := disturbProxy(s.fleet.daemons[vm].callersProxy, pick), s.disturbVM(vm)
+		return func() { undo(); end() }
 	}},
 	{"upstream connection fails", func(s *scenario, pick func(int) int) func() {
-		return disturbProxy(s.fleet.upstreams[pick(len(s.fleet.upstreams))].proxy, pick)
+		i := pick(len(s.fleet.upstreams))
+		undo, end := disturbProxy(s.fleet.upstreams[i].proxy, pick), s.disturb(s.heldUp, i)
+		return func() { undo(); end() }
 	}},
 	{"upstream fails", func(s *scenario, pick func(int) int) func() {
 		u := s.fleet.upstreams[pick(len(s.fleet.upstreams))]
@@ -253,15 +313,17 @@
 
 // restart ends a VM's process by a signal. The returned function starts the next one.
 func (s *scenario) restart(pick func(int) int, signal syscall.Signal) func() {
-	d := s.fleet.daemons[pick(len(s.fleet.daemons))]
+	vm := pick(len(s.fleet.daemons))
+	d, end := s.fleet.daemons[vm], s.disturbVM(vm)
 	incarnation := d.currentIncarnation()
 	if !d.signal(signal) {
 		// Another disturbance has ended the process and starts the next one.
-		return func() {}
+		return end
 	}
 	// A process that is paused handles the signal only once it is resumed.
 	d.signal(syscall.SIGCONT)
 	return func() {
+		defer end()
 		if err := s.fleet.restart(d, incarnation); err != nil {
 			s.log.Error("restart", "vm", d.name, "error", err)
 		}
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -59,6 +59,8 @@
 	// times at which versions were written to the store, by number.
 	version      int
 	publishTimes map[int]time.Time
+	// deadly are the prompt segments that crash upstreams now.
+	deadly []string
 }
 
 // backend is an upstream behind its proxy.
@@ -165,6 +167,24 @@
 	f.publishTimes[f.version] = time.Now()
 }
 
+// deadlySegments returns the prompt segments that crash upstreams now.
+func (f *fleet) deadlySegments() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deadly
+}
+
+// setDeadly sets the prompt segments that crash upstreams. inEvent says whether an upstream
+// crashes inside the first event or before it.
+func (f *fleet) setDeadly(segments []string, inEvent bool) {
+	for _, u := range f.upstreams {
+		u.SetDeadly(generalupstream.Deadly{Segments: segments, InEvent: inEvent})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deadly = segments
+}
+
 // newestVersion returns the number of the version in the store.
 func (f *fleet) newestVersion() int {
 	f.mu.Lock()
