--- a/lab/calls/crash_test.go
+++ b/lab/calls/crash_test.go
@@ -42,7 +42,10 @@
 			crashes.Add(1)
 			p.StopListening()
 			time.AfterFunc(engineDowntime, func() {
-				for p.ResumeListening() != nil {
+				for range 1000 {
+					if p.ResumeListening() == nil {
+						break
+					}
 					time.Sleep(10 * time.Millisecond)
 				}
 			})
--- a/lab/edge/crash_test.go
+++ b/lab/edge/crash_test.go
@@ -47,12 +47,27 @@
 	t         *testing.T
 	store     *metastore.Store
 	upstreams []*crashingUpstream
-	callers   []string
 	client    *http.Client
-	// storeURL is the URL of the store, and operators are the host:port of the operators'
-	// listeners.
-	storeURL  string
-	operators []string
+	// storeURL is the URL of the store.
+	storeURL string
+
+	mu sync.Mutex
+	// callers and operators are the host:port of the listeners of each VM.
+	callers, operators []string
+}
+
+// vms returns the number of VMs.
+func (f *crashingFleet) vms() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.callers)
+}
+
+// addresses returns the host:port of the callers' and operators' listeners of a VM.
+func (f *crashingFleet) addresses(vm int) (callers, operators string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.callers[vm], f.operators[vm]
 }
 
 // crashingUpstream is an upstream behind a proxy, which refuses connections while the
@@ -87,7 +102,10 @@
 	}
 	u.proxy.StopListening()
 	time.AfterFunc(crashDowntime, func() {
-		for u.proxy.ResumeListening() != nil {
+		for range 1000 {
+			if u.proxy.ResumeListening() == nil {
+				break
+			}
 			time.Sleep(10 * time.Millisecond)
 		}
 		u.mu.Lock()
@@ -163,6 +181,8 @@
 			f.t.Fatal("the daemon is not ready")
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.callers = append(f.callers, settings.CallerAddress)
 	f.operators = append(f.operators, operators)
 }
@@ -180,7 +200,8 @@
 		f.t.Fatal(err)
 	}
 	var out, errs bytes.Buffer
-	args = append([]string{"--operator", f.operators[vm], "--operator-token", stored.Secret, "--json"}, args...)
+	_, operators := f.addresses(vm)
+	args = append([]string{"--operator", operators, "--operator-token", stored.Secret, "--json"}, args...)
 	if code := command.Run(f.t.Context(), args, &out, &errs); code != command.ExitOK {
 		f.t.Fatalf("%v exits with %d: %s", args, code, errs.String())
 	}
@@ -204,7 +225,8 @@
 	for _, segment := range append(segments, fmt.Sprintf("%x", rand.Uint64()>>1)) {
 		prefix = append(prefix, segment+":100")
 	}
-	call, err := http.NewRequest(http.MethodPost, "http://"+f.callers[vm]+path, strings.NewReader("body"))
+	callers, _ := f.addresses(vm)
+	call, err := http.NewRequest(http.MethodPost, "http://"+callers+path, strings.NewReader("body"))
 	if err != nil {
 		f.t.Error(err)
 		return promptReply{}
@@ -265,7 +287,7 @@
 	var mu sync.Mutex
 	var replies []promptReply
 	var running sync.WaitGroup
-	for vm := range f.callers {
+	for vm := range f.vms() {
 		running.Go(func() {
 			for n := 0; ; n++ {
 				select {
@@ -309,7 +331,7 @@
 			var deadly sync.WaitGroup
 			for n := range 80 {
 				deadly.Go(func() {
-					f.send(n%len(f.callers), variant.path, fmt.Sprintf("deadly-%d", n), commonSegment, callerSegment, deadlySegment)
+					f.send(n%f.vms(), variant.path, fmt.Sprintf("deadly-%d", n), commonSegment, callerSegment, deadlySegment)
 				})
 				time.Sleep(75 * time.Millisecond)
 			}
@@ -335,11 +357,11 @@
 func (f *crashingFleet) holdDeadly(path string) {
 	f.t.Helper()
 	deadline := time.Now().Add(waitTimeout)
-	for refusing, n := 0, 0; refusing < len(f.callers); n++ {
+	for refusing, n := 0, 0; refusing < f.vms(); n++ {
 		if time.Now().After(deadline) {
-			f.t.Fatalf("%d of %d VMs refuse the segment after %d crashes", refusing, len(f.callers), len(f.crashTimes()))
+			f.t.Fatalf("%d of %d VMs refuse the segment after %d crashes", refusing, f.vms(), len(f.crashTimes()))
 		}
-		reply := f.send(n%len(f.callers), path, fmt.Sprintf("holding-%d", n), commonSegment, callerSegment, deadlySegment)
+		reply := f.send(n%f.vms(), path, fmt.Sprintf("holding-%d", n), commonSegment, callerSegment, deadlySegment)
 		if reply.reason == string(request.ReasonPromptHeld) {
 			refusing++
 		} else {
@@ -360,13 +382,13 @@
 	time.Sleep(300 * time.Millisecond)
 	f.holdDeadly("/stream/x")
 	f.startDaemon("vm-late", strings.TrimPrefix(f.storeURL, "http://"))
-	late := len(f.callers) - 1
+	late := f.vms() - 1
 	for deadline := time.Now().Add(waitTimeout); !strings.Contains(f.operate(late, "prompt", "held"), deadlySegment); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("a VM that was linked after the verdict does not hold the segment")
 		}
 	}
-	for vm := range f.callers {
+	for vm := range f.vms() {
 		reply := f.send(vm, "/stream/x", fmt.Sprintf("refused-%d", vm), commonSegment, callerSegment, deadlySegment)
 		if reply.status != http.StatusBadRequest || reply.reason != string(request.ReasonPromptHeld) ||
 			reply.execution != string(request.NotExecuted) || reply.retryAfter != "" || reply.duration > time.Second {
@@ -380,7 +402,7 @@
 		u.SetDeadly(generalupstream.Deadly{})
 	}
 	f.operate(late, "prompt", "release", deadlySegment)
-	for vm := range f.callers {
+	for vm := range f.vms() {
 		for deadline := time.Now().Add(waitTimeout); ; time.Sleep(50 * time.Millisecond) {
 			if f.send(vm, "/stream/x", "released", commonSegment, deadlySegment).status == http.StatusOK {
 				break
--- a/lab/proxy/proxy.go
+++ b/lab/proxy/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Mode is the fault that a proxy injects.
@@ -189,11 +191,17 @@
 	p.resetAll()
 }
 
+// errClosed is returned for a proxy that was closed.
+var errClosed = errors.New("proxy is closed")
+
 // ResumeListening listens again at the same address. It returns an error if another
-// process has taken the port.
+// process has taken the port, or the proxy was closed.
 func (p *Proxy) ResumeListening() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return errClosed
+	}
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -77,6 +77,7 @@
 		background.Go(func() { f.runCaller(ctx, &calls, caller, random) })
 	}
 	s := newScenario(f, options)
+	defer s.ended.Store(true)
 	background.Go(func() { s.run(ctx) })
 	if !options.NoDeadly {
 		random := rand.New(rand.NewPCG(options.Seed, deadlyStream))
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,9 @@
 	random *rand.Rand
 	log    *slog.Logger
 
+	// ended is set when the run is over, before its proxies are closed.
+	ended atomic.Bool
+
 	mu           sync.Mutex
 	disturbances int
 	calm         []span
@@ -303,11 +307,17 @@
 func (s *scenario) listenAgain(p *proxy.Proxy) {
 	var err error
 	for range relistenAttempts {
+		if s.ended.Load() {
+			return
+		}
 		if err = p.ResumeListening(); err == nil {
 			return
 		}
 		time.Sleep(relistenPause)
 	}
+	if s.ended.Load() {
+		return
+	}
 	s.log.Error("proxy of an upstream cannot listen on its port again", "error", err)
 }
 
