Judge a prompt's segments whatever its token count says

A prompt whose token count was missing or malformed had no description at all, so a segment that crashes upstreams in it was neither seen nor refused. The segments are decoded on their own now.

--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -201,10 +201,10 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
-	if refusal := c.prepareTicket(); refusal != nil || c.incoming.Prompt == nil {
+	if refusal := c.prepareTicket(); refusal != nil || len(c.incoming.Segments) == 0 {
 		return refusal
 	}
-	pass, refusal := g.options.Guard.Admit(c.r.Context(), c.incoming.Prompt.Segments)
+	pass, refusal := g.options.Guard.Admit(c.r.Context(), c.incoming.Segments)
 	if refusal != nil {
 		return refusal
 	}
@@ -373,7 +373,7 @@
 			slog.Int64("config_age_ms", c.configAge.Milliseconds()))
 	}
 	if c.handler.options.Log.Enabled(context.Background(), slog.LevelDebug) {
-		base = append(base, slog.Any("segments", segmentNames(c.incoming.Prompt)))
+		base = append(base, slog.Any("segments", segmentNames(c.incoming.Segments)))
 	}
 	c.handler.options.Log.LogAttrs(context.Background(), slog.LevelInfo, "request",
 		append(base, attributes...)...)
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -324,18 +324,15 @@
 		slog.Bool("not_run", result.NotExecuted),
 		slog.String("reason", reason),
 		slog.Int("events", result.Events),
-		slog.Any("segments", segmentNames(c.incoming.Prompt)))
+		slog.Any("segments", segmentNames(c.incoming.Segments)))
 }
 
 // maxLoggedSegments limits the prompt segments in a log line.
 const maxLoggedSegments = 16
 
-// segmentNames returns the identifiers of a prompt's segments as callers write them.
-func segmentNames(prompt *request.Prompt) []string {
-	if prompt == nil {
-		return nil
-	}
-	segments := prompt.Segments[:min(len(prompt.Segments), maxLoggedSegments)]
+// segmentNames returns the identifiers of the first segments of a prompt as callers write them.
+func segmentNames(segments []request.PromptSegment) []string {
+	segments = segments[:min(len(segments), maxLoggedSegments)]
 	names := make([]string, 0, len(segments))
 	for _, segment := range segments {
 		names = append(names, strconv.FormatUint(segment.ID, 16))
--- a/fleet/request/general.go
+++ b/fleet/request/general.go
@@ -38,6 +38,9 @@
 	Deadline time.Duration
 	// Prompt describes the prompt; nil if the caller does not.
 	Prompt *Prompt
+	// Segments are the prompt's segments, which are known although the rest of its
+	// description may be malformed.
+	Segments []PromptSegment
 	// LastEvent is the identifier of the last event that the caller received of a
 	// stream that it resumes; "" starts the stream.
 	LastEvent string
