--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -175,6 +175,11 @@
 	defer func() {
 		atCapacity.SetFaults(generalupstream.Faults{})
 		s.fleet.upstreams[leaving].SetFaults(generalupstream.Faults{})
+		if s.crashedSince(leaving, drainedAt.Add(-coldTime)) {
+			// It may still be cold.
+			s.registerCold(leaving)
+			return
+		}
 		s.fleet.renewIncarnation(leaving)
 	}()
 	if wait.Sleep(ctx, calmLength-settleTime) != nil {
