Treat an upstream that crashed as cold when it is back

What callers saw: an upstream that had crashed got 22 requests in a second where 11 are allowed, and may crash again.

Cause: VMs that had sent it nothing while it was down knew of the crash from others, for 0.16 to 0.35 s after its return not of its new registration, and took it for warm. A crash that a VM learns of now ejects the upstream for a moment, which also spares the retries of requests that would find it down, and from its first answer on it is cold for the time of its pool.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -154,7 +154,9 @@
 		ColdSlack:   settings.Bounds.ColdSlack,
 		ShareWindow: settings.Bounds.ShareWindow,
 	}), exchange.New(settings.VM), d.lag.Lag, d.log)
-	d.quarantine = quarantine.New(quarantine.Options{VM: settings.VM, Config: d.placing.Config, Log: d.log})
+	d.quarantine = quarantine.New(quarantine.Options{
+		VM: settings.VM, Config: d.placing.Config, OnCrash: d.placing.RecordCrash, Log: d.log,
+	})
 	d.metrics.vars.Set("prompt_quarantine", expvar.Func(func() any { return d.quarantine.Stats() }))
 	d.storeTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true}
 	d.store = platform.NewStore(platform.StoreOptions{URL: "http://" + settings.StoreAddress, Transport: d.storeTransport})
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -130,6 +130,13 @@
 	p.placer.RecordFirstByte(time.Now(), grant.ID, grant.Upstream, load, p.lag())
 }
 
+// RecordCrash records that an upstream has crashed.
+func (p *Placer) RecordCrash(id version.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.RecordCrash(time.Now(), id)
+}
+
 // Readers returns the VMs that read the platform's store on behalf of this one, the
 // preferred one first.
 func (p *Placer) Readers() []version.VMID {
--- a/daemon/process/quarantine/crash.go
+++ b/daemon/process/quarantine/crash.go
@@ -128,6 +128,7 @@
 	q.crashed++
 	q.options.Log.Info("upstream crashed", "upstream", q.upstreamNames([]version.UpstreamID{id})[0], "in_flight", len(d.attempts))
 	q.tracker.RecordCrash(now, id, d.at, d.attempts)
+	q.reportCrashes()
 	d.attempts = nil
 }
 
--- a/daemon/process/quarantine/quarantine.go
+++ b/daemon/process/quarantine/quarantine.go
@@ -38,7 +38,10 @@
 	Config func() *version.Config
 	// Dial opens a connection to an upstream; default net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	Log  *slog.Logger
+	// OnCrash is called when this daemon learns of a crash; the default does nothing. It must
+	// not block.
+	OnCrash func(version.UpstreamID)
+	Log     *slog.Logger
 }
 
 // Quarantine is the daemon's part of the fleet's quarantine. It is safe for concurrent use.
@@ -66,6 +69,9 @@
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
+	if options.OnCrash == nil {
+		options.OnCrash = func(version.UpstreamID) {}
+	}
 	return &Quarantine{
 		options:     options,
 		checks:      make(chan version.UpstreamID, maxPendingChecks),
@@ -140,6 +146,14 @@
 	now := time.Now()
 	q.tracker.Merge(now, message)
 	q.applyNotices(now)
+	q.reportCrashes()
+}
+
+// reportCrashes calls Options.OnCrash for the crashes that became known. mu must be held.
+func (q *Quarantine) reportCrashes() {
+	for _, id := range q.tracker.NewCrashes() {
+		q.options.OnCrash(id)
+	}
 }
 
 // applyNotices logs which segments are held or no longer held, and ends the requests with
--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -26,11 +26,14 @@
 // coldLimiter enforces this VM's fraction of the rate limit of a cold upstream.
 type coldLimiter struct {
 	coldUntil time.Time
-	sentAt    []time.Time
+	// coldOnReturn is set from a crash until the first answer after it, when the time begins
+	// for which the upstream is cold.
+	coldOnReturn bool
+	sentAt       []time.Time
 }
 
 // isCold reports whether the upstream is cold.
-func (l *coldLimiter) isCold(now time.Time) bool { return now.Before(l.coldUntil) }
+func (l *coldLimiter) isCold(now time.Time) bool { return l.coldOnReturn || now.Before(l.coldUntil) }
 
 // allows reports whether another request may be sent, if at most limit requests may be sent in
 // any window.
--- a/fleet/process/placement/cold_test.go
+++ b/fleet/process/placement/cold_test.go
@@ -206,3 +206,52 @@
 		t.Errorf("the upstream got %d requests within 40 ms, want at most %v", len(sent), perSecond*overage+slack)
 	}
 }
+
+// Guards against a flood of requests to an upstream that has crashed and is back, from VMs that
+// learned of the crash from others and do not know its new registration yet: three VMs sent 22
+// of 11 within 0.2 s.
+func TestCrashedUpstreamIsColdOnItsReturn(t *testing.T) {
+	const perSecond, overage, slack = 4.0, 1.5, 5.0
+	members := []version.VMID{"vm-0", "vm-1", "vm-2"}
+	sentInFirst, sentLater := 0, 0
+	for _, vm := range members {
+		f := newFixture(1, func(pool *version.Pool, _ map[version.UpstreamID]*version.Upstream) {
+			pool.SlowStart = version.SlowStart{ColdTime: 3 * time.Second, RequestsPerSecond: perSecond}
+		})
+		f.options.VM, f.options.ColdOverage, f.options.ColdSlack = vm, overage, slack
+		f.SetMembers(f.now.Add(-joinDelay), nil)
+		f.SetMembers(f.now.Add(-joinDelay), members)
+		crashed := f.upstreamsByPool[f.pool][0].ID
+		place := func(now time.Time) bool {
+			grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10))
+			if refusal != nil {
+				return false
+			}
+			f.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+			f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+			return true
+		}
+		f.RecordCrash(f.now, crashed)
+		if place(f.now.Add(minEjection / 2)) {
+			t.Error("a request is sent to an upstream that has just crashed")
+		}
+		// However long it takes to come back, it is cold then.
+		back := f.now.Add(20 * time.Second)
+		for range 20 {
+			if place(back) {
+				sentInFirst++
+			}
+		}
+		for range 20 {
+			if place(back.Add(3500 * time.Millisecond)) {
+				sentLater++
+			}
+		}
+	}
+	if float64(sentInFirst) > perSecond*overage+slack || sentInFirst == 0 {
+		t.Errorf("the upstream got %d requests at once when it was back, want some and at most %v", sentInFirst, perSecond*overage+slack)
+	}
+	if sentLater < 40 {
+		t.Errorf("the upstream got %d requests once it was warm, want 60", sentLater)
+	}
+}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -208,6 +208,10 @@
 		return
 	}
 	u.recordFirstByte(a)
+	if u.coldLimiter.coldOnReturn {
+		u.coldLimiter.coldOnReturn = false
+		u.coldLimiter.coldUntil = later(u.coldLimiter.coldUntil, now.Add(u.pool.SlowStart.ColdTime))
+	}
 	if lag <= maxTrustedLag {
 		u.updatePrediction(now, a, p.networkLatency(u))
 	}
@@ -242,6 +246,17 @@
 	}
 }
 
+// RecordCrash records that an upstream has crashed. It gets nothing for a moment, and when it is
+// back it is cold, which its registration may report only later.
+func (p *Placer) RecordCrash(now time.Time, id version.UpstreamID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.health.eject(now)
+	u.coldLimiter.coldOnReturn = u.pool.SlowStart.ColdTime > 0
+}
+
 // unreachable ejects an upstream that accepted no connection. When the upstream is back it may
 // be cold, which its registration reports only later.
 func (p *Placer) unreachable(now time.Time, u *upstream) {
--- a/fleet/process/quarantine/evidence.go
+++ b/fleet/process/quarantine/evidence.go
@@ -15,6 +15,8 @@
 	maxSuspects = 64
 	// crashRetention is how long a crash is kept as evidence.
 	crashRetention = 10 * time.Minute
+	// recentCrash is how long after a crash the upstream may still be down.
+	recentCrash = 5 * time.Second
 	// sameCrashWindow is how far the times of a crash may differ that several VMs report. An
 	// upstream that keeps its identifier over a restart may crash again later.
 	sameCrashWindow = 1500 * time.Millisecond
@@ -103,6 +105,9 @@
 	if c == nil {
 		c = &crash{upstream: upstream, at: at, suspects: make(map[uint64]suspect), answersBefore: t.answers}
 		t.addCrash(c)
+		if now.Sub(at) <= recentCrash {
+			t.newCrashes = append(t.newCrashes, upstream)
+		}
 	}
 	for _, segment := range t.mostSuspectFirst(suspects) {
 		t.mergeSuspect(c, segment, suspects[segment])
--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -71,6 +71,8 @@
 	answersTold map[uint64]struct{}
 	changes     changes
 	notices     []Notice
+	// newCrashes are the upstreams of recent crashes that this VM has just learned of.
+	newCrashes []version.UpstreamID
 }
 
 // New returns a Tracker without evidence.
@@ -105,6 +107,14 @@
 	return notices
 }
 
+// NewCrashes returns the upstreams of recent crashes that this VM has learned of since the last
+// call.
+func (t *Tracker) NewCrashes() []version.UpstreamID {
+	crashes := t.newCrashes
+	t.newCrashes = nil
+	return crashes
+}
+
 // shared returns the segments of a prompt that other requests may have too: all but the
 // last one.
 func shared(segments []request.PromptSegment) []request.PromptSegment {
