Bound the time to the next trial of a held segment whatever a message says

A daemon that was told of some 4,000 million trials of a segment computed the time to the next one in as many steps, with its lock held: seconds in which it answered nothing.

--- a/fleet/process/quarantine/hold.go
+++ b/fleet/process/quarantine/hold.go
@@ -129,7 +129,7 @@
 // trialInterval returns the time to the next trial after a number of them.
 func trialInterval(trials int) time.Duration {
 	interval := firstTrial
-	for range trials {
+	for ; trials > 0 && interval < maxTrialInterval; trials-- {
 		interval = min(interval*trialFactor, maxTrialInterval)
 	}
 	return interval
