--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -337,13 +337,18 @@
 	}
 }
 
+// hasKnownKey reports whether every VM has to know the call's key when the call is sent.
+func (e evidence) hasKnownKey(c call) bool {
+	return e.revokedAt(c.keyVersion).IsZero() && c.sentAt.Sub(e.publishedAt(c.keyVersion)) > configBound
+}
+
 // checkRecovery checks that requests with valid, applied keys are served again once
 // all disturbances are over.
 func (e evidence) checkRecovery(report func(string, string, ...any)) {
 	for _, s := range e.calm {
 		requests, served := 0, 0
 		for _, c := range e.calls {
-			if c.deadly == "" && !e.afterCrash(c) && s.contains(c.sentAt) && e.revokedAt(c.keyVersion).IsZero() && c.sentAt.Sub(e.publishedAt(c.keyVersion)) > configBound {
+			if c.deadly == "" && !e.afterCrash(c) && s.contains(c.sentAt) && e.hasKnownKey(c) {
 				requests++
 				if c.served() {
 					served++
--- a/lab/soak/deadly.go
+++ b/lab/soak/deadly.go
@@ -185,7 +185,7 @@
 		}
 		beside, served, others, othersServed := 0, 0, 0, 0
 		for _, c := range e.calls {
-			if !c.prompted() || c.deadly != "" || !e.revokedAt(c.keyVersion).IsZero() || !e.isCalm(c.sentAt) || !e.inTouch(c.vm, c.sentAt) {
+			if !c.prompted() || c.deadly != "" || !e.hasKnownKey(c) || !e.isCalm(c.sentAt) || !e.inTouch(c.vm, c.sentAt) {
 				continue
 			}
 			switch {
