Check drained upstreams in the soak also when they crash meanwhile

The check left out a drained upstream that had crashed. That was needed only while a crash registered it as ready again; it has stayed draining over a crash since, so nothing may reach it. A comment is wrapped.

--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // flight there. A segment is cleared by any complete answer that began later. A segment
 // that was in flight in several crashes, each time in a request that was sent after the
 // crash before, and that no complete answer cleared meanwhile, is held: requests with it
-// are refused, but for a trial now and then. Sound requests of the same callers differ from the crashing ones in that
-// segment alone, so their answers clear everything else.
+// are refused, but for a trial now and then. Sound requests of the same callers differ from
+// the crashing ones in that segment alone, so their answers clear everything else.
 //
 // All VMs exchange what they know and reach the same verdict. Merging is idempotent and
 // does not depend on the order of messages. A Tracker does no I/O and reads no clock.
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -192,9 +192,7 @@
 		s.leaving[leaving] = append(s.leaving[leaving], span{from: drainedAt, to: now})
 	}
 	s.calm = append(s.calm, span{from: startedAt.Add(settleTime), to: now.Add(-time.Second)})
-	if !s.crashedSince(i, drainedAt.Add(-crashDowntime)) {
-		s.drained[i] = append(s.drained[i], span{from: drainedAt.Add(drainBound), to: now})
-	}
+	s.drained[i] = append(s.drained[i], span{from: drainedAt.Add(drainBound), to: now})
 	s.mu.Unlock()
 	s.setDraining(i, false)
 	s.registerCold(i)
