Log and export the limits that upstreams name

No log line and no metric told that an upstream names a limit, so that the hypotheses of the incident could not be told apart. Nothing is decided by it yet. Every request is counted in the send history now, not only those of pools with a cold limit.

--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -79,16 +79,17 @@
 	return p.placer.Place(time.Now(), ticket)
 }
 
-// RecordAdvice records the advice (drain or pause) in an upstream's answer. requestID is the
-// identifier that the caller gave to the request, for the log.
-func (p *Placer) RecordAdvice(upstream version.UpstreamID, requestID string, advice request.Advice) {
+// RecordAdvice records what an upstream's answer says of its availability (drain, pause, rate
+// limit). requestID is the identifier that the caller gave to the request, for the log; sentAt is
+// when the request was sent.
+func (p *Placer) RecordAdvice(upstream version.UpstreamID, requestID string, sentAt time.Time, advice request.Advice) {
 	if advice.Invalid != "" {
 		p.log.Warn("upstream's advice is odd", "upstream", p.name(upstream), "request", requestID,
 			"value", advice.Invalid, "pause_ms", advice.Pause.Milliseconds())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.placer.RecordAdvice(time.Now(), upstream, advice)
+	p.placer.RecordAdvice(time.Now(), upstream, sentAt, advice)
 	p.logNotices(requestID)
 }
 
@@ -109,6 +110,12 @@
 				"source", "its answer", "leaving", notice.Leaving, "pause_ms", notice.Pause.Milliseconds())
 			continue
 		}
+		if notice.Limit.State != request.LimitUnsaid {
+			p.log.Info("upstream's limit has changed", "upstream", p.name(notice.Upstream), "request", requestID,
+				"source", "its answer", "limited", notice.Limit.State == request.LimitNamed,
+				"per_second", notice.Limit.PerSecond, "age_ms", notice.Age.Milliseconds())
+			continue
+		}
 		p.log.Info("upstream is used again", "upstream", p.name(notice.Upstream),
 			"source", "its pause is over", "age_ms", notice.Age.Milliseconds())
 	}
@@ -122,6 +129,34 @@
 	return ""
 }
 
+// UpstreamLimit is the limit that an upstream names, as operators see it. Rates are in requests
+// per second, counts are of the last 4 s.
+type UpstreamLimit struct {
+	Upstream  string    `json:"upstream"`
+	PerSecond float64   `json:"per_second"`
+	Since     time.Time `json:"since"`
+	// AgeMS is the time since the request was sent whose answer named the limit last, in
+	// milliseconds.
+	AgeMS int64 `json:"age_ms"`
+	// Sent is the number of requests that this process has sent.
+	Sent int `json:"sent"`
+}
+
+// Limits returns the limits that upstreams name now.
+func (p *Placer) Limits() []UpstreamLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	list := []UpstreamLimit{}
+	for _, limit := range p.placer.Limits(now) {
+		list = append(list, UpstreamLimit{
+			Upstream: limit.Name, PerSecond: limit.PerSecond, Since: limit.Since.Round(0),
+			AgeMS: now.Sub(limit.ObservedAt).Milliseconds(), Sent: limit.Sent,
+		})
+	}
+	return list
+}
+
 // RecordFirstByte records the first byte of an answer, with the load that the upstream
 // reported in it, or nil if it reported none.
 func (p *Placer) RecordFirstByte(grant request.Grant, load *request.Load) {
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -72,9 +72,10 @@
 	// OnFirstByte is called at the first byte of a response, with the load that the response
 	// reports, or nil. The default does nothing. It must not block.
 	OnFirstByte func(grant request.Grant, load *request.Load)
-	// OnAdvice is called with the advice that a response carries (drain, pause) and with the
-	// caller's request ID. The default does nothing. It must not block.
-	OnAdvice func(at version.UpstreamID, requestID string, advice request.Advice)
+	// OnAdvice is called with what a response says of its upstream's availability (drain,
+	// pause, rate limit), the caller's request ID and the time at which the attempt was
+	// started. The default does nothing. It must not block.
+	OnAdvice func(at version.UpstreamID, requestID string, sentAt time.Time, advice request.Advice)
 	// Declines reports whether an upstream has advised that it accepts no requests now. The
 	// default returns false. It must not block.
 	Declines func(id version.UpstreamID) bool
@@ -108,7 +109,7 @@
 		options.OnFirstByte = func(request.Grant, *request.Load) {}
 	}
 	if options.OnAdvice == nil {
-		options.OnAdvice = func(version.UpstreamID, string, request.Advice) {}
+		options.OnAdvice = func(version.UpstreamID, string, time.Time, request.Advice) {}
 	}
 	if options.Declines == nil {
 		options.Declines = func(version.UpstreamID) bool { return false }
@@ -346,7 +347,7 @@
 	}
 	advice := dialect.Advice(response.StatusCode, response.Header)
 	if !advice.IsZero() {
-		a.relay.options.OnAdvice(a.call.Grant.Upstream, a.call.Outgoing.ID, advice)
+		a.relay.options.OnAdvice(a.call.Grant.Upstream, a.call.Outgoing.ID, a.started, advice)
 	}
 	if dialect.NotExecuted(response.StatusCode, response.Header) {
 		return a.refusedResult(advice)
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -168,7 +168,7 @@
 	if !p.allowed(u, ticket) || u.advice.declines(now) {
 		return false
 	}
-	return !u.coldLimiter.isCold(now) || u.coldLimiter.allows(now, p.coldLimit(now, u))
+	return !u.cold.isCold(now) || u.sends.within(now, coldWindow) < p.coldLimit(now, u)
 }
 
 // allowed reports whether the configuration and the ticket allow an upstream.
--- a/fleet/process/placement/cold.go
+++ b/fleet/process/placement/cold.go
@@ -23,40 +23,16 @@
 // share this VM's fraction of the limits among themselves.
 const joinDelay = 3 * time.Second
 
-// coldLimiter enforces this VM's fraction of the rate limit of a cold upstream.
-type coldLimiter struct {
-	coldUntil time.Time
-	// coldOnReturn is set from a crash until the first answer after it, when the time begins
-	// for which the upstream is cold.
-	coldOnReturn bool
-	sentAt       []time.Time
+// coldState tells whether an upstream is cold.
+type coldState struct {
+	until time.Time
+	// onReturn is set from a crash until the first answer after it, when the time begins for
+	// which the upstream is cold.
+	onReturn bool
 }
 
 // isCold reports whether the upstream is cold.
-func (l *coldLimiter) isCold(now time.Time) bool { return l.coldOnReturn || now.Before(l.coldUntil) }
-
-// allows reports whether another request may be sent, if at most limit requests may be sent in
-// any window.
-func (l *coldLimiter) allows(now time.Time, limit int) bool {
-	l.forget(now.Add(-coldWindow))
-	return len(l.sentAt) < limit
-}
-
-// record counts a request that is sent. Requests to warm upstreams are counted too, because an
-// upstream may turn cold within the window.
-func (l *coldLimiter) record(now time.Time) {
-	l.forget(now.Add(-coldWindow))
-	l.sentAt = append(l.sentAt, now)
-}
-
-// forget drops the requests that were sent at cutoff or earlier.
-func (l *coldLimiter) forget(cutoff time.Time) {
-	expired := 0
-	for expired < len(l.sentAt) && !l.sentAt[expired].After(cutoff) {
-		expired++
-	}
-	l.sentAt = l.sentAt[expired:]
-}
+func (s *coldState) isCold(now time.Time) bool { return s.onReturn || now.Before(s.until) }
 
 // coldLimit returns how many requests this VM may send to a cold upstream in any window.
 //
--- a/fleet/process/placement/declined.go
+++ b/fleet/process/placement/declined.go
@@ -18,7 +18,7 @@
 	retrySpreadSteps = 8
 )
 
-// adviceState is the drain advice and the pauses that an upstream has sent in its answers. It
+// adviceState is the drain advice, the pauses and the limit that an upstream has sent in its answers. It
 // belongs to one incarnation of the upstream: a new incarnation has another identifier.
 type adviceState struct {
 	// leaving is set by drain advice and never reset.
@@ -29,6 +29,8 @@
 	advisedAt time.Time
 	// resumed is set once a request has been sent after the newest pause.
 	resumed bool
+	// limit is the request rate that the upstream takes from the whole fleet.
+	limit namedLimit
 }
 
 // declines reports whether the upstream wants no requests now. A nil state declines nothing.
@@ -42,23 +44,27 @@
 	// Leaving and Pause are why the upstream is avoided; neither is set if it is used again.
 	Leaving bool
 	Pause   time.Duration
-	// Age is how long ago the upstream sent the advice; set if it is used again.
+	// Limit is the limit that the upstream names from now on, or that it names none any more;
+	// LimitUnsaid if the notice is on something else.
+	Limit request.RateLimit
+	// Age is how long ago the upstream sent the advice; set if it is used again. For a limit it
+	// is the time since the request was sent whose answer named it.
 	Age time.Duration
 }
 
-// RecordAdvice records the advice that an upstream has sent in an answer.
-func (p *Placer) RecordAdvice(now time.Time, id version.UpstreamID, advice request.Advice) {
+// RecordAdvice records what an upstream says of itself in the answer to a request that was sent
+// at sentAt.
+func (p *Placer) RecordAdvice(now time.Time, id version.UpstreamID, sentAt time.Time, advice request.Advice) {
+	if state := p.advice[id]; state != nil || advice.Limit.State == request.LimitNamed {
+		state = p.adviceOf(id)
+		state.limit.observe(now, sentAt, advice.Limit)
+		state.advisedAt = now
+		p.noticeLimit(now, id, &state.limit)
+	}
 	if !advice.Leaving && advice.Pause <= 0 {
 		return
 	}
-	state := p.advice[id]
-	if state == nil {
-		state = &adviceState{}
-		p.advice[id] = state
-		if u := p.upstreams[id]; u != nil {
-			u.advice = state
-		}
-	}
+	state := p.adviceOf(id)
 	state.advisedAt = now
 	if advice.Leaving && !state.leaving {
 		state.leaving = true
@@ -72,6 +78,19 @@
 	}
 }
 
+// adviceOf returns the advice of an upstream, which it creates if there is none.
+func (p *Placer) adviceOf(id version.UpstreamID) *adviceState {
+	state := p.advice[id]
+	if state == nil {
+		state = &adviceState{resumed: true}
+		p.advice[id] = state
+		if u := p.upstreams[id]; u != nil {
+			u.advice = state
+		}
+	}
+	return state
+}
+
 // UpstreamDeclines reports whether an upstream has advised that it wants no requests now.
 func (p *Placer) UpstreamDeclines(now time.Time, id version.UpstreamID) bool {
 	return p.advice[id].declines(now)
--- a/fleet/process/placement/declined_test.go
+++ b/fleet/process/placement/declined_test.go
@@ -24,7 +24,7 @@
 func TestDrainAdviceOutlivesRegistration(t *testing.T) {
 	f := newFixture(2, nil)
 	drained, _ := f.placedAt(1)
-	f.RecordAdvice(f.now, drained, request.Advice{Leaving: true})
+	f.RecordAdvice(f.now, drained, f.now, request.Advice{Leaving: true})
 	config, without := f.config, *f.config
 	without.Upstreams = map[version.UpstreamID]*version.Upstream{}
 	for id, u := range config.Upstreams {
@@ -50,7 +50,7 @@
 func TestNewIncarnationOfDrainedUpstreamIsUsed(t *testing.T) {
 	f := newFixture(1, nil)
 	drained, _ := f.placedAt(1)
-	f.RecordAdvice(f.now, drained, request.Advice{Leaving: true})
+	f.RecordAdvice(f.now, drained, f.now, request.Advice{Leaving: true})
 	next := *f.config
 	restarted := *f.config.Upstreams[drained]
 	restarted.ID = version.NewUpstreamID("engine-0/reborn")
@@ -80,7 +80,7 @@
 		if step%50 == 0 {
 			p := &paused[step/50%3]
 			pause := time.Duration(step%7) * 100 * time.Millisecond
-			f.RecordAdvice(f.now, p.id, request.Advice{Pause: pause})
+			f.RecordAdvice(f.now, p.id, f.now, request.Advice{Pause: pause})
 			p.until = later(p.until, f.now.Add(pause))
 		}
 		ticket := f.ticket(1, 1, 100, 50)
@@ -106,7 +106,7 @@
 	shortest := 700 * time.Millisecond
 	pause := shortest
 	for id := range f.config.Upstreams {
-		f.RecordAdvice(f.now, id, request.Advice{Pause: pause})
+		f.RecordAdvice(f.now, id, f.now, request.Advice{Pause: pause})
 		pause += time.Second
 	}
 	seen := make(map[time.Duration]bool)
@@ -136,7 +136,7 @@
 	seen := 0
 	for id := range f.config.Upstreams {
 		if seen++; seen <= 3 {
-			f.RecordAdvice(f.now, id, request.Advice{Pause: 2 * time.Second})
+			f.RecordAdvice(f.now, id, f.now, request.Advice{Pause: 2 * time.Second})
 		}
 	}
 	placed := 0
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -106,14 +106,12 @@
 			if before := replaced[spec.Name]; before != nil {
 				// An upstream that restarts under its name may have got requests that were
 				// meant for its last incarnation.
-				u.coldLimiter.sentAt = slices.Clone(before.coldLimiter.sentAt)
+				u.sends = before.sends.clone()
 			}
 			p.upstreams[id] = u
 		}
 		u.Upstream, u.pool = spec, pool
-		if spec.ColdUntil.After(u.coldLimiter.coldUntil) {
-			u.coldLimiter.coldUntil = spec.ColdUntil
-		}
+		u.cold.until = later(u.cold.until, spec.ColdUntil)
 		p.upstreamsByPool[pool.ID] = append(p.upstreamsByPool[pool.ID], u)
 	}
 	for _, pool := range p.upstreamsByPool {
@@ -168,9 +166,7 @@
 	}
 	u.addAttempt(a)
 	p.recordUse(now, u)
-	if u.pool.SlowStart.RequestsPerSecond > 0 {
-		u.coldLimiter.record(now)
-	}
+	u.sends.record(now)
 	if u.cache != nil {
 		u.prefillDoneAt = later(u.prefillDoneAt, now).Add(best.prefillTime)
 		u.prefillTotal += uint64(best.uncachedTokens)
@@ -208,9 +204,9 @@
 		return
 	}
 	u.recordFirstByte(a)
-	if u.coldLimiter.coldOnReturn {
-		u.coldLimiter.coldOnReturn = false
-		u.coldLimiter.coldUntil = later(u.coldLimiter.coldUntil, now.Add(u.pool.SlowStart.ColdTime))
+	if u.cold.onReturn {
+		u.cold.onReturn = false
+		u.cold.until = later(u.cold.until, now.Add(u.pool.SlowStart.ColdTime))
 	}
 	if lag <= maxTrustedLag {
 		u.updatePrediction(now, a, p.networkLatency(u))
@@ -254,7 +250,7 @@
 		return
 	}
 	u.health.eject(now)
-	u.coldLimiter.coldOnReturn = u.pool.SlowStart.ColdTime > 0
+	u.cold.onReturn = u.pool.SlowStart.ColdTime > 0
 }
 
 // unreachable ejects an upstream that accepted no connection. When the upstream is back it may
@@ -262,7 +258,7 @@
 func (p *Placer) unreachable(now time.Time, u *upstream) {
 	u.health.recordUnreachable(now)
 	if coldTime := u.pool.SlowStart.ColdTime; coldTime > 0 {
-		u.coldLimiter.coldUntil = later(u.coldLimiter.coldUntil, u.health.ejectedUntil.Add(coldTime))
+		u.cold.until = later(u.cold.until, u.health.ejectedUntil.Add(coldTime))
 	}
 }
 
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -43,12 +43,14 @@
 // upstream is the state that this VM holds of one upstream.
 type upstream struct {
 	*version.Upstream
-	pool        *version.Pool
-	region      version.RegionID
-	inFlight    map[request.ID]*attempt
-	cache       *cache
-	coldLimiter coldLimiter
-	health      health
+	pool     *version.Pool
+	region   version.RegionID
+	inFlight map[request.ID]*attempt
+	cache    *cache
+	cold     coldState
+	// sends holds the requests that this VM has sent lately.
+	sends  sendHistory
+	health health
 	// advice holds the drain advice and the pauses that the upstream has sent; nil if it has
 	// sent none.
 	advice *adviceState
--- a/fleet/request/advice.go
+++ b/fleet/request/advice.go
@@ -23,12 +23,14 @@
 	// Pause is how long the upstream wants no requests from this process; 0 is no
 	// pause.
 	Pause time.Duration
+	// Limit is the request rate that the upstream takes from the whole fleet.
+	Limit RateLimit
 	// Invalid is a header value that was invalid and had to be replaced; empty if there
 	// is none.
 	Invalid string
 }
 
-// IsZero reports whether the answer carried no advice.
+// IsZero reports whether the answer says nothing of the upstream's availability.
 func (a Advice) IsZero() bool { return a == Advice{} }
 
 // ParsePause parses the value of a Retry-After header: seconds, possibly with a
