--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -37,6 +37,9 @@
 	RefusePause time.Duration
 	// DrainAdvice makes every answer carry the drain advice.
 	DrainAdvice bool
+	// Limit is the rate limit that every answer names, in requests per second as written in
+	// its header; "" names none.
+	Limit string
 	// Fail is how many requests are executed and answered with status 500.
 	Fail int
 	// NoAnswer is how many requests are executed and get no answer: their connection
@@ -276,6 +279,9 @@
 	if faults.DrainAdvice {
 		w.Header().Set(platformtest.HeaderLeaving, "1")
 	}
+	if faults.Limit != "" {
+		w.Header().Set(platformtest.HeaderLimit, faults.Limit)
+	}
 	if refuse {
 		w.Header().Set(platformtest.HeaderNotExecuted, "1")
 		if faults.RefusePause > 0 {
