Keep the requests of all VMs within the rate that an upstream names

Class: feedback of an upstream that is ignored, and a bound on a sum that no process keeps alone.

Each VM has the part of a limit that it has of the callers' requests, as far as the fair shares of their accounts cover them; in a large fleet, where that is less than a request, it is rounded by hashing so that the sum is right. VMs tell each other limits, demand and requests sent along the ways of the load reports, and leave an even part to VMs that they do not hear. The bound stands beside the cold limit, over one history of what was sent. An upstream that nobody heard for 4 s is tried now and then, so that it can end its limit. Callers that no upstream may take are refused at once, and an account that has had its share leaves the rest of the quotas to others: limited upstreams have short queues, so the predicted time to first byte holds back nobody.

--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -25,6 +25,9 @@
 	// largeFleetReportInterval replaces reportInterval in a large fleet, where a single
 	// process contributes little to the total load.
 	largeFleetReportInterval = 120 * time.Millisecond
+	// reportsPerLimitReport is the number of load reports for each report of the limits that
+	// upstreams name.
+	reportsPerLimitReport = 2
 	// linkPingInterval is the time between two pings on a link, which detect that the
 	// other end no longer responds, and linkPingTimeout the time limit for the answer.
 	linkPingInterval = 2 * time.Second
@@ -69,7 +72,7 @@
 }
 
 // linkPeers connects to the other processes once the fleet secret is known, then sends them
-// load reports until ctx ends.
+// load and limit reports until ctx ends.
 func (d *Daemon) linkPeers(ctx context.Context) error {
 	secret, err := d.obtainSecret(ctx)
 	if err != nil {
@@ -78,7 +81,12 @@
 	peers := d.newPeerManager(secret)
 	d.peers.Store(peers)
 	d.connectPeers(ctx)
-	for {
+	for round := 0; ; round++ {
+		if round%reportsPerLimitReport == 0 {
+			for _, message := range d.placing.LimitOutbox() {
+				peers.Send(message.To, message.Report)
+			}
+		}
 		if err := wait.Sleep(ctx, d.sendReports(peers)); err != nil {
 			return err
 		}
@@ -237,6 +245,8 @@
 		switch m := message.(type) {
 		case wire.LoadReport:
 			h.placing.ReceiveReport(from.VM, m)
+		case wire.LimitReport:
+			h.placing.ReceiveLimits(from.VM, m)
 		case wire.StateRequest:
 			if peers := h.peers.Load(); peers != nil {
 				(*Daemon)(h).answerStateRequest(peers, from.VM, m)
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -111,8 +111,12 @@
 			continue
 		}
 		if notice.Limit.State != request.LimitUnsaid {
+			source := "its answer"
+			if notice.Hearsay {
+				source = "another VM"
+			}
 			p.log.Info("upstream's limit has changed", "upstream", p.name(notice.Upstream), "request", requestID,
-				"source", "its answer", "limited", notice.Limit.State == request.LimitNamed,
+				"source", source, "limited", notice.Limit.State == request.LimitNamed,
 				"per_second", notice.Limit.PerSecond, "age_ms", notice.Age.Milliseconds())
 			continue
 		}
@@ -138,8 +142,13 @@
 	// AgeMS is the time since the request was sent whose answer named the limit last, in
 	// milliseconds.
 	AgeMS int64 `json:"age_ms"`
-	// Sent is the number of requests that this process has sent.
-	Sent int `json:"sent"`
+	// Hearsay is set if another process had that answer.
+	Hearsay bool `json:"hearsay"`
+	// Sent is the number of requests that this process has sent, Quota the number that it may
+	// send, and FleetSent the number that all processes have sent, as far as this one knows.
+	Sent      int `json:"sent"`
+	Quota     int `json:"quota"`
+	FleetSent int `json:"fleet_sent"`
 }
 
 // Limits returns the limits that upstreams name now.
@@ -151,7 +160,8 @@
 	for _, limit := range p.placer.Limits(now) {
 		list = append(list, UpstreamLimit{
 			Upstream: limit.Name, PerSecond: limit.PerSecond, Since: limit.Since.Round(0),
-			AgeMS: now.Sub(limit.ObservedAt).Milliseconds(), Sent: limit.Sent,
+			AgeMS: now.Sub(limit.ObservedAt).Milliseconds(), Hearsay: limit.Hearsay,
+			Sent: limit.Sent, Quota: limit.Quota, FleetSent: limit.FleetSent,
 		})
 	}
 	return list
@@ -204,6 +214,25 @@
 	p.placer.ReceiveReport(now, from, report, p.reporter.Receive(now, from, report))
 }
 
+// LimitOutbox returns the limit reports to send to other VMs; none while no limit is known.
+func (p *Placer) LimitOutbox() []exchange.LimitMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.reporter.LimitOutbox(now, p.placer.LimitReport(now))
+}
+
+// ReceiveLimits records a limit report of another VM.
+func (p *Placer) ReceiveLimits(from version.VMID, report wire.LimitReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if scope, used := p.reporter.ReceiveLimits(now, from, report); used {
+		p.placer.ReceiveLimits(now, scope, report)
+		p.logNotices("")
+	}
+}
+
 // UpstreamCount returns the number of upstreams that the placer keeps state of.
 func (p *Placer) UpstreamCount() int {
 	p.mu.Lock()
--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -95,6 +95,7 @@
 	configDecoders,
 	ledgerDecoders,
 	loadReportDecoders,
+	limitReportDecoders,
 	stateDecoders,
 	promptDecoders,
 )
--- a/fleet/process/exchange/exchange.go
+++ b/fleet/process/exchange/exchange.go
@@ -75,6 +75,9 @@
 	// set once there are any.
 	last        totals
 	hasBaseline bool
+	// limits is the newest limit report, received at limitsAt.
+	limits   wire.LimitReport
+	limitsAt time.Time
 }
 
 // New returns the reporter of a VM that knows no other members.
--- a/fleet/process/exchange/exchange_test.go
+++ b/fleet/process/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
@@ -188,3 +189,76 @@
 		}
 	}
 }
+
+// limitRound makes every VM send its limit report once: a demand of one request a second, one
+// request sent, and the limit that only the given VM observed.
+func (n *net) limitRound(observer version.VMID, limit request.RateLimit) map[version.VMID]map[string]wire.LimitReport {
+	heard := make(map[version.VMID]map[string]wire.LimitReport)
+	for range 4 {
+		n.round()
+		for _, member := range n.members {
+			own := wire.LimitReport{VMs: 1, Pools: []wire.PoolDemand{{Pool: 1, MilliPerSecond: 1000}}}
+			if member.VM == observer {
+				own.Upstreams = []wire.UpstreamLimit{wire.NewUpstreamLimit(upstream, limit, 0, 1)}
+			} else {
+				own.Upstreams = []wire.UpstreamLimit{wire.NewUpstreamLimit(upstream, request.RateLimit{State: request.LimitNone}, 10*time.Second, 1)}
+			}
+			for _, message := range n.reporters[member.VM].LimitOutbox(n.now, own) {
+				if scope, used := n.reporters[message.To].ReceiveLimits(n.now, member.VM, message.Report); used {
+					if heard[message.To] == nil {
+						heard[message.To] = make(map[string]wire.LimitReport)
+					}
+					heard[message.To][scope] = message.Report
+				}
+			}
+		}
+	}
+	return heard
+}
+
+// Guards against a VM that does not hear of a limit which only one VM was told, or that counts a
+// VM's demand and requests twice or not at all.
+func TestEachVMHearsOfLimitsAndCountsEachVMOnce(t *testing.T) {
+	named := request.RateLimit{State: request.LimitNamed, PerSecond: 7}
+	for _, size := range []struct{ dataCentres, perDataCentre int }{{3, 2}, {3, 4}, {3, 8}, {6, 12}} {
+		n := newNet(t, size.dataCentres, size.perDataCentre)
+		observer := n.members[len(n.members)-1].VM
+		heard := n.limitRound(observer, named)
+		for _, member := range n.members {
+			var vms, demand, sent uint32
+			heardLimit := member.VM == observer
+			for _, report := range heard[member.VM] {
+				vms += report.VMs
+				demand += report.Pools[0].MilliPerSecond / 1000
+				sent += report.Upstreams[0].Sent
+				heardLimit = heardLimit || report.Upstreams[0].RateLimit() == named
+			}
+			others := uint32(len(n.members) - 1)
+			if vms != others || demand != others || sent != others || !heardLimit {
+				t.Errorf("fleet of %d VMs: %s heard of %d VMs, a demand of %d a second and %d requests, want %d of each; heard of the limit: %v",
+					len(n.members), member.VM, vms, demand, sent, others, heardLimit)
+			}
+		}
+	}
+}
+
+// Guards against hubs whose sums count the requests of a hub twice, or miss a data centre, after
+// the active hub has gone.
+func TestLimitReportsOfTheSecondHubReplaceThoseOfTheFirst(t *testing.T) {
+	n := newNet(t, 3, 8)
+	n.limitRound(n.members[0].VM, request.RateLimit{State: request.LimitNamed, PerSecond: 7})
+	lost := n.reporters[n.members[0].VM].hubs["dc-0"][0]
+	n.down[lost] = true
+	for range 10 {
+		n.round()
+	}
+	for _, member := range n.members {
+		if scopes := n.reporters[member.VM]; scopes.selfIsHub() || member.DataCentre != "dc-0" {
+			continue
+		}
+		second := n.reporters[member.VM].hubs["dc-0"][1]
+		if scope, used := n.reporters[member.VM].ReceiveLimits(n.now, second, wire.LimitReport{VMs: 1}); scope != "fleet" || !used {
+			t.Errorf("%s: report of the second hub has scope %q and is used: %v, want the scope of the first one's", member.VM, scope, used)
+		}
+	}
+}
--- a/fleet/process/placement/accounts.go
+++ b/fleet/process/placement/accounts.go
@@ -122,6 +122,17 @@
 	return relativeUsage{shareUsed: granted / t.fairShare, ofHighest: min(granted/t.highestGranted, 1)}
 }
 
+// entitledFraction returns the fraction, 0 to 1, of what the account requested in the share window
+// that the fair share covers.
+func (t *usageTracker) entitledFraction(now time.Time, account version.AccountID) float64 {
+	t.relativeUsage(now, account)
+	requested := sum(t.usageOf(account).requested)
+	if t.fairShare <= 0 || requested <= t.fairShare {
+		return 1
+	}
+	return t.fairShare / requested
+}
+
 // computeHighestGranted returns the usage of the account that was granted most, in tokens.
 func (t *usageTracker) computeHighestGranted() float64 {
 	highest := 0.0
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -49,6 +49,12 @@
 		return candidate{}, p.noCandidate(now, ticket)
 	}
 	usage := p.usage.relativeUsage(now, ticket.Account)
+	if ticket.Attempt <= 1 && p.limitsReservedFor(now, ticket.Pool, usage) {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.advice.named() })
+		if len(candidates) == 0 {
+			return candidate{}, p.limitsReserved(now, ticket, usage.shareUsed)
+		}
+	}
 	longPrompts, long, slack := p.longPromptsOf(ticket.Pool), p.isLong(candidates[0].pool, ticket), 0.0
 	if long {
 		slack = longPrompts.slack
@@ -89,11 +95,27 @@
 			Detail: "every upstream has asked for a pause",
 		}
 	}
+	if after, limited := p.remainingLimit(now, ticket); limited {
+		return &request.Refusal{
+			Reason: request.ReasonQueueFull, Execution: request.NotExecuted, RetryAfter: after,
+			Detail: "every upstream gets as many requests as it has named",
+		}
+	}
 	return &request.Refusal{
 		Reason: request.ReasonNoUpstream, Execution: request.NotExecuted, RetryAfter: noUpstreamRetryAfter,
 	}
 }
 
+// limitsReserved returns the refusal for a ticket of an account that has had its share, while the
+// rest of what limited upstreams take is kept for others.
+func (p *Placer) limitsReserved(now time.Time, ticket request.Ticket, shareUsed float64) *request.Refusal {
+	after, _ := p.remainingLimit(now, ticket)
+	return &request.Refusal{
+		Reason: request.ReasonAccountQueueFull, Execution: request.NotExecuted, RetryAfter: after, ShareUsed: shareUsed,
+		Detail: "the account has had its share while others wait",
+	}
+}
+
 // noUpstreamRetryAfter is when a refused caller may come back if no upstream may be used.
 const noUpstreamRetryAfter = 500 * time.Millisecond
 
@@ -162,13 +184,13 @@
 	return p.permitted(now, u, ticket) && u.health.available(now) && !u.unresponsive(now)
 }
 
-// permitted reports whether the configuration, the ticket, the upstream's advice and its cold
-// limit permit an upstream. It disregards what this VM itself has observed of the upstream.
+// permitted reports whether the configuration, the ticket, the upstream's advice and its limits
+// permit an upstream. It disregards what this VM itself has observed of the upstream.
 func (p *Placer) permitted(now time.Time, u *upstream, ticket request.Ticket) bool {
 	if !p.allowed(u, ticket) || u.advice.declines(now) {
 		return false
 	}
-	return !u.cold.isCold(now) || u.sends.within(now, coldWindow) < p.coldLimit(now, u)
+	return p.withinBounds(now, u)
 }
 
 // allowed reports whether the configuration and the ticket allow an upstream.
--- a/fleet/process/placement/declined.go
+++ b/fleet/process/placement/declined.go
@@ -31,6 +31,9 @@
 	resumed bool
 	// limit is the request rate that the upstream takes from the whole fleet.
 	limit namedLimit
+	// sends is what this VM sent before the upstream was deregistered, for the case that its
+	// registration comes back.
+	sends sendHistory
 }
 
 // declines reports whether the upstream wants no requests now. A nil state declines nothing.
@@ -47,6 +50,8 @@
 	// Limit is the limit that the upstream names from now on, or that it names none any more;
 	// LimitUnsaid if the notice is on something else.
 	Limit request.RateLimit
+	// Hearsay is set if another VM had the answer that named the limit.
+	Hearsay bool
 	// Age is how long ago the upstream sent the advice; set if it is used again. For a limit it
 	// is the time since the request was sent whose answer named it.
 	Age time.Duration
@@ -133,5 +138,11 @@
 	if first.IsZero() {
 		return 0, false
 	}
-	return first.Sub(now) + time.Duration(ticket.ID%retrySpreadSteps)*retrySpreadStep, true
+	return first.Sub(now) + retrySpread(ticket), true
+}
+
+// retrySpread returns what is added to the Retry-After of a caller, so that callers who are
+// refused at the same time do not all return at once.
+func retrySpread(ticket request.Ticket) time.Duration {
+	return time.Duration(ticket.ID%retrySpreadSteps) * retrySpreadStep
 }
--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -18,6 +18,25 @@
 	// limitNoticeChange the relative change of a rate that is worth a notice.
 	limitNoticeInterval = time.Second
 	limitNoticeChange   = 0.1
+	// hearsayMargin is how much younger an observation of another VM must be to replace this
+	// VM's if they differ. The time that its report was under way is not known.
+	hearsayMargin = 250 * time.Millisecond
+	// endedLimitTime is how long a VM reports that a limit has ended.
+	endedLimitTime = 10 * time.Second
+	// quotaPeriod is the time for which the fractions of requests are rounded the same way.
+	quotaPeriod = 16 * time.Second
+	// fleetTolerance and fleetSlack are how far the requests of all VMs may exceed the limit
+	// in limitWindow because each VM rounds its part: a factor, and a number of requests.
+	fleetTolerance = 1.2
+	fleetSlack     = 2
+	// probeSilence is how long nobody heard an upstream's limit when it is tried again beyond
+	// the limit, and probeInterval the time for each such request: an upstream that gets
+	// nothing cannot say that its limit has ended.
+	probeSilence  = limitWindow
+	probeInterval = time.Second
+	// unreservedFraction is the used fraction of the quotas of a pool from which the rest is
+	// kept for others than an account that has just had its share.
+	unreservedFraction = 0.8
 )
 
 // namedLimit is the request rate that an upstream takes from the whole fleet, as far as this VM
@@ -27,8 +46,11 @@
 	// observedAt is when the request was sent whose answer said so. Answers may arrive in
 	// another order than their requests were sent.
 	observedAt time.Time
-	// since is when this VM learned that the upstream names a limit.
-	since time.Time
+	// since is when this VM learned that the upstream names a limit, and endedAt that it names
+	// none any more.
+	since, endedAt time.Time
+	// hearsay is set if another VM had the answer.
+	hearsay bool
 	// noticed is what the last notice said, and noticedAt its time.
 	noticed   request.RateLimit
 	noticedAt time.Time
@@ -40,8 +62,29 @@
 	if limit.State == request.LimitUnsaid || sentAt.Before(l.observedAt) {
 		return
 	}
-	if limit.State == request.LimitNamed && l.State != request.LimitNamed {
+	l.apply(now, sentAt, limit)
+	l.hearsay = false
+}
+
+// hear applies what another VM observed.
+func (l *namedLimit) hear(now, sentAt time.Time, limit request.RateLimit) {
+	margin := time.Duration(0)
+	if limit != l.RateLimit && l.State != request.LimitUnsaid {
+		margin = hearsayMargin
+	}
+	if limit.State == request.LimitUnsaid || !sentAt.After(l.observedAt.Add(margin)) {
+		return
+	}
+	l.apply(now, sentAt, limit)
+	l.hearsay = true
+}
+
+func (l *namedLimit) apply(now, sentAt time.Time, limit request.RateLimit) {
+	switch {
+	case limit.State == request.LimitNamed && l.State != request.LimitNamed:
 		l.since = now
+	case limit.State == request.LimitNone && l.State == request.LimitNamed:
+		l.endedAt = now
 	}
 	l.RateLimit, l.observedAt = limit, sentAt
 }
@@ -49,6 +92,126 @@
 // named reports whether the upstream names a limit. A nil state has none.
 func (s *adviceState) named() bool { return s != nil && s.limit.State == request.LimitNamed }
 
+// reportedLimit returns the limit to report to other VMs, or nil.
+func (s *adviceState) reportedLimit(now time.Time) *namedLimit {
+	if s.named() || s != nil && s.limit.State == request.LimitNone && now.Sub(s.limit.endedAt) < endedLimitTime {
+		return &s.limit
+	}
+	return nil
+}
+
+// hearLimit applies what another VM observed of an upstream's limit. That an upstream names none
+// is of interest only if it had named one.
+func (p *Placer) hearLimit(now time.Time, id version.UpstreamID, limit request.RateLimit, sentAt time.Time) {
+	if p.advice[id] == nil && limit.State != request.LimitNamed {
+		return
+	}
+	state := p.adviceOf(id)
+	state.limit.hear(now, sentAt, limit)
+	state.advisedAt = now
+	p.noticeLimit(now, id, &state.limit)
+}
+
+// bound is a number of requests that this VM may send to an upstream in any window of a length.
+type bound struct {
+	window   time.Duration
+	requests int
+}
+
+// bounds returns what bounds the requests of this VM to an upstream now: the limit of a cold
+// upstream and the limit that it names, of which this VM has its part each.
+func (p *Placer) bounds(now time.Time, u *upstream) (list [2]bound, count int) {
+	if u.cold.isCold(now) {
+		list[count] = bound{coldWindow, p.coldLimit(now, u)}
+		count++
+	}
+	if u.advice.named() {
+		list[count] = bound{limitWindow, p.limitQuota(now, u)}
+		count++
+	}
+	return list, count
+}
+
+// withinBounds reports whether another request may be sent to an upstream.
+func (p *Placer) withinBounds(now time.Time, u *upstream) bool {
+	list, count := p.bounds(now, u)
+	for _, b := range list[:count] {
+		if u.sends.within(now, b.window) >= b.requests {
+			return false
+		}
+	}
+	return true
+}
+
+// limitQuota returns how many requests this VM may send in any limitWindow to an upstream that
+// names a limit.
+//
+// Each VM has the part of the limit that it has of the callers' requests. In a large fleet that
+// is less than one request. So the fraction is rounded up at as many VMs, selected by hashing, as
+// it says, and the quotas of all VMs add up to the limit but for chance, which fleetTolerance
+// bounds.
+func (p *Placer) limitQuota(now time.Time, u *upstream) int {
+	limit := &u.advice.limit
+	total := limit.PerSecond * limitWindow.Seconds()
+	if silence := now.Sub(limit.observedAt) - probeSilence; silence > 0 {
+		total = max(total, silence.Seconds()/probeInterval.Seconds())
+	}
+	fleetSent := u.sends.within(now, limitWindow) + p.sentByPeers(now, u.ID)
+	if float64(fleetSent) >= total*fleetTolerance+fleetSlack {
+		return 0
+	}
+	quota, fraction := math.Modf(total * p.fleetPart(now, u.pool.ID))
+	if p.roundingThreshold(now, u) < fraction {
+		quota++
+	}
+	return int(min(quota, math.MaxInt32))
+}
+
+// roundingThreshold returns the fraction, 0 to 1, above which this VM's quota of an upstream is
+// rounded up. It is evenly distributed over VMs and upstreams and changes every quotaPeriod, at
+// another moment for each VM.
+func (p *Placer) roundingThreshold(now time.Time, u *upstream) float64 {
+	hash := memberRank(p.options.VM, u.ID)
+	period := (uint64(now.UnixNano()) + hash%uint64(quotaPeriod)) / uint64(quotaPeriod)
+	return float64(rendezvous(hash+period, u.ID)>>11) / (1 << 53)
+}
+
+// remainingLimit returns how long until this VM may send another request to one of the
+// upstreams that could execute the ticket but for the limits that they name; false if no limit
+// keeps the ticket from any of them.
+func (p *Placer) remainingLimit(now time.Time, ticket request.Ticket) (time.Duration, bool) {
+	limited, after := false, maxRetryAfter
+	for _, u := range p.upstreamsByPool[ticket.Pool] {
+		if !u.advice.named() || !p.allowed(u, ticket) || u.advice.declines(now) || !u.health.available(now) {
+			continue
+		}
+		limited = true
+		if sent := u.sends.sentAt; len(sent) > 0 {
+			after = min(after, sent[0].Add(limitWindow).Sub(now))
+		}
+	}
+	return retryAfter(after) + retrySpread(ticket), limited
+}
+
+// limitsReservedFor reports whether the rest of what this VM may send to the upstreams of a pool
+// that name limits is kept for accounts that have had less. Limited upstreams have short queues
+// and count requests, whatever these cost, so the predicted TTFB does not hold back an account
+// with costly requests. The more an account has had beyond its share, the less of the quotas may
+// be used before it has to wait.
+func (p *Placer) limitsReservedFor(now time.Time, pool version.PoolID, usage relativeUsage) bool {
+	if usage.shareUsed <= 1 || usage.ofHighest < behindFraction {
+		return false
+	}
+	sent, quota := 0, 0
+	for _, u := range p.upstreamsByPool[pool] {
+		if u.advice.named() {
+			sent += u.sends.within(now, limitWindow)
+			quota += p.limitQuota(now, u)
+		}
+	}
+	return float64(sent) >= unreservedFraction*float64(quota)/(usage.shareUsed*usage.shareUsed)
+}
+
 // noticeLimit adds a notice if an upstream's limit has changed since the last one.
 func (p *Placer) noticeLimit(now time.Time, id version.UpstreamID, l *namedLimit) {
 	if l.State == request.LimitUnsaid {
@@ -60,7 +223,7 @@
 		return
 	}
 	l.noticed, l.noticedAt = l.RateLimit, now
-	p.notices = append(p.notices, Notice{Upstream: id, Limit: l.RateLimit, Age: now.Sub(l.observedAt)})
+	p.notices = append(p.notices, Notice{Upstream: id, Limit: l.RateLimit, Hearsay: l.hearsay, Age: now.Sub(l.observedAt)})
 }
 
 // LimitStatus describes the limit that an upstream names, for operators.
@@ -73,8 +236,11 @@
 	// Since is when this VM learned that the upstream names a limit, and ObservedAt when the
 	// request was sent whose answer named it last.
 	Since, ObservedAt time.Time
-	// Sent is the number of requests that this VM sent in the last limitWindow.
-	Sent int
+	// Hearsay is set if another VM had that answer.
+	Hearsay bool
+	// Sent is the number of requests that this VM sent in the last limitWindow, Quota the
+	// number that it may send in any, and FleetSent the number that all VMs sent.
+	Sent, Quota, FleetSent int
 }
 
 // Limits returns the limits in force, sorted by the name of the upstream.
@@ -85,9 +251,10 @@
 			continue
 		}
 		limit := &u.advice.limit
+		sent := u.sends.within(now, limitWindow)
 		list = append(list, LimitStatus{
 			Upstream: u.ID, Name: u.Name, PerSecond: limit.PerSecond, Since: limit.since, ObservedAt: limit.observedAt,
-			Sent: u.sends.within(now, limitWindow),
+			Hearsay: limit.hearsay, Sent: sent, Quota: p.limitQuota(now, u), FleetSent: sent + p.sentByPeers(now, u.ID),
 		})
 	}
 	slices.SortFunc(list, func(a, b LimitStatus) int {
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -54,6 +54,10 @@
 	// advice holds the drain advice and the pauses that upstreams have sent in their answers.
 	advice  map[version.UpstreamID]*adviceState
 	notices []Notice
+	// demand measures the requests of callers, by pool.
+	demand map[version.PoolID]*demandMeter
+	// peerLimits are the limit reports of other VMs, by scope.
+	peerLimits map[string]peerLimits
 	// longPrompts holds the admission state of long prompts, by pool.
 	longPrompts map[version.PoolID]*longPromptState
 	// scratch is the candidate list, reused by each decision.
@@ -72,6 +76,8 @@
 		usage:           newUsageTracker(options.ShareWindow),
 		peerTotals:      make(map[version.VMID]*reportTotals),
 		advice:          make(map[version.UpstreamID]*adviceState),
+		demand:          make(map[version.PoolID]*demandMeter),
+		peerLimits:      make(map[string]peerLimits),
 		longPrompts:     make(map[version.PoolID]*longPromptState),
 	}
 }
@@ -91,6 +97,9 @@
 			replaced[u.Name] = u
 		}
 		if len(u.inFlight) == 0 {
+			if u.advice != nil {
+				u.advice.sends = u.sends
+			}
 			delete(p.upstreams, id)
 		}
 	}
@@ -102,7 +111,9 @@
 		u := p.upstreams[id]
 		if u == nil {
 			u = newUpstream(spec, pool, p.options.Regions[spec.DataCentre])
-			u.advice = p.advice[id]
+			if u.advice = p.advice[id]; u.advice != nil {
+				u.sends = u.advice.sends.clone()
+			}
 			if before := replaced[spec.Name]; before != nil {
 				// An upstream that restarts under its name may have got requests that were
 				// meant for its last incarnation.
@@ -152,6 +163,7 @@
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
 	if ticket.Attempt <= 1 {
 		p.usage.recordRequest(now, ticket.Account, cost(ticket))
+		p.demandOf(ticket.Pool).record(now, p.usage.entitledFraction(now, ticket.Account))
 	}
 	best, refusal := p.choose(now, ticket)
 	if refusal != nil {
