Keep the OpenAI form within the rate that an upstream names, and show limits

Entries tell the dispatcher of the upstream's pool what an answer names; its slot table counts grants and uses the part of the limit whose slots it owns, ramped up after a takeover. History and limit are one package, fleet/connection/ratelimit, for both paths. trefoilctl upstream limits, the operators' interface and the metrics show which limits are in force, since when, how old that is, what was sent and what may be.

--- a/daemon/connection/upstream/dialect.go
+++ b/daemon/connection/upstream/dialect.go
@@ -22,7 +22,8 @@
 	// Load returns the load reported in an answer's headers, and whether the
 	// answer reports one.
 	Load(answer http.Header) (request.Load, bool)
-	// Advice returns the advice to routers in an answer: drain, or pause.
+	// Advice returns what an answer says of the upstream's availability: drain, pause,
+	// rate limit.
 	Advice(status int, answer http.Header) request.Advice
 }
 
@@ -72,11 +73,16 @@
 // it, see Poller.
 func (Native) Load(http.Header) (request.Load, bool) { return request.Load{}, false }
 
-// Advice implements Dialect. It returns pauses only: a native upstream does not
+// Advice implements Dialect. It returns pauses and limits only: a native upstream does not
 // announce that it drains, its operator takes it out of service.
 func (Native) Advice(status int, answer http.Header) request.Advice {
-	if status != http.StatusServiceUnavailable {
-		return request.Advice{}
+	var advice request.Advice
+	if status == http.StatusServiceUnavailable {
+		advice = request.PauseAdvice(answer["Retry-After"])
 	}
-	return request.PauseAdvice(answer["Retry-After"])
+	limit, invalid := request.ParseRateLimit(answer[HeaderRateLimit])
+	if advice.Limit = limit; invalid != "" {
+		advice.Invalid = HeaderRateLimit + ": " + invalid
+	}
+	return advice
 }
--- a/daemon/connection/upstream/protocol.go
+++ b/daemon/connection/upstream/protocol.go
@@ -21,6 +21,9 @@
 	// HeaderNotRun is "true" in a refusal by which an upstream guarantees that
 	// the request was not executed.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderRateLimit is the number of requests a second, a decimal number, that the
+	// upstream takes from all routers together. It holds until an answer without it.
+	HeaderRateLimit = "X-Rate-Limit"
 	// PathLoad is the path of the load report.
 	PathLoad = "/v1/load"
 	// PathAttempts is the path prefix for resuming and cancelling an attempt.
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -199,6 +199,7 @@
 		Accounting: a.loop,
 		Transport:  a.transports.upstreams,
 		Scheme:     a.transports.upstreamScheme,
+		OnAdvice:   a.loop.RecordAdvice,
 	})
 	a.handler = serve.New(serve.Options{
 		OnClaim:    a.recordClaim,
--- a/daemon/process/app/operators.go
+++ b/daemon/process/app/operators.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,6 +23,7 @@
 		Timeline:   a.timeline,
 		Metrics:    a.metrics,
 		Prompts:    a.quarantine,
+		Limits:     a.upstreamLimits,
 		ApplyOrder: a.order,
 		Log:        a.log,
 	})
@@ -114,3 +116,27 @@
 		return number, err
 	}
 }
+
+// upstreamLimits returns the limits of the upstreams whose slots this daemon assigns.
+func (a *App) upstreamLimits() []operator.UpstreamLimit {
+	list := []operator.UpstreamLimit{}
+	stats, config, now := a.loop.Stats(), a.loop.Config(), time.Now()
+	if stats == nil || config == nil {
+		return list
+	}
+	for _, pool := range stats.Pools {
+		for _, upstream := range pool.Upstreams {
+			limit, configured := upstream.NamedLimit, config.Upstreams[upstream.Upstream]
+			if !limit.Named() || configured == nil {
+				continue
+			}
+			list = append(list, operator.UpstreamLimit{
+				Upstream: configured.Name, PerSecond: limit.PerSecond, Since: limit.Since.Round(0),
+				AgeMS: now.Sub(limit.ObservedAt).Milliseconds(), Sent: upstream.Sent,
+				Quota: int(limit.Budget(now)), FleetSent: upstream.Sent,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b operator.UpstreamLimit) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return list
+}
--- a/daemon/process/edge/operators.go
+++ b/daemon/process/edge/operators.go
@@ -11,6 +11,7 @@
 func (d *Daemon) newOperatorHandler() http.Handler {
 	calls := http.NewServeMux()
 	operator.AddPrompts(calls, d.quarantine, d.log)
+	operator.AddLimits(calls, d.placing.Limits)
 	mux := http.NewServeMux()
 	mux.Handle("/", d.metrics)
 	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
--- a/daemon/process/loop/loop.go
+++ b/daemon/process/loop/loop.go
@@ -269,6 +269,14 @@
 // End implements relay.Accounting: it reports the outcome of an attempt.
 func (l *Loop) End(finish request.Finish) { l.Post(node.Finish{Finish: finish}) }
 
+// RecordAdvice records what the answer to a request, sent at sentAt, says of its upstream's rate
+// limit.
+func (l *Loop) RecordAdvice(upstream version.UpstreamID, _ string, sentAt time.Time, advice request.Advice) {
+	if advice.Limit.State != request.LimitUnsaid {
+		l.Post(node.Limit{Upstream: upstream, Limit: advice.Limit, SentAt: sentAt})
+	}
+}
+
 // Load implements upstream.LoadHandler.
 func (l *Loop) Load(upstream version.UpstreamID, load slots.Load) {
 	l.Post(node.Load{Upstream: upstream, Load: load})
--- a/daemon/process/metrics/metrics.go
+++ b/daemon/process/metrics/metrics.go
@@ -170,6 +170,8 @@
 	SlotsUsable int  `json:"slots_usable"`
 	Cold        bool `json:"cold"`
 	Ejected     bool `json:"ejected"`
+	// LimitPerSecond is the request rate that the upstream names; absent if it names none.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 func (m *Metrics) fleet() fleetValue {
@@ -235,13 +237,17 @@
 		}
 	}
 	for _, upstream := range stats.Upstreams {
-		value.Upstreams[names.upstream(upstream.Upstream)] = upstreamValue{
+		row := upstreamValue{
 			SlotsUsed:   upstream.Used,
 			SlotsLimit:  upstream.Limit,
 			SlotsUsable: upstream.Usable,
 			Cold:        upstream.Cold,
 			Ejected:     upstream.Ejected,
 		}
+		if upstream.NamedLimit.Named() {
+			row.LimitPerSecond = &upstream.NamedLimit.PerSecond
+		}
+		value.Upstreams[names.upstream(upstream.Upstream)] = row
 	}
 	return value
 }
--- a/daemon/process/operator/operator.go
+++ b/daemon/process/operator/operator.go
@@ -55,6 +55,8 @@
 	Metrics http.Handler
 	// Prompts are the held prompt segments; required.
 	Prompts Prompts
+	// Limits returns the limits that upstreams name; required.
+	Limits func() []UpstreamLimit
 	// ApplyOrder applies an order on this daemon and forwards it to others; required. It
 	// returns the number of the configuration that includes the order.
 	ApplyOrder func(ctx context.Context, order version.Order) (version.Number, error)
@@ -86,6 +88,7 @@
 	h.mux.HandleFunc("POST "+PathOrders, h.order)
 	h.mux.Handle("GET "+PathMetrics, options.Metrics)
 	AddPrompts(h.mux, options.Prompts, options.Log)
+	AddLimits(h.mux, options.Limits)
 	return h
 }
 
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
@@ -133,32 +134,14 @@
 	return ""
 }
 
-// UpstreamLimit is the limit that an upstream names, as operators see it. Rates are in requests
-// per second, counts are of the last 4 s.
-type UpstreamLimit struct {
-	Upstream  string    `json:"upstream"`
-	PerSecond float64   `json:"per_second"`
-	Since     time.Time `json:"since"`
-	// AgeMS is the time since the request was sent whose answer named the limit last, in
-	// milliseconds.
-	AgeMS int64 `json:"age_ms"`
-	// Hearsay is set if another process had that answer.
-	Hearsay bool `json:"hearsay"`
-	// Sent is the number of requests that this process has sent, Quota the number that it may
-	// send, and FleetSent the number that all processes have sent, as far as this one knows.
-	Sent      int `json:"sent"`
-	Quota     int `json:"quota"`
-	FleetSent int `json:"fleet_sent"`
-}
-
 // Limits returns the limits that upstreams name now.
-func (p *Placer) Limits() []UpstreamLimit {
+func (p *Placer) Limits() []operator.UpstreamLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	list := []UpstreamLimit{}
+	list := []operator.UpstreamLimit{}
 	for _, limit := range p.placer.Limits(now) {
-		list = append(list, UpstreamLimit{
+		list = append(list, operator.UpstreamLimit{
 			Upstream: limit.Name, PerSecond: limit.PerSecond, Since: limit.Since.Round(0),
 			AgeMS: now.Sub(limit.ObservedAt).Milliseconds(), Hearsay: limit.Hearsay,
 			Sent: limit.Sent, Quota: limit.Quota, FleetSent: limit.FleetSent,
--- a/fleet/connection/slots/report.go
+++ b/fleet/connection/slots/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
@@ -203,6 +204,10 @@
 	Usable   int
 	Cold     bool
 	Ejected  bool
+	// NamedLimit is the limit that the upstream names, and Sent the requests granted
+	// within the window of limits.
+	NamedLimit ratelimit.Limit
+	Sent       int
 }
 
 // Upstreams describes the upstreams in service, sorted by ID.
@@ -236,5 +241,8 @@
 		Usable:   s.capacity(),
 		Cold:     s.cold(),
 		Ejected:  s.slowStart.ejected(now),
+
+		NamedLimit: s.limit,
+		Sent:       s.sends.Within(now, ratelimit.Window),
 	}
 }
--- a/fleet/connection/slots/slots.go
+++ b/fleet/connection/slots/slots.go
@@ -11,7 +11,9 @@
 //   - the slots that the upstream's owning team reserves for itself (team lending,
 //     in this file);
 //   - load that the upstream reports but that no entry has registered
-//     (report.go).
+//     (report.go);
+//   - the request rate that the upstream names, of which this dispatcher has the part
+//     of the slots that it owns (limit.go).
 package slots
 
 import (
@@ -19,6 +21,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -76,6 +79,10 @@
 	// usable caches the number of slots within the limit whose owner is registered.
 	usable    int
 	lastGrant time.Time
+	// limit is the request rate that the upstream takes from the whole fleet, and sends holds
+	// the requests that were granted lately.
+	limit ratelimit.Limit
+	sends ratelimit.History
 	// notifiedCold and notifiedEjected are the values that Changed last returned.
 	notifiedCold    bool
 	notifiedEjected bool
@@ -156,6 +163,7 @@
 	}
 	t.addHold(now, best, demand.Hold, demand.Team)
 	best.lastGrant = now
+	best.sends.Record(now)
 	best.slowStart.recordWork(now)
 	t.prefixes.record(demand.Prefix, best.upstream.ID)
 	return best.upstream.ID, true
@@ -173,7 +181,7 @@
 	preferred := t.prefixes.lookup(demand.Prefix)
 	t.sawFreeSlot = false
 	for _, s := range t.inService {
-		if !s.hasFreeSlot(now) {
+		if !s.hasFreeSlot(now) || !t.withinLimit(now, s) {
 			continue
 		}
 		t.sawFreeSlot = true
@@ -260,7 +268,7 @@
 func (t *Table) Free(now time.Time) int {
 	total := 0
 	for _, s := range t.inService {
-		if s.hasFreeSlot(now) && s.allowsTeam("") {
+		if s.hasFreeSlot(now) && s.allowsTeam("") && t.withinLimit(now, s) {
 			total += min(s.freeSlots(), s.capacity()-s.reservedSlots()-s.foreignHolds)
 		}
 	}
--- a/fleet/connection/wire/limit.go
+++ b/fleet/connection/wire/limit.go
@@ -7,11 +7,25 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// KindLimitReport tags LimitReport.
-const KindLimitReport Kind = 71
+const (
+	// KindLimitReport tags LimitReport.
+	KindLimitReport Kind = 71
+	// KindAttemptLimit tags AttemptLimit.
+	KindAttemptLimit Kind = 72
+)
 
 // limitReportDecoders decodes the messages on upstreams that name a rate limit.
-var limitReportDecoders = map[Kind]decoder{KindLimitReport: decodeAs[LimitReport]}
+var limitReportDecoders = map[Kind]decoder{
+	KindLimitReport:  decodeAs[LimitReport],
+	KindAttemptLimit: decodeAs[AttemptLimit],
+}
+
+// AttemptLimit tells a dispatcher what the answer to an attempt says of its upstream's limit.
+type AttemptLimit struct {
+	_     struct{} `cbor:",toarray"`
+	Pool  version.PoolID
+	Limit UpstreamLimit
+}
 
 // LimitReport reports the limits that upstreams name and how much of them is used. It is sent
 // only while a limit is known. Its counts describe the present, so a lost or repeated message does
@@ -80,5 +94,8 @@
 // PerSecond returns the demand in requests per second.
 func (d PoolDemand) PerSecond() float64 { return float64(d.MilliPerSecond) / milli }
 
+// Kind implements Message.
+func (AttemptLimit) Kind() Kind { return KindAttemptLimit }
+
 // Kind implements Message.
 func (LimitReport) Kind() Kind { return KindLimitReport }
--- a/fleet/process/dispatcher/dispatcher.go
+++ b/fleet/process/dispatcher/dispatcher.go
@@ -221,6 +221,18 @@
 	d.grant(now)
 }
 
+// ObserveLimit applies what an answer says of its upstream's limit. The limit of an upstream in
+// another data centre is passed on to its dispatcher there.
+func (d *Dispatcher) ObserveLimit(now time.Time, message wire.AttemptLimit) {
+	report := message.Limit
+	if p := d.peerOf(report.Upstream); p != nil {
+		p.proxy.ObserveLimit(now, d.options.Pool, report.Upstream, report.Age(), report.RateLimit())
+		return
+	}
+	d.slots.ObserveLimit(now, report.Upstream, report.Age(), report.RateLimit())
+	d.grant(now)
+}
+
 // LoadUnsupported records that an upstream does not report its load.
 func (d *Dispatcher) LoadUnsupported(now time.Time, upstream version.UpstreamID) {
 	d.slots.NoReport(now, upstream)
--- a/fleet/process/entry/entry.go
+++ b/fleet/process/entry/entry.go
@@ -73,9 +73,11 @@
 	registrations map[version.PoolID]*registration
 	// evidence holds the recent timely answers of each upstream.
 	evidence map[version.UpstreamID]*evidence
-	outbox   []Send
-	granted  []request.Grant
-	refused  []Refused
+	// limits holds what was last reported of upstreams that name a limit.
+	limits  map[version.UpstreamID]reportedLimit
+	outbox  []Send
+	granted []request.Grant
+	refused []Refused
 }
 
 // New returns an entry without requests.
@@ -88,6 +90,7 @@
 		requests:      make(map[request.ID]*heldRequest),
 		registrations: make(map[version.PoolID]*registration),
 		evidence:      make(map[version.UpstreamID]*evidence),
+		limits:        make(map[version.UpstreamID]reportedLimit),
 	}
 }
 
--- a/fleet/process/node/event.go
+++ b/fleet/process/node/event.go
@@ -38,6 +38,14 @@
 // Finish is the completion of an attempt at an upstream.
 type Finish struct{ Finish request.Finish }
 
+// Limit is what the answer to a request says of its upstream's rate limit.
+type Limit struct {
+	Upstream version.UpstreamID
+	Limit    request.RateLimit
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
 // Receive is one message from another daemon.
 type Receive struct {
 	From        version.VMID
@@ -111,6 +119,15 @@
 	})
 }
 
+func (e Limit) apply(n *Node, now time.Time) {
+	if n.config == nil {
+		return
+	}
+	if upstream, present := n.config.Upstreams[e.Upstream]; present {
+		n.entry.ObserveLimit(now, upstream.Pool, e.Upstream, now.Sub(e.SentAt), e.Limit)
+	}
+}
+
 func (e Receive) apply(n *Node, now time.Time) {
 	n.received++
 	from := dispatcher.EntryID{VM: e.From, Incarnation: e.Incarnation}
--- a/fleet/process/node/receive.go
+++ b/fleet/process/node/receive.go
@@ -74,6 +74,10 @@
 		if d, present := n.dispatchers[m.Pool]; present {
 			d.Finish(now, from, m)
 		}
+	case wire.AttemptLimit:
+		if d, present := n.dispatchers[m.Pool]; present {
+			d.ObserveLimit(now, m)
+		}
 	default:
 		return false
 	}
--- a/fleet/process/node/stats.go
+++ b/fleet/process/node/stats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/process/membership"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -89,6 +90,10 @@
 	Cold   bool
 	// Ejected is set while the upstream gets no work after it refused some.
 	Ejected bool
+	// NamedLimit is the request rate that the upstream takes from the whole fleet, and Sent
+	// the number of requests granted within the window of limits.
+	NamedLimit ratelimit.Limit
+	Sent       int
 }
 
 // Stats returns a snapshot of the node. It must be called by the goroutine that
--- a/fleet/process/placement/declined.go
+++ b/fleet/process/placement/declined.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -30,10 +31,10 @@
 	// resumed is set once a request has been sent after the newest pause.
 	resumed bool
 	// limit is the request rate that the upstream takes from the whole fleet.
-	limit namedLimit
+	limit limitState
 	// sends is what this VM sent before the upstream was deregistered, for the case that its
 	// registration comes back.
-	sends sendHistory
+	sends ratelimit.History
 }
 
 // declines reports whether the upstream wants no requests now. A nil state declines nothing.
@@ -62,7 +63,7 @@
 func (p *Placer) RecordAdvice(now time.Time, id version.UpstreamID, sentAt time.Time, advice request.Advice) {
 	if state := p.advice[id]; state != nil || advice.Limit.State == request.LimitNamed {
 		state = p.adviceOf(id)
-		state.limit.observe(now, sentAt, advice.Limit)
+		state.limit.Observe(now, sentAt, advice.Limit)
 		state.advisedAt = now
 		p.noticeLimit(now, id, &state.limit)
 	}
--- a/fleet/process/placement/demand.go
+++ b/fleet/process/placement/demand.go
@@ -92,11 +92,11 @@
 func (p *Placer) LimitReport(now time.Time) wire.LimitReport {
 	report := wire.LimitReport{VMs: 1}
 	for _, u := range p.upstreams {
-		limit := u.advice.reportedLimit(now)
-		if limit == nil {
+		if u.advice == nil || !u.advice.limit.Reportable(now) {
 			continue
 		}
-		report.Upstreams = append(report.Upstreams, wire.NewUpstreamLimit(u.ID, limit.RateLimit, now.Sub(limit.observedAt), u.sends.within(now, limitWindow)))
+		limit := &u.advice.limit
+		report.Upstreams = append(report.Upstreams, wire.NewUpstreamLimit(u.ID, limit.RateLimit, now.Sub(limit.ObservedAt), u.sends.Within(now, limitWindow)))
 	}
 	for pool, meter := range p.demand {
 		if rate := meter.rate(now); rate > 0 && len(report.Upstreams) > 0 {
--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -6,99 +6,39 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
 const (
-	// limitWindow is the window in which the requests to an upstream that names a limit are
-	// counted.
-	limitWindow = 4 * time.Second
 	// limitNoticeInterval is the least time between two notices of one upstream's limit, and
 	// limitNoticeChange the relative change of a rate that is worth a notice.
 	limitNoticeInterval = time.Second
 	limitNoticeChange   = 0.1
-	// hearsayMargin is how much younger an observation of another VM must be to replace this
-	// VM's if they differ. The time that its report was under way is not known.
-	hearsayMargin = 250 * time.Millisecond
-	// endedLimitTime is how long a VM reports that a limit has ended.
-	endedLimitTime = 10 * time.Second
 	// quotaPeriod is the time for which the fractions of requests are rounded the same way.
 	quotaPeriod = 16 * time.Second
 	// fleetTolerance and fleetSlack are how far the requests of all VMs may exceed the limit
 	// in limitWindow because each VM rounds its part: a factor, and a number of requests.
 	fleetTolerance = 1.2
 	fleetSlack     = 2
-	// probeSilence is how long nobody heard an upstream's limit when it is tried again beyond
-	// the limit, and probeInterval the time for each such request: an upstream that gets
-	// nothing cannot say that its limit has ended.
-	probeSilence  = limitWindow
-	probeInterval = time.Second
 	// unreservedFraction is the used fraction of the quotas of a pool from which the rest is
 	// kept for others than an account that has just had its share.
 	unreservedFraction = 0.8
 )
 
-// namedLimit is the request rate that an upstream takes from the whole fleet, as far as this VM
-// knows.
-type namedLimit struct {
-	request.RateLimit
-	// observedAt is when the request was sent whose answer said so. Answers may arrive in
-	// another order than their requests were sent.
-	observedAt time.Time
-	// since is when this VM learned that the upstream names a limit, and endedAt that it names
-	// none any more.
-	since, endedAt time.Time
-	// hearsay is set if another VM had the answer.
-	hearsay bool
-	// noticed is what the last notice said, and noticedAt its time.
+// limitWindow is the window in which the requests to an upstream that names a limit are counted.
+const limitWindow = ratelimit.Window
+
+// limitState is the limit that an upstream names, with what the last notice said of it.
+type limitState struct {
+	ratelimit.Limit
 	noticed   request.RateLimit
 	noticedAt time.Time
 }
 
-// observe applies what the answer to a request says that was sent at sentAt. The answer to an
-// older request than the one that is known changes nothing.
-func (l *namedLimit) observe(now, sentAt time.Time, limit request.RateLimit) {
-	if limit.State == request.LimitUnsaid || sentAt.Before(l.observedAt) {
-		return
-	}
-	l.apply(now, sentAt, limit)
-	l.hearsay = false
-}
-
-// hear applies what another VM observed.
-func (l *namedLimit) hear(now, sentAt time.Time, limit request.RateLimit) {
-	margin := time.Duration(0)
-	if limit != l.RateLimit && l.State != request.LimitUnsaid {
-		margin = hearsayMargin
-	}
-	if limit.State == request.LimitUnsaid || !sentAt.After(l.observedAt.Add(margin)) {
-		return
-	}
-	l.apply(now, sentAt, limit)
-	l.hearsay = true
-}
-
-func (l *namedLimit) apply(now, sentAt time.Time, limit request.RateLimit) {
-	switch {
-	case limit.State == request.LimitNamed && l.State != request.LimitNamed:
-		l.since = now
-	case limit.State == request.LimitNone && l.State == request.LimitNamed:
-		l.endedAt = now
-	}
-	l.RateLimit, l.observedAt = limit, sentAt
-}
-
 // named reports whether the upstream names a limit. A nil state has none.
-func (s *adviceState) named() bool { return s != nil && s.limit.State == request.LimitNamed }
-
-// reportedLimit returns the limit to report to other VMs, or nil.
-func (s *adviceState) reportedLimit(now time.Time) *namedLimit {
-	if s.named() || s != nil && s.limit.State == request.LimitNone && now.Sub(s.limit.endedAt) < endedLimitTime {
-		return &s.limit
-	}
-	return nil
-}
+func (s *adviceState) named() bool { return s != nil && s.limit.Named() }
 
 // hearLimit applies what another VM observed of an upstream's limit. That an upstream names none
 // is of interest only if it had named one.
@@ -107,7 +47,7 @@
 		return
 	}
 	state := p.adviceOf(id)
-	state.limit.hear(now, sentAt, limit)
+	state.limit.Hear(now, sentAt, limit)
 	state.advisedAt = now
 	p.noticeLimit(now, id, &state.limit)
 }
@@ -136,7 +76,7 @@
 func (p *Placer) withinBounds(now time.Time, u *upstream) bool {
 	list, count := p.bounds(now, u)
 	for _, b := range list[:count] {
-		if u.sends.within(now, b.window) >= b.requests {
+		if u.sends.Within(now, b.window) >= b.requests {
 			return false
 		}
 	}
@@ -152,11 +92,8 @@
 // bounds.
 func (p *Placer) limitQuota(now time.Time, u *upstream) int {
 	limit := &u.advice.limit
-	total := limit.PerSecond * limitWindow.Seconds()
-	if silence := now.Sub(limit.observedAt) - probeSilence; silence > 0 {
-		total = max(total, silence.Seconds()/probeInterval.Seconds())
-	}
-	fleetSent := u.sends.within(now, limitWindow) + p.sentByPeers(now, u.ID)
+	total := limit.Budget(now)
+	fleetSent := u.sends.Within(now, limitWindow) + p.sentByPeers(now, u.ID)
 	if float64(fleetSent) >= total*fleetTolerance+fleetSlack {
 		return 0
 	}
@@ -186,8 +123,8 @@
 			continue
 		}
 		limited = true
-		if sent := u.sends.sentAt; len(sent) > 0 {
-			after = min(after, sent[0].Add(limitWindow).Sub(now))
+		if oldest, sent := u.sends.Oldest(now); sent {
+			after = min(after, oldest.Add(limitWindow).Sub(now))
 		}
 	}
 	return retryAfter(after) + retrySpread(ticket), limited
@@ -205,7 +142,7 @@
 	sent, quota := 0, 0
 	for _, u := range p.upstreamsByPool[pool] {
 		if u.advice.named() {
-			sent += u.sends.within(now, limitWindow)
+			sent += u.sends.Within(now, limitWindow)
 			quota += p.limitQuota(now, u)
 		}
 	}
@@ -213,7 +150,7 @@
 }
 
 // noticeLimit adds a notice if an upstream's limit has changed since the last one.
-func (p *Placer) noticeLimit(now time.Time, id version.UpstreamID, l *namedLimit) {
+func (p *Placer) noticeLimit(now time.Time, id version.UpstreamID, l *limitState) {
 	if l.State == request.LimitUnsaid {
 		return
 	}
@@ -223,7 +160,7 @@
 		return
 	}
 	l.noticed, l.noticedAt = l.RateLimit, now
-	p.notices = append(p.notices, Notice{Upstream: id, Limit: l.RateLimit, Hearsay: l.hearsay, Age: now.Sub(l.observedAt)})
+	p.notices = append(p.notices, Notice{Upstream: id, Limit: l.RateLimit, Hearsay: l.Hearsay, Age: now.Sub(l.ObservedAt)})
 }
 
 // LimitStatus describes the limit that an upstream names, for operators.
@@ -251,10 +188,10 @@
 			continue
 		}
 		limit := &u.advice.limit
-		sent := u.sends.within(now, limitWindow)
+		sent := u.sends.Within(now, limitWindow)
 		list = append(list, LimitStatus{
-			Upstream: u.ID, Name: u.Name, PerSecond: limit.PerSecond, Since: limit.since, ObservedAt: limit.observedAt,
-			Hearsay: limit.hearsay, Sent: sent, Quota: p.limitQuota(now, u), FleetSent: sent + p.sentByPeers(now, u.ID),
+			Upstream: u.ID, Name: u.Name, PerSecond: limit.PerSecond, Since: limit.Since, ObservedAt: limit.ObservedAt,
+			Hearsay: limit.Hearsay, Sent: sent, Quota: p.limitQuota(now, u), FleetSent: sent + p.sentByPeers(now, u.ID),
 		})
 	}
 	slices.SortFunc(list, func(a, b LimitStatus) int {
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -112,12 +112,12 @@
 		if u == nil {
 			u = newUpstream(spec, pool, p.options.Regions[spec.DataCentre])
 			if u.advice = p.advice[id]; u.advice != nil {
-				u.sends = u.advice.sends.clone()
+				u.sends = u.advice.sends.Clone()
 			}
 			if before := replaced[spec.Name]; before != nil {
 				// An upstream that restarts under its name may have got requests that were
 				// meant for its last incarnation.
-				u.sends = before.sends.clone()
+				u.sends = before.sends.Clone()
 			}
 			p.upstreams[id] = u
 		}
@@ -178,7 +178,7 @@
 	}
 	u.addAttempt(a)
 	p.recordUse(now, u)
-	u.sends.record(now)
+	u.sends.Record(now)
 	if u.cache != nil {
 		u.prefillDoneAt = later(u.prefillDoneAt, now).Add(best.prefillTime)
 		u.prefillTotal += uint64(best.uncachedTokens)
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -49,7 +50,7 @@
 	cache    *cache
 	cold     coldState
 	// sends holds the requests that this VM has sent lately.
-	sends  sendHistory
+	sends  ratelimit.History
 	health health
 	// advice holds the drain advice and the pauses that the upstream has sent; nil if it has
 	// sent none.
