--- a/lab/cmd/soak/main.go
+++ b/lab/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	Out       string  `long:"out" default:"out/soak" description:"folder for the logs of each run"`
 	NoTiming  bool    `long:"no-timing" description:"check only what does not depend on the machine's speed"`
 	NoDeadly  bool    `long:"no-deadly" description:"leave out prompts that crash upstreams"`
+	NoLimits  bool    `long:"no-limits" description:"leave out upstreams that name rate limits"`
 	Verbose   bool    `long:"verbose" description:"log each disturbance"`
 }
 
@@ -73,7 +74,7 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Length: time.Duration(opts.Minutes * float64(time.Minute)),
 			VMs: opts.VMs, Upstreams: opts.Upstreams, Callers: opts.Callers,
-			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly,
+			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly, NoLimits: opts.NoLimits,
 			Log: slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level})),
 		})
 		if err != nil {
--- a/lab/edge/limit_test.go
+++ b/lab/edge/limit_test.go
@@ -45,7 +45,10 @@
 // loads, and all upstreams of the pool are limited.
 func TestUpstreamsGetNoMoreThanTheRateTheyName(t *testing.T) {
 	const perSecond, duration = 6, 9 * time.Second
-	f := startCrashingFleet(t, 3, 2, generalupstream.Deadly{}, generalupstream.Faults{Limit: strconv.Itoa(perSecond)})
+	f := startCrashingFleet(t, 3, 2, generalupstream.Deadly{}, generalupstream.Faults{})
+	for _, u := range f.upstreams {
+		u.SetLimit(strconv.Itoa(perSecond))
+	}
 	var mu sync.Mutex
 	var replies []promptReply
 	var running sync.WaitGroup
@@ -85,7 +88,7 @@
 		}
 	}
 	for _, u := range f.upstreams {
-		u.SetFaults(generalupstream.Faults{})
+		u.SetLimit("")
 	}
 	served := 0
 	for deadline := time.Now().Add(waitTimeout); served < 20 && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -37,9 +37,6 @@
 	RefusePause time.Duration
 	// DrainAdvice makes every answer carry the drain advice.
 	DrainAdvice bool
-	// Limit is the rate limit that every answer names, in requests per second as written in
-	// its header; "" names none.
-	Limit string
 	// Fail is how many requests are executed and answered with status 500.
 	Fail int
 	// NoAnswer is how many requests are executed and get no answer: their connection
@@ -114,7 +111,9 @@
 
 	mu     sync.Mutex
 	faults Faults
-	runs   []Run
+	// limit is the rate limit that answers name; "" names none.
+	limit string
+	runs  []Run
 	// arrivals holds all requests for this instance but those answered early.
 	arrivals []Arrival
 	// callerDisconnects counts the executions whose caller disconnected.
@@ -148,6 +147,14 @@
 	u.server.Close()
 }
 
+// SetLimit makes every answer name a rate limit, in requests per second as written in its header;
+// "" names none.
+func (u *Upstream) SetLimit(perSecond string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = perSecond
+}
+
 // SetFaults replaces the faults that are injected into later requests.
 func (u *Upstream) SetFaults(faults Faults) {
 	u.mu.Lock()
@@ -272,15 +279,15 @@
 			ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), At: now,
 		})
 	}
-	faults := u.faults
+	faults, limit := u.faults, u.limit
 	fail, noAnswer := !refuse && consume(&u.faults.Fail), !refuse && consume(&u.faults.NoAnswer)
 	wrongID, noLength := consume(&u.faults.WrongID), consume(&u.faults.NoLength)
 	u.mu.Unlock()
 	if faults.DrainAdvice {
 		w.Header().Set(platformtest.HeaderLeaving, "1")
 	}
-	if faults.Limit != "" {
-		w.Header().Set(platformtest.HeaderLimit, faults.Limit)
+	if limit != "" {
+		w.Header().Set(platformtest.HeaderLimit, limit)
 	}
 	if refuse {
 		w.Header().Set(platformtest.HeaderNotExecuted, "1")
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -55,6 +55,8 @@
 	complete bool
 	// drainAdvice is set if the answer carried the upstream's drain advice.
 	drainAdvice bool
+	// limited is set if the answer named a rate limit of the upstream.
+	limited bool
 }
 
 // callLog records the calls of all callers. It is safe for concurrent use.
@@ -133,6 +135,7 @@
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
+	c.limited = answer.Header.Get(platformtest.HeaderLimit) != ""
 	c.drainAdvice = answer.Header.Get(platformtest.HeaderLeaving) == "1"
 	c.status, c.receipt, c.body, c.complete = answer.StatusCode, answer.Header.Get(platformtest.HeaderReceipt), string(text), err == nil
 }
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -65,6 +65,8 @@
 	disturbed         map[int][]span
 	// heldUp are the spans by upstream in which its connections were disturbed.
 	heldUp map[int][]span
+	// limits are the phases by upstream in which it named a limit.
+	limits map[int][]limitPhase
 }
 
 // upstreamRequest is a request that an upstream received or executed.
@@ -100,6 +102,7 @@
 	if timing {
 		e.checkBesideDeadly(report)
 		e.checkCold(byID, report)
+		e.checkLimits(byID, report)
 		e.checkDrained(report)
 		e.checkLeaving(byID, report)
 		e.checkPauses(byID, report)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -30,6 +30,8 @@
 	CheckTiming bool
 	// NoDeadly leaves out prompts that crash upstreams.
 	NoDeadly bool
+	// NoLimits leaves out upstreams that name rate limits.
+	NoLimits bool
 	Log      *slog.Logger
 }
 
@@ -38,7 +40,9 @@
 // prompts.
 type Report struct {
 	Requests, Served, Executions, Disturbances, Crashes int
-	Violations                                          []Violation
+	// Limits counts the limits that upstreams named.
+	Limits     int
+	Violations []Violation
 }
 
 const (
@@ -135,6 +139,10 @@
 	report.Disturbances, e.calm, e.drained, e.cold, e.leaving = s.observed()
 	e.deadly = s.observedDeadly()
 	e.disturbed, e.heldUp = s.observedDisturbances()
+	e.limits = s.observedLimits()
+	for _, phases := range e.limits {
+		report.Limits += len(phases)
+	}
 	report.Crashes = len(e.crashes)
 	report.Violations = e.violations(timing)
 	return report
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -39,7 +39,7 @@
 	}
 	for _, seed := range seeds {
 		report, err := Run(t.Context(), Options{
-			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), Log: slog.New(slog.DiscardHandler),
+			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, Log: slog.New(slog.DiscardHandler),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -111,6 +111,9 @@
 		"sound prompt blamed without need": {evidenceOf(changed(func(c *call) { c.status, c.body = 400, `"prompt-held"` }), 0), "sound prompts"},
 		"false refusal of a prompt":        {evidenceOf(changed(func(c *call) { c.status, c.body = 400, `"not-run"` }), 1), "truthful refusals"},
 		"requests held up on their way":    {withHeldUpRequests(withColdUpstream(evidenceOf(complete, 12), at), at), ""},
+		"requests beyond a named limit":    {withNamedLimit(evidenceOf(complete, 0), at, 5*limitSlack, span{}), "named limits"},
+		"requests within a named limit":    {withNamedLimit(evidenceOf(complete, 0), at, limitSlack, span{}), ""},
+		"limit and a frozen VM":            {withNamedLimit(evidenceOf(complete, 0), at, 5*limitSlack, span{from: at.Add(contactBound)}), ""},
 		"too many retries":                 {evidenceOf(changed(func(c *call) { c.kind = "safe" }), retrySlack+3), "retry budget"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -227,3 +230,38 @@
 	e.heldUp = map[int][]span{0: {{at.Add(-2 * time.Second), at}}}
 	return e
 }
+
+// withNamedLimit lets the upstream name a limit of one request a second from a time on, and adds
+// an answer with it and later requests of the same VM, which is disturbed in a span.
+func withNamedLimit(e evidence, at time.Time, requests int, disturbed span) evidence {
+	e.limits = map[int][]limitPhase{0: {{span: span{from: at.Add(-time.Second), to: at.Add(time.Minute)}, perSecond: 1}}}
+	e.calls[0].limited = true
+	e.arrivals = [][]upstreamRequest{{{id: "a", at: at}}}
+	e.executions = [][]upstreamRequest{{{id: "a", at: at}}}
+	for i := range requests + limitWindowAllowed(1) - limitSlack {
+		id := fmt.Sprintf("later-%d", i)
+		c := call{id: id, kind: "safe", status: 503, sentAt: at.Add(contactBound + 2*time.Second)}
+		e.calls = append(e.calls, c)
+		e.arrivals[0] = append(e.arrivals[0], upstreamRequest{id: id, at: c.sentAt})
+	}
+	if !disturbed.from.IsZero() {
+		e.disturbed = map[int][]span{0: {disturbed}}
+	}
+	return e
+}
+
+// Short runs with upstreams that name rate limits.
+func TestNamedLimitsHoldUnderDisturbances(t *testing.T) {
+	report, err := Run(t.Context(), Options{
+		Seed: 61001, Length: 30 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Served == 0 || report.Limits == 0 {
+		t.Errorf("no request served or no limit named: %+v", report)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+}
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -42,6 +42,10 @@
 	disturbed map[int][]*span
 	// heldUp are the spans by upstream in which its connections were disturbed.
 	heldUp map[int][]*span
+	// limits are the phases by upstream in which it names a limit, and limitsRandom draws them;
+	// nil if no upstream names limits.
+	limits       map[int][]*limitPhase
+	limitsRandom *rand.Rand
 	// deadly are the phases in which prompt segments crash upstreams.
 	deadly []deadlyPhase
 }
@@ -59,6 +63,10 @@
 		draining:   make(map[int]bool),
 		disturbed:  make(map[int][]*span),
 		heldUp:     make(map[int][]*span),
+		limits:     make(map[int][]*limitPhase),
+	}
+	if !options.NoLimits {
+		s.limitsRandom = rand.New(rand.NewPCG(options.Seed, limitsStream))
 	}
 	for i, u := range f.upstreams {
 		u.OnCrash(func() { s.crash(i) })
@@ -122,11 +130,16 @@
 	}
 }
 
-// run alternates calm and storm phases until ctx ends, calm first.
+// run alternates calm and storm phases until ctx ends, calm first. In every other storm,
+// upstreams name limits.
 func (s *scenario) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		s.runCalm(ctx)
-		s.runStorm(ctx)
+		if s.limitsRandom != nil && n%2 == 0 {
+			s.runLimitedStorm(ctx)
+		} else {
+			s.runStorm(ctx)
+		}
 	}
 }
 
