--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -154,6 +154,7 @@
 		ColdSlack:   settings.Bounds.ColdSlack,
 		ShareWindow: settings.Bounds.ShareWindow,
 	}), exchange.New(settings.VM), d.lag.Lag, d.log)
+	d.metrics.vars.Set("store_era", expvar.Func(func() any { era, _ := d.mirror.Era(); return era }))
 	d.metrics.vars.Set("upstream_limits", expvar.Func(func() any { return d.placing.Limits() }))
 	d.quarantine = quarantine.New(quarantine.Options{
 		VM: settings.VM, Config: d.placing.Config, OnCrash: d.placing.RecordCrash, Log: d.log,
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -24,6 +24,7 @@
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -122,6 +123,8 @@
 	backoff time.Duration
 	// responseApplied is when a state response of another process was last applied.
 	responseApplied time.Time
+	// eras follows the era of the store, by the answers that this process had itself.
+	eras storeera.Tracker
 	// started is when the mirror was created, by its clock.
 	started     time.Time
 	upstreams   *kindCopy
@@ -149,6 +152,29 @@
 	return m.confirmed
 }
 
+// Era returns the store's era that this process follows and when it was first observed; zero if
+// no other one is known.
+func (m *Mirror) Era() (era uint64, since time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.eras.Era(), m.eras.Since()
+}
+
+// observeEra takes in the era of an answer. m.mu must be held.
+func (m *Mirror) observeEra(call string, era, revision uint64) storeera.Verdict {
+	before := m.eras.Era()
+	verdict := m.eras.Observe(m.options.Clock(), era)
+	switch {
+	case verdict == storeera.Advanced:
+		m.options.Log.Warn("store returned from an older copy", "call", call, "era", era, "before", before, "revision", revision)
+	case verdict == storeera.Outdated:
+		m.options.Log.Warn("answer of an older era of the store", "call", call, "era", era, "followed", before, "revision", revision)
+	case before == 0 && era != 0:
+		m.options.Log.Info("store's era", "era", era, "revision", revision)
+	}
+	return verdict
+}
+
 // FollowConfig polls the configuration until ctx ends.
 func (m *Mirror) FollowConfig(ctx context.Context) error {
 	if err := m.awaitReaders(ctx, nil); err != nil {
@@ -188,6 +214,7 @@
 	m.storeAnswered()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeEra("configuration", object.Era, object.Revision)
 	if sentAt.After(m.confirmed) {
 		m.confirmed = sentAt
 	}
@@ -379,6 +406,7 @@
 func (m *Mirror) applySnapshot(k *kindCopy, snapshot platform.Snapshot, outage bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeEra(k.name, snapshot.Era, snapshot.Revision)
 	now := m.options.Clock()
 	k.lastAnswer = now
 	missingBefore := len(k.missing)
@@ -397,6 +425,7 @@
 func (m *Mirror) applyChanges(k *kindCopy, changes platform.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeEra(k.name, changes.Era, changes.Revision)
 	k.lastAnswer = m.options.Clock()
 	m.finishUpdate(k, k.lastAnswer, k.change(changes), sourceStore)
 }
