Keep trefoilctl upstream list beside upstream limits

upstream limits was added as a second upstream command, which hid list, out and in. TestConfigurationCommands failed with it (exit code 2 for upstream list) and passes again.

--- a/daemon/cmd/trefoilctl/command/command.go
+++ b/daemon/cmd/trefoilctl/command/command.go
@@ -86,10 +86,9 @@
 		mustAdd(parent.AddCommand("in", "Bring "+target.noun+" back into service", "", &outCommand{session: s, target: target}))
 		if target.command == "upstream" {
 			mustAdd(parent.AddCommand("list", "List the upstreams", "", &upstreamList{session: s}))
+			mustAdd(parent.AddCommand("limits", "List the request rates that upstreams name", "", &upstreamLimits{session: s}))
 		}
 	}
-	upstream := mustAdd(parser.AddCommand("upstream", "Show what upstreams say of themselves", "", &struct{}{}))
-	mustAdd(upstream.AddCommand("limits", "List the request rates that upstreams name", "", &upstreamLimits{session: s}))
 	prompt := mustAdd(parser.AddCommand("prompt", "Show and release prompt segments that crash upstreams", "", &struct{}{}))
 	mustAdd(prompt.AddCommand("held", "List the held prompt segments", "", &promptHeld{session: s}))
 	mustAdd(prompt.AddCommand("release", "Let requests with a held prompt segment be sent again", "", &promptRelease{session: s}))
