Follow the store into a new era

Cause: a VM that others read for is told nothing if the revision of its configuration is the hub's, and the store had given that revision out again; and state of lower revisions than those known was ignored in every kind. Class: a number taken for an order that only holds within one life of what counts.

Positions of the store are an era and a revision now, in the copies, the marks and what hubs tell. Lists, watches and reads of an older era, or without one when eras are known, are ignored; a watch of another era than its list lists again. On a new era what is known stays until the store or the time says otherwise: missing entries of all kinds for 2 s, drains of the same incarnation, removed entries for 5 s. An older version confirms nothing before the store has settled. A process that starts asks the others, and trusts no keys before one has answered or the store has had 2 s. Lost entries of members and the fleet's secret are written again. The messages of the state have new kinds, so that builds before this one read the store themselves.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -169,6 +169,7 @@
 		Members:          d.setMembers,
 		HasStoreReaders:  func() bool { return len(d.placing.Readers()) > 0 },
 		InitialListDelay: initialListDelay(settings),
+		FirstStart:       settings.FirstStart,
 		OnCallFailure:    d.storeTransport.CloseIdleConnections,
 		Log:              d.log,
 	})
--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -145,14 +145,18 @@
 	return nil
 }
 
-// readOrCreateSecret returns the content of the object that holds the secret. It generates and
-// stores a secret if there is none.
+// readOrCreateSecret returns the content of the object that holds the secret. If there is none, it
+// stores the secret that this process knows, or generates one.
 func (d *Daemon) readOrCreateSecret(ctx context.Context) ([]byte, error) {
 	object, err := d.store.Get(ctx, platform.KindFleet, secretName)
 	if err == nil || !errors.Is(err, platform.ErrNotFound) {
 		return object.Spec, err
 	}
-	spec, err := json.Marshal(fleetSecret{Secret: rand.Text()})
+	secret := rand.Text()
+	if known := d.secret.Load(); known != nil {
+		secret = *known
+	}
+	spec, err := json.Marshal(fleetSecret{Secret: secret})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode secret")
 	}
--- a/daemon/process/edge/readers.go
+++ b/daemon/process/edge/readers.go
@@ -65,7 +65,7 @@
 
 // requestState requests the state of the store every stateRequestInterval until ctx ends:
 // from a reader if this process has readers, else from all processes that read the store for
-// themselves, while the store does not answer this process.
+// themselves, while the store does not answer this process or it has just started.
 func (d *Daemon) requestState(ctx context.Context) error {
 	for {
 		if err := wait.Sleep(ctx, stateRequestInterval); err != nil {
@@ -81,14 +81,15 @@
 			// Without a link no response comes, and after stateRequestTimeout the request
 			// goes to another reader.
 			peers.Send(reader, request)
-		case d.mirror.StoreUnreachable():
+		case d.mirror.StoreUnreachable(), d.mirror.NeedsPeers():
 			d.requestStateFromSources(peers)
 		}
 	}
 }
 
 // requestStateFromSources requests the state of the store from all processes that read it for
-// themselves. It serves a process that the store does not answer while it answers others.
+// themselves. It serves a process that the store does not answer while it answers others, and one
+// that has just started while the store may lack what others know.
 func (d *Daemon) requestStateFromSources(peers *peer.Manager) {
 	sources := d.placing.Lenders()
 	if len(sources) == 0 {
--- a/daemon/process/edge/register.go
+++ b/daemon/process/edge/register.go
@@ -23,6 +23,10 @@
 	registerTimeout = time.Second
 	// registerRetryInterval is the pause after a failed attempt to register.
 	registerRetryInterval = 500 * time.Millisecond
+	// lostEntryCheckInterval is how often a process checks that the store still has its entry
+	// and the fleet secret: a store that returns from an older copy may have lost them. It is
+	// longer than a written entry takes to come back with the list of members.
+	lostEntryCheckInterval = 3 * time.Second
 	// DefaultSettingsInterval is the default of Options.SettingsInterval. The file is read
 	// periodically because it may change without a signal.
 	DefaultSettingsInterval = 5 * time.Second
@@ -38,7 +42,7 @@
 }
 
 // register writes this process's entry among the members, with retries until the store
-// accepts it. It returns when ctx ends.
+// accepts it, and again whenever the store has lost it. It returns when ctx ends.
 func (d *Daemon) register(ctx context.Context) error {
 	settings := d.settings.Load()
 	spec, err := json.Marshal(member{
@@ -51,15 +55,41 @@
 	}
 	for {
 		err := d.writeMemberEntry(ctx, string(settings.VM), spec)
+		pause := registerRetryInterval
 		if err == nil {
 			d.log.Info("registered")
-			<-ctx.Done()
-			return ctx.Err()
+			if err := d.awaitLostEntry(ctx); err != nil {
+				return err
+			}
+			pause = 0
+		} else {
+			d.log.Warn("cannot register this process, will retry", "error", err)
+		}
+		if err := wait.Sleep(ctx, pause); err != nil {
+			return err
 		}
-		d.log.Warn("cannot register this process, will retry", "error", err)
-		if err := wait.Sleep(ctx, registerRetryInterval); err != nil {
+	}
+}
+
+// awaitLostEntry waits until the store lacks this process's entry. Meanwhile it writes the fleet
+// secret again if the store has lost that. A process that leaves restores nothing.
+func (d *Daemon) awaitLostEntry(ctx context.Context) error {
+	for {
+		if err := wait.Sleep(ctx, lostEntryCheckInterval); err != nil {
 			return err
 		}
+		if d.leaving.Load() {
+			continue
+		}
+		if d.secret.Load() != nil && d.mirror.LacksMember(memberSecretName) {
+			if err := d.publishSecret(ctx); err != nil {
+				d.log.Warn("cannot publish the fleet secret again, will retry", "error", err)
+			}
+		}
+		if d.mirror.LacksMember(string(d.settings.Load().VM)) {
+			d.log.Warn("store has lost the entry of this process")
+			return nil
+		}
 	}
 }
 
--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -1,8 +1,14 @@
 package mirror
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -38,3 +44,211 @@
 		t.Errorf("in force: version %d at the hub, %d at the other VM, want 16", hub.applied.Number, leaf.applied.Number)
 	}
 }
+
+// list applies a list of a kind as an answer of an era.
+func (f *fixture) list(t *testing.T, k *kindCopy, era, revision uint64, objects ...platform.Object) {
+	t.Helper()
+	if err := f.applySnapshot(k, platform.Snapshot{Era: era, Revision: revision, Objects: objects}, false); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// evacuation is the entry of an evacuated data centre.
+func evacuation(name string, revision uint64) platform.Object {
+	return platform.Object{Name: name, Revision: revision, Spec: []byte(`{}`)}
+}
+
+// storedHub returns a process that has read version 13 and one state of each kind in era 1: two
+// upstreams, of which one drains, a gone upstream, an evacuated data centre and two members.
+func storedHub(t *testing.T) *fixture {
+	f := newFixture()
+	// It has run for some time.
+	f.started = f.started.Add(-time.Minute)
+	f.firstRead = f.started
+	f.list(t, f.upstreams, 1, 900, registration("ready", 800), draining("drains", 850), registration("gone", 700))
+	f.list(t, f.evacuations, 1, 900, evacuation("dc-1", 860))
+	f.list(t, f.members, 1, 900, registration("vm-1", 100), registration("vm-2", 890))
+	f.read(t, 1, 13, 171)
+	f.applyChanges(f.upstreams, platform.Snapshot{Era: 1, Revision: 910, Objects: []platform.Object{{Name: "gone", Revision: 910, Deleted: true}}})
+	return f
+}
+
+// restore applies what the store has right after its return: versions and entries of long before.
+func (f *fixture) restore(t *testing.T, era uint64) {
+	t.Helper()
+	f.read(t, era, 10, 150)
+	f.list(t, f.upstreams, era, 720, registration("ready", 60), registration("drains", 65), registration("gone", 70))
+	f.list(t, f.evacuations, era, 720)
+	f.list(t, f.members, era, 720, registration("vm-1", 100))
+}
+
+// state describes what is in force, for comparison.
+func (f *fixture) state() string {
+	var drains []string
+	for _, upstream := range f.applied.Upstreams {
+		if upstream.Draining {
+			drains = append(drains, upstream.Name)
+		}
+	}
+	names := slices.Sorted(maps.Keys(f.upstreamNames()))
+	return fmt.Sprint(f.applied.Number, names, drains, f.applied.Out.DataCentres)
+}
+
+// Guards against a drain, an evacuation, a removal or a version that is undone because the store
+// returned from a copy of before, once or twice in a row, at a process that reads the store and at
+// one that it reads for.
+func TestNothingAcknowledgedIsUndoneByAnOlderCopy(t *testing.T) {
+	hub, leaf := storedHub(t), newFixture()
+	leaf.askHub(t, hub)
+	want := hub.state()
+	if want != "13 [drains ready] [drains] [dc-1]" || leaf.state() != want {
+		t.Fatalf("before: %s at the hub, %s at the other VM", want, leaf.state())
+	}
+	for era := range uint64(3) {
+		hub.restore(t, 2+era)
+		leaf.askHub(t, hub)
+		if hub.state() != want || leaf.state() != want {
+			t.Errorf("era %d: %s at the hub, %s at the other VM, want %s", 2+era, hub.state(), leaf.state(), want)
+		}
+		hub.clock.now, leaf.clock.now = hub.clock.now.Add(time.Second), leaf.clock.now.Add(time.Second)
+	}
+}
+
+// Guards against state of the new era that is ignored because its revisions are lower than those
+// that were known: changes apply at once, entries that stay missing are gone after SettleTime, and
+// removed ones that the store keeps having are back after reviveTime.
+func TestStateOfTheNewEraAppliesWithLowerRevisions(t *testing.T) {
+	hub, leaf := storedHub(t), newFixture()
+	leaf.askHub(t, hub)
+	hub.restore(t, 2)
+	hub.applyChanges(hub.upstreams, platform.Snapshot{Era: 2, Revision: 730, Objects: []platform.Object{draining("ready", 730)}})
+	hub.read(t, 2, 16, 171)
+	leaf.askHub(t, hub)
+	for name, f := range map[string]*fixture{"hub": hub, "other VM": leaf} {
+		if got, want := f.state(), "16 [drains ready] [drains ready] [dc-1]"; !sameWords(got, want) {
+			t.Errorf("%s: %s, want %s", name, got, want)
+		}
+	}
+	advance := func(d time.Duration) {
+		hub.clock.now, leaf.clock.now = hub.clock.now.Add(d), leaf.clock.now.Add(d)
+		hub.applyChanges(hub.upstreams, platform.Snapshot{Era: 2, Revision: 731})
+		hub.applyChanges(hub.evacuations, platform.Snapshot{Era: 2, Revision: 731})
+		hub.read(t, 2, 16, 171)
+		leaf.askHub(t, hub)
+	}
+	advance(storeera.SettleTime)
+	for name, f := range map[string]*fixture{"hub": hub, "other VM": leaf} {
+		if len(f.applied.Out.DataCentres) != 0 {
+			t.Errorf("%s: still evacuated after SettleTime: %v", name, f.applied.Out.DataCentres)
+		}
+	}
+	advance(reviveTime)
+	for name, f := range map[string]*fixture{"hub": hub, "other VM": leaf} {
+		if !f.upstreamNames()["gone"] {
+			t.Errorf("%s: a registration that the store has for reviveTime is still ignored", name)
+		}
+	}
+}
+
+// sameWords reports whether two descriptions have the same words in any order.
+func sameWords(a, b string) bool {
+	sorted := func(s string) []string {
+		words := strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(" []", r) })
+		slices.Sort(words)
+		return words
+	}
+	return slices.Equal(sorted(a), sorted(b))
+}
+
+// Guards against an answer of the era before that comes late, or one without an era, and wins.
+func TestAnswersOfAnOlderEraAreIgnored(t *testing.T) {
+	f := storedHub(t)
+	f.restore(t, 2)
+	f.read(t, 2, 16, 171)
+	want := f.state()
+	for _, era := range []uint64{1, 0} {
+		if err := f.applySnapshot(f.upstreams, platform.Snapshot{Era: era, Revision: 5000}, false); err == nil {
+			t.Errorf("a list of era %d is applied in era 2", era)
+		}
+		confirmed := f.Confirmed()
+		f.clock.now = f.clock.now.Add(10 * time.Second)
+		f.read(t, era, 99, 6000)
+		if f.applied.Number == 99 || !f.Confirmed().Equal(confirmed) {
+			t.Errorf("a read of era %d is applied or confirms the configuration in era 2", era)
+		}
+	}
+	if got := f.state(); got != want {
+		t.Errorf("%s after late answers, want %s", got, want)
+	}
+}
+
+// Guards against a hub that has not seen the new era yet and takes VMs back to the old one.
+func TestHubsOfDifferentErasDoNotTakeOthersBack(t *testing.T) {
+	ahead, behind, leaf := storedHub(t), storedHub(t), newFixture()
+	leaf.askHub(t, behind)
+	ahead.restore(t, 2)
+	ahead.read(t, 2, 16, 171)
+	leaf.askHub(t, ahead)
+	response, _ := behind.AnswerStateRequest(leaf.StateRequest())
+	if leaf.ApplyStateResponse("behind", response, leaf.clock.now) {
+		t.Error("a response of the older era counts as a read of the store")
+	}
+	if got := leaf.state(); !strings.HasPrefix(got, "16 ") {
+		t.Errorf("in force: %s, want version 16", got)
+	}
+	if era, _ := leaf.Era(); era != 2 {
+		t.Errorf("the VM follows era %d, want 2", era)
+	}
+}
+
+// Guards against an older version in the store, right after its return, that counts as proof that
+// no newer one exists than the process knows: a key may have been taken away by a lost version.
+func TestOlderVersionConfirmsNothingUntilTheStoreHasSettled(t *testing.T) {
+	f := storedHub(t)
+	confirmed := f.Confirmed()
+	f.clock.now = f.clock.now.Add(time.Second)
+	f.read(t, 2, 10, 150)
+	if !f.Confirmed().Equal(confirmed) {
+		t.Error("version 10 confirms version 13 right after the store's return")
+	}
+	f.clock.now = f.clock.now.Add(storeera.SettleTime)
+	f.read(t, 2, 10, 150)
+	if !f.Confirmed().Equal(f.clock.now) {
+		t.Error("version 10 does not confirm version 13 although the store has settled")
+	}
+}
+
+// Guards against a process that starts while the store lacks its newest version and trusts it: it
+// trusts no keys until another process told it what is in force, or the store has had time.
+func TestStartingProcessDoesNotTrustAStoreThatMayJustHaveReturned(t *testing.T) {
+	peer := storedHub(t)
+	peer.restore(t, 2)
+	alone, helped := newFixture(), newFixture()
+	for _, f := range []*fixture{alone, helped} {
+		f.restore(t, 2)
+		if !f.Confirmed().IsZero() || !f.NeedsPeers() {
+			t.Errorf("confirmed at %v, wants to ask others: %v; want neither trust nor silence", f.Confirmed(), f.NeedsPeers())
+		}
+	}
+	helped.askHub(t, peer)
+	if helped.Confirmed().IsZero() || helped.state() != peer.state() {
+		t.Errorf("after another process's answer: confirmed at %v, %s in force, want %s", helped.Confirmed(), helped.state(), peer.state())
+	}
+	alone.clock.now = alone.clock.now.Add(storeera.SettleTime)
+	alone.read(t, 2, 10, 150)
+	if !alone.Confirmed().Equal(alone.clock.now) {
+		t.Error("a process without others never trusts the store")
+	}
+}
+
+// Guards against the loss of a member's entry that nobody notices.
+func TestLostMemberEntryIsNoticed(t *testing.T) {
+	f := storedHub(t)
+	if f.LacksMember("vm-2") {
+		t.Error("a present entry counts as lost")
+	}
+	f.restore(t, 2)
+	if !f.LacksMember("vm-2") || f.LacksMember("vm-1") {
+		t.Errorf("lost: vm-1 %v, vm-2 %v; want only vm-2", f.LacksMember("vm-1"), f.LacksMember("vm-2"))
+	}
+}
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -35,6 +35,9 @@
 	// initialConfigReadInterval is the interval between reads while the store has no
 	// configuration.
 	initialConfigReadInterval = 150 * time.Millisecond
+	// unsettledConfigReadInterval is the interval between reads of the configuration until the
+	// store has caught up after its return from an older copy.
+	unsettledConfigReadInterval = 300 * time.Millisecond
 	// callTimeout bounds a call of the store. A store that is slower by a factor of a
 	// hundred answers in 0.4 s.
 	callTimeout = 1200 * time.Millisecond
@@ -99,6 +102,9 @@
 	// InitialListDelay is the delay before the members are first listed, so that processes
 	// which start together appear in one list; default 0.
 	InitialListDelay time.Duration
+	// FirstStart is set while the whole fleet starts for the first time: then the store cannot
+	// lack what a process before this one knew.
+	FirstStart bool
 	// OnCallFailure is called after a call that failed, so that the next call opens a new
 	// connection.
 	OnCallFailure func()
@@ -110,10 +116,16 @@
 	options Options
 
 	mu sync.Mutex
-	// base is the newest configuration, without upstreams; nil before the first one.
-	base     *version.Config
-	spec     []byte
-	revision uint64
+	// base is the configuration in force, without upstreams; nil before the first one. spec is
+	// its text, and at its newest position in the store.
+	base *version.Config
+	spec []byte
+	at   storeera.Position
+	// seen is the text of the configuration that was judged last, and seenAt its position.
+	seen   []byte
+	seenAt storeera.Position
+	// firstRead is when the store first answered a read of the configuration.
+	firstRead time.Time
 	// confirmed is the time at which the newest successful read of the configuration was
 	// sent; zero before the first one.
 	confirmed time.Time
@@ -145,13 +157,40 @@
 }
 
 // Confirmed returns the latest time, by the mirror's clock, at which the active
-// configuration was certainly the newest one.
+// configuration was certainly the newest one; zero if that is not certain yet.
 func (m *Mirror) Confirmed() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.mayHaveMissedReturn(m.options.Clock()) {
+		return time.Time{}
+	}
 	return m.confirmed
 }
 
+// mayHaveMissedReturn reports whether this process started so lately that the store may just
+// have returned from an older copy without its knowledge, and no other process has told it more.
+func (m *Mirror) mayHaveMissedReturn(now time.Time) bool {
+	return m.eras.Era() > firstEra && !m.options.FirstStart && m.responseApplied.IsZero() && now.Sub(m.firstRead) < storeera.SettleTime
+}
+
+// firstEra is the era of a store that has never returned from an older copy.
+const firstEra = 1
+
+// NeedsPeers reports whether this process has only just started and knows only what the store
+// says, which may lack what other processes know.
+func (m *Mirror) NeedsPeers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.options.FirstStart && m.responseApplied.IsZero() && m.options.Clock().Sub(m.started) < readerWaitTime
+}
+
+// LacksMember reports whether the store lacks the entry of a member.
+func (m *Mirror) LacksMember(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.listed && (m.members.entries[name] == nil || m.members.missing[name])
+}
+
 // Era returns the store's era that this process follows and when it was first observed; zero if
 // no other one is known.
 func (m *Mirror) Era() (era uint64, since time.Time) {
@@ -203,46 +242,81 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	object, err := m.options.Store.Get(call, platform.KindConfig, platform.ConfigName)
 	cancel()
-	if errors.Is(err, platform.ErrNotFound) {
-		m.storeAnswered()
-		return initialConfigReadInterval
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		m.callFailed("configuration", err)
 		return m.retryPause()
 	}
+	if !m.takeConfig(sentAt, object, err == nil) {
+		m.callFailed("configuration", errOutdated)
+		return m.retryPause()
+	}
 	m.storeAnswered()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.observeEra("configuration", object.Era, object.Revision)
-	if sentAt.After(m.confirmed) {
-		m.confirmed = sentAt
+	switch {
+	case err != nil:
+		return initialConfigReadInterval
+	case !m.eras.Settled(m.options.Clock()):
+		return unsettledConfigReadInterval
 	}
-	if object.Revision == m.revision && bytes.Equal(object.Spec, m.spec) {
-		return configReadInterval
+	return configReadInterval
+}
+
+// errOutdated is an answer of the store of an older era than one known before, or of none.
+var errOutdated = errors.New("answer of an older era of the store")
+
+// takeConfig takes in the answer to a read of the configuration that was sent at sentAt. It
+// returns false if the answer is outdated.
+func (m *Mirror) takeConfig(sentAt time.Time, object platform.Object, found bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.observeEra("configuration", object.Era, object.Revision) == storeera.Outdated {
+		return false
+	}
+	if !found {
+		return true
+	}
+	now := m.options.Clock()
+	if m.firstRead.IsZero() {
+		m.firstRead = now
 	}
 	m.applyConfig(object)
-	return configReadInterval
+	// While the store lacks what was written before its return, an older version in it does
+	// not prove that there is no newer one.
+	if (bytes.Equal(object.Spec, m.spec) || m.eras.Settled(now)) && sentAt.After(m.confirmed) {
+		m.confirmed = sentAt
+	}
+	return true
 }
 
 // applyConfig applies a configuration that differs from the active one, unless its version
 // is older or it is malformed.
 func (m *Mirror) applyConfig(object platform.Object) {
-	m.spec, m.revision = object.Spec, object.Revision
+	at := storeera.Position{Era: object.Era, Revision: object.Revision}
+	if m.base != nil && bytes.Equal(object.Spec, m.spec) {
+		if at.Compare(m.at) > 0 {
+			m.at = at
+		}
+		return
+	}
+	if at == m.seenAt && bytes.Equal(object.Spec, m.seen) {
+		return
+	}
+	m.seen, m.seenAt = object.Spec, at
 	config, err := platform.DecodeConfig(object.Spec)
 	if err != nil {
 		m.options.Log.Error("configuration is malformed, the last one stays in force",
-			"revision", object.Revision, "error", err)
+			"revision", object.Revision, "era", object.Era, "error", err)
 		return
 	}
 	if m.base != nil && config.Number <= m.base.Number {
 		m.options.Log.Warn("configuration ignored: its version is not newer than the active one",
-			"version", config.Number, "in_force", m.base.Number)
+			"version", config.Number, "in_force", m.base.Number, "revision", object.Revision, "era", object.Era)
 		return
 	}
-	m.base = config
+	m.base, m.spec, m.at = config, object.Spec, at
 	m.options.Log.Info("configuration in force", "version", config.Number,
-		"revision", object.Revision, "accounts", len(config.Accounts), "services", len(config.Pools))
+		"revision", object.Revision, "era", object.Era, "accounts", len(config.Accounts), "services", len(config.Pools))
 	m.publish()
 }
 
@@ -279,10 +353,12 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		snapshot, err := m.options.Store.List(call, k.name)
 		cancel()
+		if err == nil {
+			err = m.applySnapshot(k, snapshot, outage)
+		}
 		if err == nil {
 			failures = 0
-			m.applySnapshot(k, snapshot, outage)
-			err = m.watch(ctx, k, snapshot.Revision)
+			err = m.watch(ctx, k, snapshot)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -290,9 +366,9 @@
 		if errors.Is(err, errReadsDelegated) {
 			continue
 		}
-		// The store has discarded the history since that revision: changes were missed, but
-		// there was no outage.
-		outage = !errors.Is(err, platform.ErrHistoryGone)
+		// The store has discarded the history since that revision, or returned from an older
+		// copy: changes were missed, but there was no outage.
+		outage = !errors.IsAny(err, platform.ErrHistoryGone, errEraChanged)
 		if !outage {
 			continue
 		}
@@ -358,9 +434,13 @@
 // the store for it.
 const delegationCheckInterval = 250 * time.Millisecond
 
-// watch applies the changes of a kind from revision on until a call fails or the reading is
-// delegated.
-func (m *Mirror) watch(ctx context.Context, k *kindCopy, revision uint64) error {
+// errEraChanged ends a watch whose answer is of another era than the list before it.
+var errEraChanged = errors.New("store returned from an older copy")
+
+// watch applies the changes of a kind since a list until a call fails, the era changes or the
+// reading is delegated.
+func (m *Mirror) watch(ctx context.Context, k *kindCopy, list platform.Snapshot) error {
+	revision := list.Revision
 	for {
 		if m.readsDelegated() {
 			return errReadsDelegated
@@ -372,6 +452,9 @@
 		if err != nil {
 			return err
 		}
+		if changes.Era != list.Era {
+			return errEraChanged
+		}
 		m.applyChanges(k, changes)
 		revision = max(revision, changes.Revision)
 		if len(changes.Objects) > 0 {
@@ -393,41 +476,63 @@
 }
 
 // nextHold returns the hold of the next watch of a kind. It is shortened so that the watch
-// ends when missing entries are due for removal.
+// ends when missing or revived entries are due.
 func (m *Mirror) nextHold(k *kindCopy) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(k.missing) == 0 {
+	due := k.due()
+	if due.IsZero() {
 		return k.hold
 	}
-	return min(max(k.missingUntil.Sub(m.options.Clock()), retryMin), k.hold)
+	return min(max(due.Sub(m.options.Clock()), retryMin), k.hold)
 }
 
-func (m *Mirror) applySnapshot(k *kindCopy, snapshot platform.Snapshot, outage bool) {
+// applySnapshot applies a list of a kind. It returns errOutdated for one of an older era.
+func (m *Mirror) applySnapshot(k *kindCopy, snapshot platform.Snapshot, outage bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.observeEra(k.name, snapshot.Era, snapshot.Revision)
+	if m.observeEra(k.name, snapshot.Era, snapshot.Revision) == storeera.Outdated {
+		return errOutdated
+	}
 	now := m.options.Clock()
 	k.lastAnswer = now
+	advanced := m.enterEra(k, now, snapshot.Era)
 	missingBefore := len(k.missing)
-	keep := keepNone
-	if outage && k.name == platform.KindUpstream {
+	keep, until := keepNone, now.Add(reregistrationTime)
+	switch {
+	case now.Before(k.settledAt):
+		keep, until = keepAll, k.settledAt
+	case outage && k.name == platform.KindUpstream:
 		keep = keepAll
 	}
-	changed := k.replace(snapshot, keep, now.Add(reregistrationTime))
+	changed := k.replace(now, snapshot, keep, until) || advanced
 	if len(k.missing) > missingBefore {
 		m.options.Log.Warn("registrations are missing after an outage and may come back",
-			"count", len(k.missing), "revision", snapshot.Revision, "for_ms", reregistrationTime.Milliseconds())
+			"count", len(k.missing), "kind", k.name, "revision", snapshot.Revision, "era", snapshot.Era, "for_ms", until.Sub(now).Milliseconds())
 	}
 	m.finishUpdate(k, now, changed, sourceStore)
+	return nil
+}
+
+// enterEra lets the copy of a kind enter an era and reports whether it is a newer one than that
+// of its state.
+func (m *Mirror) enterEra(k *kindCopy, now time.Time, era uint64) bool {
+	if !k.listed {
+		k.at.Era = era
+		return false
+	}
+	if era <= k.at.Era {
+		return false
+	}
+	k.enterEra(now, era)
+	return true
 }
 
 func (m *Mirror) applyChanges(k *kindCopy, changes platform.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.observeEra(k.name, changes.Era, changes.Revision)
 	k.lastAnswer = m.options.Clock()
-	m.finishUpdate(k, k.lastAnswer, k.change(changes), sourceStore)
+	m.finishUpdate(k, k.lastAnswer, k.change(k.lastAnswer, changes), sourceStore)
 }
 
 // sourceStore is the logged source of changes that this process read from the store itself.
@@ -436,7 +541,7 @@
 // finishUpdate decodes new objects and publishes the result if the kind changed. The
 // source, for the log, is the store or the process that sent the state.
 func (m *Mirror) finishUpdate(k *kindCopy, now time.Time, changed bool, source string) {
-	if k.dropMissing(now) {
+	if k.expire(now) {
 		changed = true
 	}
 	if !changed {
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -43,9 +44,9 @@
 func (m *Mirror) StateRequest() wire.StateRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	request := wire.StateRequest{Config: m.revision}
+	request := wire.StateRequest{Config: wire.FromPosition(m.at)}
 	for _, k := range m.kinds() {
-		request.Marks = append(request.Marks, wire.StateMark{Kind: k.name, Mark: k.appliedMark, Revision: k.revision})
+		request.Marks = append(request.Marks, wire.StateMark{Kind: k.name, Mark: k.appliedMark, At: wire.FromPosition(k.at)})
 	}
 	return request
 }
@@ -60,9 +61,11 @@
 	if m.base == nil || m.freshResponseAt(now) {
 		return wire.StateResponse{}, false
 	}
-	response := wire.StateResponse{Seq: request.Seq, ConfigAgeMS: ageMS(now.Sub(m.confirmed))}
-	if request.Config != m.revision {
-		response.Config = &wire.StoredObject{Name: platform.ConfigName, Revision: m.revision, Spec: m.spec}
+	response := wire.StateResponse{
+		Seq: request.Seq, ConfigAgeMS: ageMS(now.Sub(m.confirmed)), Era: m.eras.Era(), ConfigAt: wire.FromPosition(m.at),
+	}
+	if request.Config != response.ConfigAt {
+		response.Config = &wire.StoredObject{Name: platform.ConfigName, Revision: m.at.Revision, Spec: m.spec}
 	}
 	requesterMarks := make(map[string]wire.StateMark, len(request.Marks))
 	for _, mark := range request.Marks {
@@ -72,8 +75,8 @@
 		if k.lastAnswer.IsZero() {
 			return wire.StateResponse{}, false
 		}
-		state := wire.StateKind{Kind: k.name, Mark: k.mark, Revision: k.revision, AgeMS: ageMS(now.Sub(k.lastAnswer))}
-		if mark := requesterMarks[k.name]; mark.Mark != k.mark && mark.Revision <= k.revision {
+		state := wire.StateKind{Kind: k.name, Mark: k.mark, At: wire.FromPosition(k.at), AgeMS: ageMS(now.Sub(k.lastAnswer))}
+		if mark := requesterMarks[k.name]; mark.Mark != k.mark && mark.At.Position().Compare(k.at) <= 0 {
 			k.fillState(&state)
 		}
 		response.Kinds = append(response.Kinds, state)
@@ -90,37 +93,55 @@
 func (m *Mirror) ApplyStateResponse(from version.VMID, response wire.StateResponse, sentAt time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isFresh(response) {
+	if !m.isFresh(response) || m.observeEra(string(from), response.Era, response.ConfigAt.Revision) == storeera.Outdated {
 		return false
 	}
+	known := true
 	if response.Config != nil {
-		object := platform.Object{Name: response.Config.Name, Revision: response.Config.Revision, Spec: response.Config.Spec}
-		if object.Revision > m.revision && !bytes.Equal(object.Spec, m.spec) {
-			m.applyConfig(object)
-		}
-	} else if confirmed := sentAt.Add(-milliseconds(response.ConfigAgeMS)); confirmed.After(m.confirmed) {
+		m.applyConfig(platform.Object{
+			Name: response.Config.Name, Revision: response.ConfigAt.Revision, Era: response.ConfigAt.Era, Spec: response.Config.Spec,
+		})
+		known = bytes.Equal(response.Config.Spec, m.spec)
+	}
+	if confirmed := sentAt.Add(-milliseconds(response.ConfigAgeMS)); known && confirmed.After(m.confirmed) {
 		m.confirmed = confirmed
 	}
 	now := m.options.Clock()
 	for _, state := range response.Kinds {
 		k := m.kindNamed(state.Kind)
-		if k == nil || !state.Changed || state.Revision < k.revision {
+		if k == nil {
 			continue
 		}
-		k.appliedMark = state.Mark
-		if lastAnswer := sentAt.Add(-milliseconds(state.AgeMS)); lastAnswer.After(k.lastAnswer) {
-			k.lastAnswer = lastAnswer
+		changed := false
+		if at := state.At.Position(); state.Changed && at.Compare(k.at) >= 0 {
+			changed = m.enterEra(k, now, at.Era)
+			k.appliedMark = state.Mark
+			if lastAnswer := sentAt.Add(-milliseconds(state.AgeMS)); lastAnswer.After(k.lastAnswer) {
+				k.lastAnswer = lastAnswer
+			}
+			keep, until := missingOf(state), now.Add(reregistrationTime)
+			if now.Before(k.settledAt) {
+				keep, until = keepAll, k.settledAt
+			}
+			changed = k.replace(now, snapshotOf(state), keep, until) || changed
+			if m.responseApplied.IsZero() {
+				changed = k.adoptMissing(now, objectsOf(state.Missing)) || changed
+			}
 		}
-		// Entries that are missing at the other process are kept until that process removes
-		// them.
-		missing := func(name string) bool { return slices.Contains(state.Missing, name) }
-		changed := k.replace(snapshotOf(state), missing, now.Add(reregistrationTime))
 		m.finishUpdate(k, now, changed, string(from))
 	}
 	m.responseApplied = now
 	return true
 }
 
+// missingOf selects the entries that are missing at the process that sent a state. They are kept
+// until that process removes them.
+func missingOf(state wire.StateKind) func(name string) bool {
+	return func(name string) bool {
+		return slices.ContainsFunc(state.Missing, func(object wire.StoredObject) bool { return object.Name == name })
+	}
+}
+
 // isFresh reports whether the process that sent the response is in contact with the store.
 func (m *Mirror) isFresh(response wire.StateResponse) bool {
 	if milliseconds(response.ConfigAgeMS) > maxConfigAge {
@@ -163,13 +184,15 @@
 }
 
 func snapshotOf(state wire.StateKind) platform.Snapshot {
-	snapshot := platform.Snapshot{Revision: state.Revision}
-	for _, stored := range state.Objects {
-		snapshot.Objects = append(snapshot.Objects, platform.Object{
-			Name: stored.Name, Revision: stored.Revision, Spec: stored.Spec,
-		})
+	return platform.Snapshot{Revision: state.At.Revision, Era: state.At.Era, Objects: objectsOf(state.Objects)}
+}
+
+func objectsOf(stored []wire.StoredObject) []platform.Object {
+	var objects []platform.Object
+	for _, object := range stored {
+		objects = append(objects, platform.Object{Name: object.Name, Revision: object.Revision, Spec: object.Spec})
 	}
-	return snapshot
+	return objects
 }
 
 func ageMS(age time.Duration) uint32 {
--- a/fleet/connection/wire/state.go
+++ b/fleet/connection/wire/state.go
@@ -1,12 +1,31 @@
 package wire
 
+import "github.com/trefoilwell/trefoilwell/fleet/version/storeera"
+
 const (
-	// KindStateRequest tags StateRequest.
-	KindStateRequest Kind = 80
+	// KindStateRequest tags StateRequest. Kinds 80 and 81 were these messages without eras.
+	KindStateRequest Kind = 82
 	// KindStateResponse tags StateResponse.
-	KindStateResponse Kind = 81
+	KindStateResponse Kind = 83
 )
 
+// StorePosition is a storeera.Position.
+type StorePosition struct {
+	_        struct{} `cbor:",toarray"`
+	Era      uint64
+	Revision uint64
+}
+
+// FromPosition converts a position to its encoding.
+func FromPosition(p storeera.Position) StorePosition {
+	return StorePosition{Era: p.Era, Revision: p.Revision}
+}
+
+// Position returns the position that is encoded.
+func (p StorePosition) Position() storeera.Position {
+	return storeera.Position{Era: p.Era, Revision: p.Revision}
+}
+
 // stateDecoders decodes the messages by which one daemon reads the platform's store on
 // behalf of others.
 var stateDecoders = map[Kind]decoder{
@@ -20,8 +39,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Seq numbers the requests of one daemon.
 	Seq uint64
-	// Config is the revision of the configuration that the requester has; 0 is none.
-	Config uint64
+	// Config is the position of the configuration that the requester has; zero is none.
+	Config StorePosition
 	// Marks identifies the state that the requester has of each kind of objects.
 	Marks []StateMark
 }
@@ -32,9 +51,9 @@
 	Kind string
 	// Mark differs from the mark of any other state, including those of other daemons.
 	Mark uint64
-	// Revision is the newest revision of the store at which the requester knows the
-	// kind, no matter from which daemon.
-	Revision uint64
+	// At is the newest position of the store at which the requester knows the kind, no
+	// matter from which daemon.
+	At StorePosition
 }
 
 // StateResponse answers a StateRequest.
@@ -44,8 +63,11 @@
 	// ConfigAgeMS is the time in milliseconds since the store was sent the request that
 	// last confirmed the configuration.
 	ConfigAgeMS uint32
-	// Config is nil if the requester already has it.
-	Config *StoredObject
+	// Era is the store's era that the daemon follows.
+	Era uint64
+	// Config is nil if the requester already has it, and ConfigAt its position.
+	Config   *StoredObject
+	ConfigAt StorePosition
 	// Kinds lists all kinds; those of which the requester already has the objects are
 	// listed without them.
 	Kinds []StateKind
@@ -58,16 +80,16 @@
 	Mark uint64
 	// AgeMS is the time in milliseconds since the store last reported on the kind.
 	AgeMS uint32
-	// Revision is the revision of the store at which Objects is the complete set of the
-	// kind.
-	Revision uint64
+	// At is the position of the store at which Objects is the complete set of the kind.
+	At StorePosition
 	// Changed is set if Objects and Missing are filled in. Otherwise the requester
 	// already has them, or newer ones.
 	Changed bool
 	Objects []StoredObject
-	// Missing names the objects that expired during an outage and may come back. They
-	// are not among Objects, and only apply to a requester that still has them.
-	Missing []string
+	// Missing are the objects that the store lacks since an outage or its return from an
+	// older copy, and that may come back. They are not among Objects, and only apply to a
+	// requester that still has them or has just started.
+	Missing []StoredObject
 }
 
 // StoredObject is one object of the store.
--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -12,7 +12,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // objectsPath is the path prefix under which objects are served.
@@ -54,7 +57,9 @@
 	mu       sync.Mutex
 	kinds    map[string]map[string]object
 	revision uint64
-	history  []event
+	// era counts the returns from older copies, from 1. Every answer names it.
+	era     atomic.Uint64
+	history []event
 	// compactedRevision is the newest revision whose event is no longer in
 	// history. A watch from an earlier revision is answered with 410 Gone.
 	compactedRevision uint64
@@ -71,13 +76,15 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{
+	s := &Store{
 		kinds:    make(map[string]map[string]object),
 		revision: 100,
 		random:   rand.New(rand.NewPCG(faultSeed, faultSeed)),
 		changed:  make(chan struct{}),
 		closed:   make(chan struct{}),
 	}
+	s.era.Store(1)
+	return s
 }
 
 // Close ends pending watches and calls that are held without an answer.
@@ -170,6 +177,7 @@
 	if s.injectFaults(w, r) {
 		return
 	}
+	w = &eraWriter{ResponseWriter: w, store: s}
 	s.applyDueVMLists()
 	kind, name, single := strings.Cut(path, "/")
 	switch {
@@ -184,6 +192,28 @@
 	}
 }
 
+// eraWriter adds the store's era to an answer when its header is written.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	named bool
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.named {
+		w.named = true
+		w.Header().Set(platformtest.HeaderEra, strconv.FormatUint(w.store.era.Load(), 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *eraWriter) Write(text []byte) (int, error) {
+	if !w.named {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(text)
+}
+
 // hang holds a call until its caller disconnects or the store is closed, and then
 // aborts it without an answer.
 func (s *Store) hang(r *http.Request) {
@@ -234,7 +264,7 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		events, compacted, asOf, changed, faults := s.eventsSince(kind, since), since < s.compactedRevision, s.revision, s.changed, s.faults
+		events, compacted, asOf, changed, faults := s.eventsSince(kind, since), since < s.compactedRevision || since > s.revision, s.revision, s.changed, s.faults
 		s.mu.Unlock()
 		switch {
 		case faults.Silent:
