Keep a later incarnation over an earlier one from the store's older copy

After a return of the store an upstream's registration may be that of the process before its restart. It replaced the one that was known, so the upstream counted as another process, and as warm. TestEarlierIncarnationDoesNotReplaceALaterOne failed without it at the process that knew the later one and at one that had just started. Processes that start ask the others only where the store has ever returned.

--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -241,6 +242,38 @@
 	}
 }
 
+// Guards against the registration of an earlier incarnation, which the store has again after its
+// return, that replaces the one that is known: the upstream would be taken for warm, and its
+// requests for those of another process.
+func TestEarlierIncarnationDoesNotReplaceALaterOne(t *testing.T) {
+	born := func(at int, revision uint64) platform.Object {
+		object := registration("x", revision)
+		object.Spec = bytes.Replace(object.Spec, []byte("{"), fmt.Appendf(nil, `{"born":%d,`, at), 1)
+		return object
+	}
+	hub, fresh := storedHub(t), newFixture()
+	hub.list(t, hub.upstreams, 1, 920, born(2000, 915))
+	want := hub.applied.Upstreams
+	hub.read(t, 2, 13, 150)
+	hub.list(t, hub.upstreams, 2, 720, born(1000, 60))
+	fresh.restore(t, 2)
+	fresh.list(t, fresh.upstreams, 2, 720, born(1000, 60))
+	fresh.askHub(t, hub)
+	for name, f := range map[string]*fixture{"hub": hub, "starting VM": fresh} {
+		for id := range want {
+			if f.applied.Upstreams[id] == nil {
+				t.Errorf("%s: the later incarnation is replaced by the earlier one", name)
+			}
+		}
+	}
+	hub.applyChanges(hub.upstreams, platform.Snapshot{Era: 2, Revision: 730, Objects: []platform.Object{born(3000, 730)}})
+	for id := range want {
+		if hub.applied.Upstreams[id] != nil {
+			t.Error("a new incarnation does not replace the one before the store's return")
+		}
+	}
+}
+
 // Guards against the loss of a member's entry that nobody notices.
 func TestLostMemberEntryIsNoticed(t *testing.T) {
 	f := storedHub(t)
--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -185,10 +185,10 @@
 	delete(k.missing, object.Name)
 	delete(k.revived, object.Name)
 	current := k.entries[object.Name]
-	if current != nil && object.Revision <= current.object.Revision && !current.lacksDrainOf(now, object) {
+	if current != nil && object.Revision <= current.object.Revision && !current.precedes(now, object) {
 		return false
 	}
-	if current != nil && current.object.Revision == 0 && (bytes.Equal(current.object.Spec, object.Spec) || current.drainUndoneBy(now, object)) {
+	if current != nil && current.object.Revision == 0 && (bytes.Equal(current.object.Spec, object.Spec) || current.follows(now, object)) {
 		current.object.Revision = object.Revision
 		return false
 	}
@@ -196,14 +196,30 @@
 	return true
 }
 
-// lacksDrainOf reports whether an object of the same revision is a newer registration of the
-// upstream, which drains: another process knows it from before the store's return.
-func (e *entry) lacksDrainOf(now time.Time, object platform.Object) bool {
-	if e.upstream == nil || e.upstream.Draining || object.Revision != e.object.Revision || bytes.Equal(object.Spec, e.object.Spec) {
+// precedes reports whether an object of the same revision is a later registration of the upstream:
+// another process knows it from before the store's return.
+func (e *entry) precedes(now time.Time, object platform.Object) bool {
+	if e.upstream == nil || object.Revision != e.object.Revision || bytes.Equal(object.Spec, e.object.Spec) {
 		return false
 	}
 	other, err := platform.DecodeUpstream(object.Name, object.Spec, now)
-	return err == nil && other.ID == e.upstream.ID && other.Draining
+	return err == nil && isLater(other, e.upstream)
+}
+
+// follows reports whether an object of a newer era is an earlier registration of the upstream, from
+// the copy that the store has returned to.
+func (e *entry) follows(now time.Time, object platform.Object) bool {
+	if e.upstream == nil {
+		return false
+	}
+	restored, err := platform.DecodeUpstream(object.Name, object.Spec, now)
+	return err == nil && isLater(e.upstream, restored)
+}
+
+// isLater reports whether a is a later incarnation of an upstream than b, or the same one that has
+// begun to drain: a process that drains does not return to service.
+func isLater(a, b *version.Upstream) bool {
+	return a.StartedAt.After(b.StartedAt) || a.ID == b.ID && a.Draining && !b.Draining
 }
 
 // adoptMissing adds entries that are missing at another process, unless they are present here or
@@ -221,16 +237,6 @@
 	return adopted
 }
 
-// drainUndoneBy reports whether an object of a newer era is an older registration of an upstream
-// that drains: a process that has begun to drain does not return to service.
-func (e *entry) drainUndoneBy(now time.Time, object platform.Object) bool {
-	if e.upstream == nil || !e.upstream.Draining {
-		return false
-	}
-	restored, err := platform.DecodeUpstream(object.Name, object.Spec, now)
-	return err == nil && restored.ID == e.upstream.ID && !restored.Draining
-}
-
 // fillState fills in all objects of the kind for a state response.
 func (k *kindCopy) fillState(state *wire.StateKind) {
 	state.Changed = true
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -181,7 +181,7 @@
 func (m *Mirror) NeedsPeers() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.options.FirstStart && m.responseApplied.IsZero() && m.options.Clock().Sub(m.started) < readerWaitTime
+	return m.eras.Era() > firstEra && !m.options.FirstStart && m.responseApplied.IsZero() && m.options.Clock().Sub(m.started) < readerWaitTime
 }
 
 // LacksMember reports whether the store lacks the entry of a member.
--- a/fleet/version/config.go
+++ b/fleet/version/config.go
@@ -102,6 +102,8 @@
 	// Slots is the number of requests that the upstream runs concurrently; 0 if
 	// unknown.
 	Slots int
+	// StartedAt is when the upstream's incarnation started; zero if that is not known.
+	StartedAt time.Time
 	// Draining is set once the upstream has announced that it will shut down.
 	Draining bool
 	// ColdUntil is the time at which the upstream expects to be warm; zero if it
