Let the soak's store return from older copies

During storms the store is down for a moment and returns from a copy up to some ten seconds old, once or twice in a row, beside all other disturbances; the operator and the upstreams write again what they wrote. The promises on revoked keys, versions, drained and cold upstreams and recovery are checked as before. --no-restores leaves it out.

--- a/lab/cmd/soak/main.go
+++ b/lab/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	Out       string  `long:"out" default:"out/soak" description:"folder for the logs of each run"`
 	NoTiming  bool    `long:"no-timing" description:"check only what does not depend on the machine's speed"`
 	NoDeadly  bool    `long:"no-deadly" description:"leave out prompts that crash upstreams"`
+	NoRestore bool    `long:"no-restores" description:"leave out returns of the store from older copies"`
 	NoLimits  bool    `long:"no-limits" description:"leave out upstreams that name rate limits"`
 	Verbose   bool    `long:"verbose" description:"log each disturbance"`
 }
@@ -74,14 +75,14 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Length: time.Duration(opts.Minutes * float64(time.Minute)),
 			VMs: opts.VMs, Upstreams: opts.Upstreams, Callers: opts.Callers,
-			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly, NoLimits: opts.NoLimits,
+			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly, NoLimits: opts.NoLimits, NoRestores: opts.NoRestore,
 			Log: slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level})),
 		})
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d executions, %d disturbances, %d crashes, %d violations\n",
-			seed, report.Requests, report.Served, report.Executions, report.Disturbances, report.Crashes, len(report.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, %d executions, %d disturbances, %d crashes, %d limits, %d returns of the store, %d violations\n",
+			seed, report.Requests, report.Served, report.Executions, report.Disturbances, report.Crashes, report.Limits, report.Restores, len(report.Violations))
 		for _, violation := range report.Violations[:min(len(report.Violations), 5)] {
 			fmt.Println("  ", violation)
 		}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -30,6 +30,8 @@
 	CheckTiming bool
 	// NoDeadly leaves out prompts that crash upstreams.
 	NoDeadly bool
+	// NoRestores leaves out returns of the store from older copies.
+	NoRestores bool
 	// NoLimits leaves out upstreams that name rate limits.
 	NoLimits bool
 	Log      *slog.Logger
@@ -40,9 +42,10 @@
 // prompts.
 type Report struct {
 	Requests, Served, Executions, Disturbances, Crashes int
-	// Limits counts the limits that upstreams named.
-	Limits     int
-	Violations []Violation
+	// Limits counts the limits that upstreams named, Restores the store's returns from older
+	// copies.
+	Limits, Restores int
+	Violations       []Violation
 }
 
 const (
@@ -87,6 +90,10 @@
 		random := rand.New(rand.NewPCG(options.Seed, deadlyStream))
 		background.Go(func() { s.runDeadly(ctx, random) })
 	}
+	if !options.NoRestores {
+		random := rand.New(rand.NewPCG(options.Seed, restoreStream))
+		background.Go(func() { s.runRestores(ctx, random) })
+	}
 	var report Report
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -136,6 +143,9 @@
 			report.Served++
 		}
 	}
+	s.mu.Lock()
+	report.Restores = s.restores
+	s.mu.Unlock()
 	report.Disturbances, e.calm, e.drained, e.cold, e.leaving = s.observed()
 	e.deadly = s.observedDeadly()
 	e.disturbed, e.heldUp = s.observedDisturbances()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -39,7 +39,7 @@
 	}
 	for _, seed := range seeds {
 		report, err := Run(t.Context(), Options{
-			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, Log: slog.New(slog.DiscardHandler),
+			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, NoRestores: true, Log: slog.New(slog.DiscardHandler),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -250,16 +250,16 @@
 	return e
 }
 
-// Short runs with upstreams that name rate limits.
-func TestNamedLimitsHoldUnderDisturbances(t *testing.T) {
+// A short run with upstreams that name rate limits and a store that returns from older copies.
+func TestPromisesHoldUnderLimitsAndReturnsOfTheStore(t *testing.T) {
 	report, err := Run(t.Context(), Options{
-		Seed: 61001, Length: 30 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, Log: slog.New(slog.DiscardHandler),
+		Seed: 61001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if report.Served == 0 || report.Limits == 0 {
-		t.Errorf("no request served or no limit named: %+v", report)
+	if report.Served == 0 || report.Limits == 0 || report.Restores == 0 {
+		t.Errorf("no request served, no limit named or no return of the store: %+v", report)
 	}
 	for _, violation := range report.Violations {
 		t.Error(violation)
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -25,15 +25,19 @@
 	random *rand.Rand
 	log    *slog.Logger
 
+	// storming is set during storm phases.
+	storming atomic.Bool
 	// ended is set when the run is over, before its proxies are closed.
 	ended atomic.Bool
 
 	mu           sync.Mutex
 	disturbances int
-	calm         []span
-	drained      map[int][]span
-	cold         map[int][]span
-	leaving      map[int][]span
+	// restores counts the store's returns from older copies.
+	restores int
+	calm     []span
+	drained  map[int][]span
+	cold     map[int][]span
+	leaving  map[int][]span
 	// restarting are the upstreams that are down because of a restart or crash, draining those
 	// that are registered as draining.
 	restarting, draining map[int]bool
@@ -146,6 +150,8 @@
 // runStorm starts disturbances at random intervals, so that they overlap, and waits
 // until all of them have ended.
 func (s *scenario) runStorm(ctx context.Context) {
+	s.storming.Store(true)
+	defer s.storming.Store(false)
 	var pending sync.WaitGroup
 	end := time.Now().Add(stormLength)
 	for ctx.Err() == nil && time.Now().Before(end) {
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -61,6 +61,8 @@
 	publishTimes map[int]time.Time
 	// deadly are the prompt segments that crash upstreams now.
 	deadly []string
+	// written is what the operator and the upstreams wrote last.
+	written map[writtenObject]any
 }
 
 // backend is an upstream behind its proxy.
@@ -92,7 +94,7 @@
 
 // newFleet starts the store, the upstreams and the daemons.
 func newFleet(options Options) (*fleet, error) {
-	f := &fleet{dir: options.Dir, binary: options.Binary, store: metastore.New(), publishTimes: make(map[int]time.Time), ports: newPorts()}
+	f := &fleet{dir: options.Dir, binary: options.Binary, store: metastore.New(), publishTimes: make(map[int]time.Time), written: make(map[writtenObject]any), ports: newPorts()}
 	f.storeServer = httptest.NewServer(f.store)
 	for i := range options.Upstreams {
 		u := generalupstream.New("i-" + strconv.Itoa(i))
@@ -139,7 +141,7 @@
 	if cold > 0 || u.born == 0 {
 		u.born, u.seq = time.Now().UnixMilli(), 1
 	}
-	f.store.Put(platform.KindUpstream, u.Instance, platformtest.Registration(service, u.proxy.Address(), state,
+	f.put(platform.KindUpstream, u.Instance, platformtest.Registration(service, u.proxy.Address(), state,
 		platformtest.Fields{"cold_remaining_ms": cold.Milliseconds(), "seq": u.seq, "born": u.born}))
 }
 
@@ -156,7 +158,7 @@
 		return platformtest.Route(name, host, prefix, kind, service,
 			platformtest.Fields{"timeout_ms": routeTimeout.Milliseconds(), "resumable": resumable})
 	}
-	f.store.Put(platform.KindConfig, platform.ConfigName, platformtest.Config(f.version, []any{
+	f.put(platform.KindConfig, platform.ConfigName, platformtest.Config(f.version, []any{
 		route("safe", "/safe/", platformtest.KindSafe, false),
 		route("unsafe", "/unsafe/", platformtest.KindUnsafe, false),
 		route("stream", "/stream/", platformtest.KindStreaming, false),
