Tell versions of stored objects apart by the store's era

A conditional write with a version from before the store's return could replace another object that had been given the same revision since. A version holds the era above the revision; a write on one of an older era conflicts, lists and watches of another era begin anew, and answers of an older era count as none. TestWriteOnARevisionThatWasGivenOutAgainConflicts failed before: there was no era to tell the versions apart.

--- a/daemon/connection/objectstore/client.go
+++ b/daemon/connection/objectstore/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,7 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -111,6 +113,8 @@
 	store   *platform.Store
 	// budget limits the rate of calls.
 	budget *rate.Limiter
+	// eras follows the era of the store.
+	eras eraTracker
 }
 
 var (
@@ -144,6 +148,45 @@
 	}
 }
 
+// eraTracker is a storeera.Tracker for concurrent use.
+type eraTracker struct {
+	mu      sync.Mutex
+	tracker storeera.Tracker
+}
+
+// check returns an error, marked with ErrUnavailable, for an answer of an older era.
+func (t *eraTracker) check(era uint64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tracker.Observe(time.Now(), era) == storeera.Outdated {
+		return errors.Mark(errors.Newf("answer of the store's era %d, later ones are known", era), ErrUnavailable)
+	}
+	return nil
+}
+
+// current reports whether an object version is of the present era. A version of an older one may
+// have been given out again.
+func (t *eraTracker) current(v ObjectVersion) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return v.position().Era == t.tracker.Era()
+}
+
+// checkWritten returns the version of an object that was written under the condition of an
+// expected version, or ErrConflict if the store had returned from an older copy in between.
+func (t *eraTracker) checkWritten(written storeera.Position, expected ObjectVersion) (ObjectVersion, error) {
+	if err := t.check(written.Era); err != nil {
+		return 0, err
+	}
+	if expected != 0 && written.Era != expected.position().Era {
+		return 0, errReturned
+	}
+	return versionOf(written), nil
+}
+
+// errReturned is a write whose condition is of an older era of the store.
+var errReturned = errors.Mark(errors.New("the store returned from an older copy since the object was read"), ErrConflict)
+
 // attempt makes one attempt of a call as soon as the budget permits, bounded by
 // timeout, and reports its outcome to Observe. The outcome is not reported if ctx has
 // ended.
@@ -223,7 +266,8 @@
 	if err := json.Unmarshal(object.Spec, &stored); err != nil {
 		return Object{}, errors.Mark(errors.Wrapf(err, "decode object %q", key), ErrUnavailable)
 	}
-	return Object{Key: key, Version: ObjectVersion(object.Revision), Value: stored.Value}, nil
+	at := storeera.Position{Era: object.Era, Revision: object.Revision}
+	return Object{Key: key, Version: versionOf(at), Value: stored.Value}, nil
 }
 
 // Get implements Store.
@@ -233,6 +277,9 @@
 	err := c.options.Retry.do(ctx, retryableRead, func() error {
 		return c.attempt(ctx, CallGet, callTimeout, func(ctx context.Context) error {
 			found, err := c.store.Get(ctx, kind, name)
+			if err == nil || errors.Is(err, platform.ErrNotFound) {
+				err = errors.CombineErrors(c.eras.check(found.Era), err)
+			}
 			if err == nil {
 				object, err = decode(key, found)
 			}
@@ -277,7 +324,8 @@
 			continue
 		}
 		present = true
-		if ObjectVersion(object.Revision) != known {
+		object.Era = objects.Era
+		if versionOf(storeera.Position{Era: object.Era, Revision: object.Revision}) != known {
 			return decode(key, object)
 		}
 	}
@@ -289,6 +337,10 @@
 		err := c.attempt(ctx, CallWatch, watchWait+callTimeout, func(ctx context.Context) error {
 			var err error
 			changes, err = c.store.Watch(ctx, kind, revision, watchWait)
+			if err == nil && changes.Era != objects.Era {
+				// Revisions have begun again, so changes may be missing.
+				err = platform.ErrHistoryGone
+			}
 			return err
 		})
 		if err != nil {
@@ -302,6 +354,7 @@
 			case object.Deleted:
 				return Object{}, ErrNotFound
 			default:
+				object.Era = changes.Era
 				return decode(key, object)
 			}
 		}
@@ -314,6 +367,9 @@
 		err = c.attempt(ctx, call, callTimeout, func(ctx context.Context) error {
 			var err error
 			page, more, err = c.store.Page(ctx, kind, after)
+			if err == nil {
+				err = c.eras.check(page.Era)
+			}
 			return err
 		})
 		return page, more, err
@@ -330,27 +386,38 @@
 	if err != nil {
 		return 0, err
 	}
-	var written uint64
+	if expected != 0 && !c.eras.current(expected) {
+		return 0, errReturned
+	}
+	var written ObjectVersion
 	err = c.options.Retry.do(ctx, retryableWrite, func() error {
 		return c.attempt(ctx, CallPut, callTimeout, func(ctx context.Context) error {
+			var at storeera.Position
 			var err error
 			if expected == 0 {
-				written, err = c.store.Create(ctx, kind, name, spec)
-				return err
+				at, err = c.store.Create(ctx, kind, name, spec)
+			} else {
+				at, err = c.store.Replace(ctx, kind, name, spec, expected.position().Revision)
+				err = missingAsConflict(err)
+			}
+			if err == nil {
+				written, err = c.eras.checkWritten(at, expected)
 			}
-			written, err = c.store.Replace(ctx, kind, name, spec, uint64(expected))
-			return missingAsConflict(err)
+			return err
 		})
 	})
-	return ObjectVersion(written), err
+	return written, err
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key string, expected ObjectVersion) error {
 	kind, name := objectID(key)
+	if !c.eras.current(expected) {
+		return errReturned
+	}
 	return c.options.Retry.do(ctx, retryableWrite, func() error {
 		return c.attempt(ctx, CallDelete, callTimeout, func(ctx context.Context) error {
-			return missingAsConflict(c.store.Delete(ctx, kind, name, uint64(expected)))
+			return missingAsConflict(c.store.Delete(ctx, kind, name, expected.position().Revision))
 		})
 	})
 }
--- a/daemon/connection/objectstore/objectstore.go
+++ b/daemon/connection/objectstore/objectstore.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
 
 var (
@@ -35,8 +36,24 @@
 
 // ObjectVersion identifies one state of an object. The version of an object that
 // does not exist is 0.
+//
+// It holds the store's era above the object's revision, because the store gives
+// revisions out again after it has returned from an older copy of itself.
 type ObjectVersion uint64
 
+// eraShift is the number of bits of an ObjectVersion that hold the revision.
+const eraShift = 40
+
+// versionOf returns the version of an object that was last changed at a position.
+func versionOf(p storeera.Position) ObjectVersion {
+	return ObjectVersion(p.Era<<eraShift | p.Revision)
+}
+
+// position returns the position at which an object of the version was last changed.
+func (v ObjectVersion) position() storeera.Position {
+	return storeera.Position{Era: uint64(v) >> eraShift, Revision: uint64(v) & (1<<eraShift - 1)}
+}
+
 // Object is a stored value. The part of its key after the last slash is its name;
 // the part before groups the objects that are listed together.
 type Object struct {
--- a/lab/metastore/client_test.go
+++ b/lab/metastore/client_test.go
@@ -270,3 +270,41 @@
 		}
 	})
 }
+
+// Guards against a conditional write that replaces another object than the one that was read: the
+// store has returned from an older copy and given the revision out again.
+func TestWriteOnARevisionThatWasGivenOutAgainConflicts(t *testing.T) {
+	store := metastore.New()
+	mine := newClient(store)
+	const key = "config/x"
+	first, err := mine.Put(t.Context(), key, []byte("first"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	older := store.Copy()
+	lost, err := mine.Put(t.Context(), key, []byte("lost"), first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Restore(older)
+	other := newClient(store)
+	found, err := other.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Put(t.Context(), key, []byte("another"), found.Version); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := mine.Get(t.Context(), key); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := mine.Put(t.Context(), key, []byte("mine"), lost); !errors.Is(err, client.ErrConflict) {
+		t.Errorf("error %v of a write that is conditional on a lost revision, want ErrConflict", err)
+	}
+	if err := mine.Delete(t.Context(), key, lost); !errors.Is(err, client.ErrConflict) {
+		t.Errorf("error %v of a removal that is conditional on a lost revision, want ErrConflict", err)
+	}
+	if now, err := mine.Get(t.Context(), key); err != nil || string(now.Value) != "another" {
+		t.Errorf("stored %q (error %v), want the other writer's value", now.Value, err)
+	}
+}
