Write the product's configuration again if the store has lost it

Daemons kept the newer configuration, but the store had the older one, and the next change got a number that they took for old. A daemon that watches the head and finds an older one, or none, writes the head in force and its parts again, under the condition of what it found. TestConfigurationLostWithAnOlderCopyIsWrittenAgain failed before: version 3 was not back in the store within 20 s.

--- a/daemon/version/follow/watch.go
+++ b/daemon/version/follow/watch.go
@@ -63,6 +63,9 @@
 		if err == nil {
 			err = f.read(ctx, object)
 		}
+		if errors.Is(err, objectstore.ErrNotFound) && f.Status().Confirmed > 0 {
+			lastVersion, err = 0, f.restore(ctx, 0)
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				f.options.Log.Warn("cannot read the configuration from the platform", "error", err)
@@ -82,6 +85,9 @@
 	if err != nil {
 		return err
 	}
+	if head.Number < f.Status().Confirmed {
+		return f.restore(ctx, object.Version)
+	}
 	parts := make(map[string][]byte)
 	for _, ref := range head.Parts {
 		if f.hasPart(ref.SHA256) {
@@ -97,6 +103,21 @@
 	return nil
 }
 
+// restore writes the head in force into the platform again, in place of the head with the expected
+// version: the platform has returned from an older copy and lost it. Of several daemons that do so
+// at the same time, all but one get a conflict and read the head again.
+func (f *Follower) restore(ctx context.Context, expected objectstore.ObjectVersion) error {
+	f.mu.Lock()
+	encoded, parts := f.core.Head()
+	number := f.core.HeadNumber()
+	f.mu.Unlock()
+	err := f.changer.Restore(ctx, encoded, parts, expected)
+	if err == nil {
+		f.options.Log.Warn("platform had lost the configuration, written again", "version", number)
+	}
+	return err
+}
+
 func (f *Follower) hasPart(digest string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleet/version/distribute/core.go
+++ b/fleet/version/distribute/core.go
@@ -11,6 +11,7 @@
 package distribute
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -162,6 +163,15 @@
 	return c.current.head.Number
 }
 
+// Head returns the current head as the platform stores it, and its parts by digest; nil if there
+// is no head. The caller must not modify them.
+func (c *Core) Head() (encoded []byte, parts map[string][]byte) {
+	if c.current == nil {
+		return nil, nil
+	}
+	return c.current.encoded.bytes, maps.Clone(c.current.parts)
+}
+
 // Orders returns the orders that the current head has not absorbed.
 func (c *Core) Orders() []version.Order { return slices.Clone(c.orders) }
 
--- a/lab/operations/orders_test.go
+++ b/lab/operations/orders_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilctl/command"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/lab/metastore"
 )
 
 // postOrder sends an operator's order to the daemon at an address.
@@ -73,3 +77,33 @@
 		t.Errorf("accounts are %s, want none", out)
 	}
 }
+
+// Guards against a configuration that daemons have in force and the platform has lost with its
+// return from an older copy: nobody wrote it again, and the next one got a number that the daemons
+// took for old. The copy has an older version, or none.
+func TestConfigurationLostWithAnOlderCopyIsWrittenAgain(t *testing.T) {
+	env := newEnvironment(t)
+	empty := env.store.Copy()
+	env.expectExit(command.ExitOK, "config", "apply", env.path, "--expect", "0")
+	older := env.store.Copy()
+	env.startDaemons("north")
+	env.expectExit(command.ExitOK, "config", "apply", env.path, "--expect", "1")
+	env.expectExit(command.ExitOK, "config", "apply", env.path, "--expect", "2")
+	number := version.Number(3)
+	for _, restored := range []metastore.Copy{older, empty} {
+		env.waitUntil("the daemon has the newest version", func(s operator.Status) bool { return s.Ready && s.Configuration.Number == number })
+		env.store.Restore(restored)
+		expect := strconv.FormatUint(uint64(number), 10)
+		for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			code, _, stderr := env.run("config", "apply", env.path, "--expect", expect)
+			if code == command.ExitOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("version %s is not back in the platform: %s", expect, stderr)
+			}
+		}
+		number++
+	}
+	env.waitUntil("the daemon has the version after the last return", func(s operator.Status) bool { return s.Configuration.Number == number })
+}
