Place requests beside limits at the same cost in any fleet

Each check of a limited upstream added up the limit reports of all VMs that report here: on a hub of a large data centre 50 of them for each candidate of each request. They are added up at most every 50 ms now.

--- a/fleet/process/placement/demand.go
+++ b/fleet/process/placement/demand.go
@@ -13,6 +13,8 @@
 	demandHalfLife = 2 * time.Second
 	// limitReportTTL is how long the limit report of other VMs is used.
 	limitReportTTL = time.Second
+	// limitSumInterval is the least time between two sums of the limit reports.
+	limitSumInterval = 50 * time.Millisecond
 	// assumedFleetSize is the number of VMs that are assumed until the members are known.
 	assumedFleetSize = 16
 )
@@ -64,27 +66,39 @@
 	if own <= 0 {
 		return 0
 	}
-	total, covered := own, 1
-	for _, peers := range p.currentPeerLimits(now) {
-		total += peers.demand[pool]
-		covered += peers.vms
-	}
+	peers := p.peerLimitSum(now)
 	size := len(p.members)
 	if p.joinedAt.IsZero() {
 		size = max(size, assumedFleetSize)
 	}
-	return own / total * min(float64(covered)/float64(size), 1)
+	return own / (own + peers.demand[pool]) * min(float64(peers.vms+1)/float64(size), 1)
 }
 
-// currentPeerLimits returns the limit reports of other VMs by scope, and drops those older than
-// limitReportTTL.
-func (p *Placer) currentPeerLimits(now time.Time) map[string]peerLimits {
+// peerLimitSum returns the sum of the limit reports of other VMs, without those older than
+// limitReportTTL, which it drops. It is at most limitSumInterval old, so that placing a request
+// costs the same in any fleet.
+func (p *Placer) peerLimitSum(now time.Time) peerLimits {
+	if age := now.Sub(p.limitSum.receivedAt); age >= 0 && age < limitSumInterval {
+		return p.limitSum
+	}
+	sum := peerLimits{
+		demand: make(map[version.PoolID]float64), sent: make(map[version.UpstreamID]int), receivedAt: now,
+	}
 	for scope, peers := range p.peerLimits {
 		if now.Sub(peers.receivedAt) > limitReportTTL {
 			delete(p.peerLimits, scope)
+			continue
+		}
+		sum.vms += peers.vms
+		for pool, rate := range peers.demand {
+			sum.demand[pool] += rate
+		}
+		for id, count := range peers.sent {
+			sum.sent[id] += count
 		}
 	}
-	return p.peerLimits
+	p.limitSum = sum
+	return sum
 }
 
 // LimitReport returns this VM's limit report for the other VMs. It has no upstreams while this
@@ -130,9 +144,5 @@
 // sentByPeers returns how many requests other VMs sent to an upstream in the last limitWindow, as
 // far as they reported.
 func (p *Placer) sentByPeers(now time.Time, id version.UpstreamID) int {
-	total := 0
-	for _, peers := range p.currentPeerLimits(now) {
-		total += peers.sent[id]
-	}
-	return total
+	return p.peerLimitSum(now).sent[id]
 }
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -58,6 +58,8 @@
 	demand map[version.PoolID]*demandMeter
 	// peerLimits are the limit reports of other VMs, by scope.
 	peerLimits map[string]peerLimits
+	// limitSum is their sum, as of its time.
+	limitSum peerLimits
 	// longPrompts holds the admission state of long prompts, by pool.
 	longPrompts map[version.PoolID]*longPromptState
 	// scratch is the candidate list, reused by each decision.
