--- a/fleet/version/storeera/storeera.go
+++ b/fleet/version/storeera/storeera.go
@@ -42,18 +42,22 @@
 
 // Tracker follows the era of the store. The zero value knows none.
 type Tracker struct {
-	era   uint64
-	since time.Time
+	era uint64
+	// observed is set once there was an answer.
+	observed bool
+	since    time.Time
 }
 
 // Observe takes in the era of an answer.
 func (t *Tracker) Observe(now time.Time, era uint64) Verdict {
+	first := !t.observed
+	t.observed = true
 	switch {
 	case era == t.era:
 		return Current
 	case era < t.era:
 		return Outdated
-	case t.era == 0:
+	case first:
 		// The first answer says nothing of when the era began.
 		t.era = era
 		return Current
