Show with trefoilctl which era of the store each daemon follows

trefoilctl store eras asks the daemons on the platform for the era, since when, and the version in force. TestOperatorsSeeLimitsAndEras checks it and upstream limits end to end.

--- a/daemon/cmd/trefoilctl/command/command.go
+++ b/daemon/cmd/trefoilctl/command/command.go
@@ -89,6 +89,8 @@
 			mustAdd(parent.AddCommand("limits", "List the request rates that upstreams name", "", &upstreamLimits{session: s}))
 		}
 	}
+	store := mustAdd(parser.AddCommand("store", "Show what daemons follow of the platform's store", "", &struct{}{}))
+	mustAdd(store.AddCommand("eras", "List the store's era and the version that each daemon follows", "", &storeEras{session: s}))
 	prompt := mustAdd(parser.AddCommand("prompt", "Show and release prompt segments that crash upstreams", "", &struct{}{}))
 	mustAdd(prompt.AddCommand("held", "List the held prompt segments", "", &promptHeld{session: s}))
 	mustAdd(prompt.AddCommand("release", "Let requests with a held prompt segment be sent again", "", &promptRelease{session: s}))
--- a/daemon/process/edge/operators.go
+++ b/daemon/process/edge/operators.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 )
 
@@ -12,6 +14,7 @@
 	calls := http.NewServeMux()
 	operator.AddPrompts(calls, d.quarantine, d.log)
 	operator.AddLimits(calls, d.placing.Limits)
+	operator.AddStore(calls, d.storeStatus)
 	mux := http.NewServeMux()
 	mux.Handle("/", d.metrics)
 	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
@@ -25,3 +28,21 @@
 	})
 	return mux
 }
+
+// storeStatus returns what this process follows of the store.
+func (d *Daemon) storeStatus() operator.StoreStatus {
+	status := operator.StoreStatus{VM: d.settings.Load().VM, AgeMS: -1}
+	var since time.Time
+	status.Era, since = d.mirror.Era()
+	if !since.IsZero() {
+		// The mirror's clock is not the time of day.
+		status.EraSince = time.Now().Add(-clock.Boot().Sub(since)).Round(0)
+	}
+	if config := d.placing.Config(); config != nil {
+		status.Version = config.Number
+	}
+	if confirmed := d.mirror.Confirmed(); !confirmed.IsZero() {
+		status.AgeMS = clock.Boot().Sub(confirmed).Milliseconds()
+	}
+	return status
+}
--- a/lab/edge/limit_test.go
+++ b/lab/edge/limit_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -102,3 +103,40 @@
 		t.Error("requests are still refused after the limits ended")
 	}
 }
+
+// Guards against operators who cannot see which limits are in force, what is sent, and which era of
+// the store each VM follows.
+func TestOperatorsSeeLimitsAndEras(t *testing.T) {
+	f := startCrashingFleet(t, 2, 1, generalupstream.Deadly{}, generalupstream.Faults{})
+	f.upstreams[0].SetLimit("3")
+	older := f.store.Copy()
+	f.send(0, "/stream/x", "first", commonSegment)
+	var limits []struct {
+		Upstream  string
+		PerSecond float64 `json:"per_second"`
+		Sent      int
+		Quota     int
+	}
+	for deadline := time.Now().Add(waitTimeout); len(limits) == 0 && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		// The other VM has only heard of the limit.
+		if err := json.Unmarshal([]byte(f.operate(1, "upstream", "limits")), &limits); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(limits) != 1 || limits[0].Upstream != "i-0" || limits[0].PerSecond != 3 {
+		t.Errorf("limits %+v, want that of i-0", limits)
+	}
+	f.store.Restore(older)
+	var eras []struct {
+		Era     uint64
+		Version int
+	}
+	for deadline := time.Now().Add(waitTimeout); (len(eras) == 0 || eras[0].Era != 2) && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if err := json.Unmarshal([]byte(f.operate(0, "store", "eras")), &eras); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(eras) != 1 || eras[0].Era != 2 || eras[0].Version != 1 {
+		t.Errorf("eras %+v, want 2 with version 1 in force", eras)
+	}
+}
