Keep members over a return of the store until their entries are written again

The store had lost the entries of members; each process looked after its own only every 3 s, and the others took a missing member for gone after 2 s, so they shared the limits of cold upstreams without it while it used its part. A process looks five times a second now and writes once in each era, and what is written again has the pause between two watches besides. TestMemberWhoseEntryIsWrittenAgainIsNeverGone failed before.

--- a/daemon/process/edge/register.go
+++ b/daemon/process/edge/register.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
@@ -24,9 +25,11 @@
 	// registerRetryInterval is the pause after a failed attempt to register.
 	registerRetryInterval = 500 * time.Millisecond
 	// lostEntryCheckInterval is how often a process checks that the store still has its entry
-	// and the fleet secret: a store that returns from an older copy may have lost them. It is
-	// longer than a written entry takes to come back with the list of members.
-	lostEntryCheckInterval = 3 * time.Second
+	// and the fleet secret: a store that returns from an older copy may have lost them.
+	lostEntryCheckInterval = 200 * time.Millisecond
+	// writtenEntryDelay is how long a written entry may take to come back with the list of
+	// members. Within it, it is written again only in another era of the store.
+	writtenEntryDelay = 3 * time.Second
 	// DefaultSettingsInterval is the default of Options.SettingsInterval. The file is read
 	// periodically because it may change without a signal.
 	DefaultSettingsInterval = 5 * time.Second
@@ -74,6 +77,8 @@
 // awaitLostEntry waits until the store lacks this process's entry. Meanwhile it writes the fleet
 // secret again if the store has lost that. A process that leaves restores nothing.
 func (d *Daemon) awaitLostEntry(ctx context.Context) error {
+	var secretWritten entryWrite
+	written := d.newEntryWrite()
 	for {
 		if err := wait.Sleep(ctx, lostEntryCheckInterval); err != nil {
 			return err
@@ -81,18 +86,36 @@
 		if d.leaving.Load() {
 			continue
 		}
-		if d.secret.Load() != nil && d.mirror.LacksMember(memberSecretName) {
+		if d.secret.Load() != nil && d.mirror.LacksMember(memberSecretName) && d.mayBeLost(secretWritten) {
+			secretWritten = d.newEntryWrite()
 			if err := d.publishSecret(ctx); err != nil {
 				d.log.Warn("cannot publish the fleet secret again, will retry", "error", err)
 			}
 		}
-		if d.mirror.LacksMember(string(d.settings.Load().VM)) {
+		if d.mirror.LacksMember(string(d.settings.Load().VM)) && d.mayBeLost(written) {
 			d.log.Warn("store has lost the entry of this process")
 			return nil
 		}
 	}
 }
 
+// entryWrite is a write of an entry among the members.
+type entryWrite struct {
+	at  time.Time
+	era uint64
+}
+
+func (d *Daemon) newEntryWrite() entryWrite {
+	era, _ := d.mirror.Era()
+	return entryWrite{at: clock.Boot(), era: era}
+}
+
+// mayBeLost reports whether a written entry that the list of members lacks may be lost.
+func (d *Daemon) mayBeLost(w entryWrite) bool {
+	era, _ := d.mirror.Era()
+	return era != w.era || clock.Boot().Sub(w.at) >= writtenEntryDelay
+}
+
 // writeMemberEntry creates the entry, or replaces one that an earlier process with the same
 // name has left.
 func (d *Daemon) writeMemberEntry(ctx context.Context, name string, spec []byte) error {
--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -83,7 +83,8 @@
 // time, says otherwise.
 func (k *kindCopy) enterEra(now time.Time, era uint64) {
 	k.at = storeera.Position{Era: era}
-	k.settledAt, k.revivedAt = now.Add(storeera.SettleTime), now.Add(reviveTime)
+	// What is written again comes with a watch, up to batchPause later.
+	k.settledAt, k.revivedAt = now.Add(storeera.SettleTime+k.batchPause), now.Add(reviveTime)
 	clear(k.revived)
 	if len(k.missing) > 0 {
 		// Their writers have had no time since this return.
@@ -231,7 +232,7 @@
 			continue
 		}
 		k.entries[object.Name] = &entry{object: object}
-		k.missing[object.Name], k.missingUntil = true, now.Add(storeera.SettleTime)
+		k.missing[object.Name], k.missingUntil = true, now.Add(storeera.SettleTime+k.batchPause)
 		adopted = true
 	}
 	return adopted
