--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -11,7 +11,6 @@
 package mirror
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -167,159 +166,6 @@
 	return m.confirmed
 }
 
-// mayHaveMissedReturn reports whether this process started so lately that the store may just
-// have returned from an older copy without its knowledge, and no other process has told it more.
-func (m *Mirror) mayHaveMissedReturn(now time.Time) bool {
-	return m.eras.Era() > firstEra && !m.options.FirstStart && m.responseApplied.IsZero() && now.Sub(m.firstRead) < storeera.SettleTime
-}
-
-// firstEra is the era of a store that has never returned from an older copy.
-const firstEra = 1
-
-// NeedsPeers reports whether this process has only just started and knows only what the store
-// says, which may lack what other processes know.
-func (m *Mirror) NeedsPeers() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.eras.Era() > firstEra && !m.options.FirstStart && m.responseApplied.IsZero() && m.options.Clock().Sub(m.started) < readerWaitTime
-}
-
-// LacksMember reports whether the store lacks the entry of a member.
-func (m *Mirror) LacksMember(name string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.members.listed && (m.members.entries[name] == nil || m.members.missing[name])
-}
-
-// Era returns the store's era that this process follows and when it was first observed; zero if
-// no other one is known.
-func (m *Mirror) Era() (era uint64, since time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.eras.Era(), m.eras.Since()
-}
-
-// observeEra takes in the era of an answer. m.mu must be held.
-func (m *Mirror) observeEra(call string, era, revision uint64) storeera.Verdict {
-	before := m.eras.Era()
-	verdict := m.eras.Observe(m.options.Clock(), era)
-	switch {
-	case verdict == storeera.Advanced:
-		m.options.Log.Warn("store returned from an older copy", "call", call, "era", era, "before", before, "revision", revision)
-	case verdict == storeera.Outdated:
-		m.options.Log.Warn("answer of an older era of the store", "call", call, "era", era, "followed", before, "revision", revision)
-	case before == 0 && era != 0:
-		m.options.Log.Info("store's era", "era", era, "revision", revision)
-	}
-	return verdict
-}
-
-// FollowConfig polls the configuration until ctx ends.
-func (m *Mirror) FollowConfig(ctx context.Context) error {
-	if err := m.awaitReaders(ctx, nil); err != nil {
-		return err
-	}
-	delegated := false
-	for {
-		pause := delegationCheckInterval
-		if now := m.readsDelegated(); now != delegated {
-			delegated = now
-			m.options.Log.Info("who reads the store changed", "other", delegated,
-				"config_age_ms", m.options.Clock().Sub(m.Confirmed()).Milliseconds())
-		}
-		if !delegated {
-			pause = m.readConfig(ctx)
-		}
-		if err := wait.Sleep(ctx, pause); err != nil {
-			return err
-		}
-	}
-}
-
-// readConfig reads the configuration once and returns the pause until the next read.
-func (m *Mirror) readConfig(ctx context.Context) time.Duration {
-	sentAt := m.options.Clock()
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	object, err := m.options.Store.Get(call, platform.KindConfig, platform.ConfigName)
-	cancel()
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		m.callFailed("configuration", err)
-		return m.retryPause()
-	}
-	if !m.takeConfig(sentAt, object, err == nil) {
-		m.callFailed("configuration", errOutdated)
-		return m.retryPause()
-	}
-	m.storeAnswered()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case err != nil:
-		return initialConfigReadInterval
-	case !m.eras.Settled(m.options.Clock()):
-		return unsettledConfigReadInterval
-	}
-	return configReadInterval
-}
-
-// errOutdated is an answer of the store of an older era than one known before, or of none.
-var errOutdated = errors.New("answer of an older era of the store")
-
-// takeConfig takes in the answer to a read of the configuration that was sent at sentAt. It
-// returns false if the answer is outdated.
-func (m *Mirror) takeConfig(sentAt time.Time, object platform.Object, found bool) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.observeEra("configuration", object.Era, object.Revision) == storeera.Outdated {
-		return false
-	}
-	if !found {
-		return true
-	}
-	now := m.options.Clock()
-	if m.firstRead.IsZero() {
-		m.firstRead = now
-	}
-	m.applyConfig(object)
-	// While the store lacks what was written before its return, an older version in it does
-	// not prove that there is no newer one.
-	if (bytes.Equal(object.Spec, m.spec) || m.eras.Settled(now)) && sentAt.After(m.confirmed) {
-		m.confirmed = sentAt
-	}
-	return true
-}
-
-// applyConfig applies a configuration that differs from the active one, unless its version
-// is older or it is malformed.
-func (m *Mirror) applyConfig(object platform.Object) {
-	at := storeera.Position{Era: object.Era, Revision: object.Revision}
-	if m.base != nil && bytes.Equal(object.Spec, m.spec) {
-		if at.Compare(m.at) > 0 {
-			m.at = at
-		}
-		return
-	}
-	if at == m.seenAt && bytes.Equal(object.Spec, m.seen) {
-		return
-	}
-	m.seen, m.seenAt = object.Spec, at
-	config, err := platform.DecodeConfig(object.Spec)
-	if err != nil {
-		m.options.Log.Error("configuration is malformed, the last one stays in force",
-			"revision", object.Revision, "era", object.Era, "error", err)
-		return
-	}
-	if m.base != nil && config.Number <= m.base.Number {
-		m.options.Log.Warn("configuration ignored: its version is not newer than the active one",
-			"version", config.Number, "in_force", m.base.Number, "revision", object.Revision, "era", object.Era)
-		return
-	}
-	m.base, m.spec, m.at = config, object.Spec, at
-	m.options.Log.Info("configuration in force", "version", config.Number,
-		"revision", object.Revision, "era", object.Era, "accounts", len(config.Accounts), "services", len(config.Pools))
-	m.publish()
-}
-
 // FollowUpstreams keeps the registered upstreams up to date until ctx ends.
 func (m *Mirror) FollowUpstreams(ctx context.Context) error { return m.follow(ctx, m.upstreams) }
 
@@ -514,20 +360,6 @@
 	return nil
 }
 
-// enterEra lets the copy of a kind enter an era and reports whether it is a newer one than that
-// of its state.
-func (m *Mirror) enterEra(k *kindCopy, now time.Time, era uint64) bool {
-	if !k.listed {
-		k.at.Era = era
-		return false
-	}
-	if era <= k.at.Era {
-		return false
-	}
-	k.enterEra(now, era)
-	return true
-}
-
 func (m *Mirror) applyChanges(k *kindCopy, changes platform.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
