End silent watches when the store is known to have returned

The watch of one process on the members had been silent for 12 s, so it did not notice that the store had lost its entry, while its reads of the configuration told it of two new eras; the others shared the limit without it. A new era ends the pending watches of all kinds, which list again. TestSilentWatchEndsWithTheEra failed before.

--- a/daemon/version/mirror/era.go
+++ b/daemon/version/mirror/era.go
@@ -44,6 +44,8 @@
 	verdict := m.eras.Observe(m.options.Clock(), era)
 	switch {
 	case verdict == storeera.Advanced:
+		close(m.newEra)
+		m.newEra = make(chan struct{})
 		m.options.Log.Warn("store returned from an older copy", "call", call, "era", era, "before", before, "revision", revision)
 	case verdict == storeera.Outdated:
 		m.options.Log.Warn("answer of an older era of the store", "call", call, "era", era, "followed", before, "revision", revision)
@@ -66,3 +68,31 @@
 	k.enterEra(now, era)
 	return true
 }
+
+// eraIsNewerThan reports whether a newer era than the given one is followed.
+func (m *Mirror) eraIsNewerThan(era uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.eras.Era() > era
+}
+
+// cancelOnNewEra calls cancel once a newer era than the given one is followed, unless stop is
+// called before. A watch may stay silent for long, while other calls show that the store returned.
+func (m *Mirror) cancelOnNewEra(era uint64, cancel func()) (stop func()) {
+	m.mu.Lock()
+	newEra, newer := m.newEra, m.eras.Era() > era
+	m.mu.Unlock()
+	if newer {
+		cancel()
+		return func() {}
+	}
+	stopped := make(chan struct{})
+	go func() {
+		select {
+		case <-newEra:
+			cancel()
+		case <-stopped:
+		}
+	}()
+	return func() { close(stopped) }
+}
--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -303,3 +304,50 @@
 		t.Error("the member is gone after its entry was written again")
 	}
 }
+
+// muteStore is a store whose watches get no answer.
+type muteStore struct {
+	*fakeStore
+	lists chan string
+}
+
+func (s *muteStore) List(_ context.Context, kind string) (platform.Snapshot, error) {
+	s.lists <- kind
+	return platform.Snapshot{Era: 1, Revision: 5}, nil
+}
+
+func (s *muteStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (platform.Snapshot, error) {
+	<-ctx.Done()
+	return platform.Snapshot{}, ctx.Err()
+}
+
+// Guards against a process whose watch on members is silent when the store returns, for 12 s and
+// more: it did not notice that its own entry was lost (seed 72102 of the soak).
+func TestSilentWatchEndsWithTheEra(t *testing.T) {
+	f := newFixture()
+	store := &muteStore{fakeStore: f.store, lists: make(chan string, 8)}
+	f.options.Store = store
+	f.read(t, 1, 13, 171)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.FollowMembers(ctx)
+	}()
+	<-store.lists
+	f.readStore(t, store, 2, 13, 150)
+	select {
+	case <-store.lists:
+	case <-time.After(5 * time.Second):
+		t.Error("members are not listed again within 5 s of the store's return")
+	}
+	cancel()
+	<-done
+}
+
+// readStore lets the process read a configuration from another store than its fixture's.
+func (f *fixture) readStore(t *testing.T, store *muteStore, era, number, revision uint64) {
+	t.Helper()
+	store.config = ofEra(era, configObject(number, revision))
+	f.readConfig(t.Context())
+}
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -134,8 +134,10 @@
 	backoff time.Duration
 	// responseApplied is when a state response of another process was last applied.
 	responseApplied time.Time
-	// eras follows the era of the store, by the answers that this process had itself.
-	eras storeera.Tracker
+	// eras follows the era of the store, by the answers to this process and to those that read
+	// the store for it. newEra is closed and replaced when it advances.
+	eras   storeera.Tracker
+	newEra chan struct{}
 	// started is when the mirror was created, by its clock.
 	started     time.Time
 	upstreams   *kindCopy
@@ -148,7 +150,7 @@
 	if options.HasStoreReaders == nil {
 		options.HasStoreReaders = func() bool { return false }
 	}
-	m := &Mirror{options: options, available: true, started: options.Clock(), backoff: 1}
+	m := &Mirror{options: options, available: true, started: options.Clock(), backoff: 1, newEra: make(chan struct{})}
 	m.upstreams = newKind(platform.KindUpstream, upstreamsHold, batchPause)
 	m.evacuations = newKind(platform.KindEvacuation, evacuationsHold, batchPause)
 	m.members = newKind(platform.KindMember, membersHold, membersBatchPause)
@@ -293,14 +295,16 @@
 		}
 		hold := m.nextHold(k)
 		call, cancel := context.WithTimeout(ctx, hold+watchSlack)
+		stop := m.cancelOnNewEra(list.Era, cancel)
 		changes, err := m.options.Store.Watch(call, k.name, revision, hold)
+		stop()
 		cancel()
+		if changes.Era != list.Era && err == nil || ctx.Err() == nil && m.eraIsNewerThan(list.Era) {
+			return errEraChanged
+		}
 		if err != nil {
 			return err
 		}
-		if changes.Era != list.Era {
-			return errEraChanged
-		}
 		m.applyChanges(k, changes)
 		revision = max(revision, changes.Revision)
 		if len(changes.Objects) > 0 {
