Let a starting process use no state of a store that may just have returned

A process that started 0.1 s after the store's return read the older registration, of the upstream's process before, and took it for warm; it had asked the others, but served meanwhile. It puts nothing in force now before another process has answered or the store has had its time. The case is in TestStartingProcessDoesNotTrustAStoreThatMayJustHaveReturned, which failed before.

--- a/daemon/version/mirror/config.go
+++ b/daemon/version/mirror/config.go
@@ -84,9 +84,17 @@
 	if m.eras.Settled(now) && sentAt.After(m.confirmed) {
 		m.confirmed = sentAt
 	}
+	m.publishFirst()
 	return true
 }
 
+// publishFirst publishes the state if that was put off until now.
+func (m *Mirror) publishFirst() {
+	if !m.published {
+		m.publish()
+	}
+}
+
 // applyConfig applies a configuration that differs from the active one, unless its version
 // is older or it is malformed.
 func (m *Mirror) applyConfig(object platform.Object) {
--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -225,16 +225,17 @@
 	}
 }
 
-// Guards against a process that starts while the store lacks its newest version and trusts it: it
-// trusts no keys until another process told it what is in force, or the store has had time.
+// Guards against a process that starts while the store lacks its newest state and uses it (seed 72101
+// of the soak: a cold upstream was taken for warm): it puts nothing in force and trusts no keys until
+// another process told it what is in force, or the store has had time.
 func TestStartingProcessDoesNotTrustAStoreThatMayJustHaveReturned(t *testing.T) {
 	peer := storedHub(t)
 	peer.restore(t, 2)
 	alone, helped := newFixture(), newFixture()
 	for _, f := range []*fixture{alone, helped} {
 		f.restore(t, 2)
-		if !f.Confirmed().IsZero() || !f.NeedsPeers() {
-			t.Errorf("confirmed at %v, wants to ask others: %v; want neither trust nor silence", f.Confirmed(), f.NeedsPeers())
+		if f.applied != nil || !f.Confirmed().IsZero() || !f.NeedsPeers() {
+			t.Errorf("in force %v, confirmed at %v, wants to ask others: %v; want neither use, trust nor silence", f.applied, f.Confirmed(), f.NeedsPeers())
 		}
 	}
 	helped.askHub(t, peer)
@@ -243,7 +244,7 @@
 	}
 	alone.clock.now = alone.clock.now.Add(storeera.SettleTime)
 	alone.read(t, 2, 10, 150)
-	if !alone.Confirmed().Equal(alone.clock.now) {
+	if !alone.Confirmed().Equal(alone.clock.now) || alone.applied == nil {
 		t.Error("a process without others never trusts the store")
 	}
 }
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -123,6 +123,8 @@
 	// seen is the text of the configuration that was judged last, and seenAt its position.
 	seen   []byte
 	seenAt storeera.Position
+	// published is set once a configuration was passed to Apply.
+	published bool
 	// firstRead is when the store first answered a read of the configuration.
 	firstRead time.Time
 	// confirmed is the time at which the newest successful read of the configuration was
@@ -428,11 +430,13 @@
 
 // publish passes the present state to Apply.
 func (m *Mirror) publish() {
-	if m.base == nil || !m.upstreams.listed || !m.evacuations.listed {
+	if m.base == nil || !m.upstreams.listed || !m.evacuations.listed || !m.published && m.mayHaveMissedReturn(m.options.Clock()) {
 		// With a part of the state only, requests would be refused for lack of upstreams or
-		// sent to an evacuated data centre.
+		// sent to an evacuated data centre; with an older one, to upstreams that drain or
+		// are cold.
 		return
 	}
+	m.published = true
 	upstreams := make(map[version.UpstreamID]*version.Upstream)
 	for entry := range maps.Values(m.upstreams.entries) {
 		if entry.upstream != nil {
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -131,6 +131,7 @@
 		m.finishUpdate(k, now, changed, string(from))
 	}
 	m.responseApplied = now
+	m.publishFirst()
 	return true
 }
 
