Pass on no state that may be older than what others know

Two processes started within 0.3 s, right after the store's return; the first answered the second with the older version that it had just read and did not trust itself. The case is in TestStartingProcessDoesNotTrustAStoreThatMayJustHaveReturned, which failed before.

--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -32,6 +32,8 @@
 // taken to have it already.
 func TestVersionWithTheRevisionOfALostOneReachesTheOtherVMs(t *testing.T) {
 	hub, leaf := newFixture(), newFixture()
+	// The hub has run for some time.
+	hub.firstRead = hub.started.Add(-time.Minute)
 	for _, k := range hub.kinds() {
 		hub.list(t, k, 1, 100)
 	}
@@ -238,6 +240,9 @@
 			t.Errorf("in force %v, confirmed at %v, wants to ask others: %v; want neither use, trust nor silence", f.applied, f.Confirmed(), f.NeedsPeers())
 		}
 	}
+	if _, ok := alone.AnswerStateRequest(helped.StateRequest()); ok {
+		t.Error("a process that trusts its own state not yet passes it on (seed 74006 of the soak)")
+	}
 	helped.askHub(t, peer)
 	if helped.Confirmed().IsZero() || helped.state() != peer.state() {
 		t.Errorf("after another process's answer: confirmed at %v, %s in force, want %s", helped.Confirmed(), helped.state(), peer.state())
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -52,13 +52,13 @@
 }
 
 // AnswerStateRequest returns the response to another process's state request, from what
-// this mirror itself has read from the store. It reports false if it has read nothing yet
-// or its state comes from another process.
+// this mirror itself has read from the store. It reports false if it has read nothing yet,
+// its state comes from another process, or it may be older than what others know.
 func (m *Mirror) AnswerStateRequest(request wire.StateRequest) (wire.StateResponse, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock()
-	if m.base == nil || m.freshResponseAt(now) {
+	if m.base == nil || m.freshResponseAt(now) || m.mayHaveMissedReturn(now) {
 		return wire.StateResponse{}, false
 	}
 	response := wire.StateResponse{
