--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -50,11 +50,7 @@
 	}
 	usage := p.usage.relativeUsage(now, ticket.Account)
 	if ticket.Attempt <= 1 && p.limitsReservedFor(now, ticket.Pool, usage) {
-		// Beyond maxLimitedShare not even the unlimited upstreams serve the account: those that
-		// the limits turn away need them.
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
-			return c.advice.named() || usage.shareUsed >= maxLimitedShare
-		})
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.advice.named() })
 		if len(candidates) == 0 {
 			return candidate{}, p.limitsReserved(now, ticket, usage.shareUsed)
 		}
--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -141,16 +141,15 @@
 	if usage.shareUsed <= 1 || usage.ofHighest < behindFraction {
 		return false
 	}
-	limited, sent, quota := false, 0, 0
+	sent, quota := 0, 0
 	for _, u := range p.upstreamsByPool[pool] {
 		if u.advice.named() {
-			limited = true
 			sent += u.sends.Within(now, limitWindow)
 			quota += p.limitQuota(now, u)
 		}
 	}
 	unreserved := unreservedFraction * max(maxLimitedShare-usage.shareUsed, 0) / (maxLimitedShare - 1)
-	return limited && float64(sent) >= unreserved*float64(quota)
+	return float64(sent) >= unreserved*float64(quota)
 }
 
 // noticeLimit adds a notice if an upstream's limit has changed since the last one.
