--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -23,10 +23,8 @@
 	fleetTolerance = 1.2
 	fleetSlack     = 2
 	// unreservedFraction is the used fraction of the quotas of a pool from which the rest is
-	// kept for others than an account that has just had its share. It falls to 0 for one that
-	// has had maxLimitedShare times its share.
+	// kept for others than an account that has just had its share.
 	unreservedFraction = 0.8
-	maxLimitedShare    = 1.5
 )
 
 // limitWindow is the window in which the requests to an upstream that names a limit are counted.
@@ -148,8 +146,7 @@
 			quota += p.limitQuota(now, u)
 		}
 	}
-	unreserved := unreservedFraction * max(maxLimitedShare-usage.shareUsed, 0) / (maxLimitedShare - 1)
-	return float64(sent) >= unreserved*float64(quota)
+	return float64(sent) >= unreservedFraction*float64(quota)/(usage.shareUsed*usage.shareUsed)
 }
 
 // noticeLimit adds a notice if an upstream's limit has changed since the last one.
