Remember the entries that were removed last over a return of the store

What callers would see: an evacuation that was lifted, or a registration that was removed, comes back with the store's older copy, if 1,024 entries of its kind were removed in the 2 minutes before. Cause: once that many were remembered, later ones were not; but the store returns from a copy some seconds old, so it has the last ones. Now the oldest one makes room. Found by reading; TestEntriesRemovedLastAreRemembered fails without it.

--- a/daemon/version/mirror/era_test.go
+++ b/daemon/version/mirror/era_test.go
@@ -362,3 +362,20 @@
 	store.config = ofEra(era, configObject(number, revision))
 	f.readConfig(t.Context())
 }
+
+// Guards against an entry that was removed last and comes back with the store's older copy, because
+// as many as are remembered had been removed before it.
+func TestEntriesRemovedLastAreRemembered(t *testing.T) {
+	k := newKind(platform.KindEvacuation, time.Second, 0)
+	start := time.Unix(1000, 0)
+	for i := range maxGone + 1 {
+		name := fmt.Sprint("dc-", i)
+		k.put(start, evacuation(name, uint64(i+1)))
+		// Several entries may be removed at the same time.
+		k.remove(start.Add(time.Duration(i/2)*time.Millisecond), name)
+	}
+	last := fmt.Sprint("dc-", maxGone)
+	if _, remembered := k.gone[last]; !remembered || len(k.gone) > maxGone {
+		t.Errorf("%d removed entries are remembered, the last one of them: %v", len(k.gone), remembered)
+	}
+}
--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -44,8 +44,8 @@
 }
 
 const (
-	// goneRetention is how long a removed entry is remembered, and maxGone how many are. A
-	// store returns from a copy some seconds old.
+	// goneRetention is how long a removed entry is remembered, and maxGone how many are, those
+	// removed last. A store returns from a copy some seconds old.
 	goneRetention = 2 * time.Minute
 	maxGone       = 1024
 	// reviveTime is how long after the store's return a removed entry that it has again
@@ -264,12 +264,16 @@
 
 // remember keeps a removed entry among the gone ones, within goneRetention and maxGone.
 func (k *kindCopy) remember(now time.Time, name string, spec []byte) {
+	oldest, oldestAt := "", now
 	for other, entry := range k.gone {
 		if now.Sub(entry.at) > goneRetention {
 			delete(k.gone, other)
+		} else if !entry.at.After(oldestAt) {
+			oldest, oldestAt = other, entry.at
 		}
 	}
-	if len(k.gone) < maxGone {
-		k.gone[name] = goneEntry{spec: spec, at: now}
+	if len(k.gone) >= maxGone {
+		delete(k.gone, oldest)
 	}
+	k.gone[name] = goneEntry{spec: spec, at: now}
 }
