End silent watches of the product's configuration with the store's era

What callers would see: after a return of the store, the product's own configuration that was lost is written again up to 21 s late, because the watch of its head is held without an answer. The mirror of the users' platform ends such watches since; the object store's client has the same cause. Both use wait.CancelOn now. Found by reading.

--- a/daemon/connection/objectstore/client.go
+++ b/daemon/connection/objectstore/client.go
@@ -145,6 +145,7 @@
 			URL: options.URL, Token: options.Token, Transport: options.Transport,
 		}),
 		budget: rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.CallsBurst),
+		eras:   eraTracker{newEra: make(chan struct{})},
 	}
 }
 
@@ -152,18 +153,36 @@
 type eraTracker struct {
 	mu      sync.Mutex
 	tracker storeera.Tracker
+	// newEra is closed and replaced when the era advances.
+	newEra chan struct{}
 }
 
 // check returns an error, marked with ErrUnavailable, for an answer of an older era.
 func (t *eraTracker) check(era uint64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.tracker.Observe(time.Now(), era) == storeera.Outdated {
+	switch t.tracker.Observe(time.Now(), era) {
+	case storeera.Outdated:
 		return errors.Mark(errors.Newf("answer of the store's era %d, later ones are known", era), ErrUnavailable)
+	case storeera.Advanced:
+		close(t.newEra)
+		t.newEra = make(chan struct{})
 	}
 	return nil
 }
 
+// next returns a channel that is closed once an era after the given one is followed.
+func (t *eraTracker) next(era uint64) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tracker.Era() > era {
+		begun := make(chan struct{})
+		close(begun)
+		return begun
+	}
+	return t.newEra
+}
+
 // current reports whether an object version is of the present era. A version of an older one may
 // have been given out again.
 func (t *eraTracker) current(v ObjectVersion) bool {
@@ -332,12 +351,17 @@
 	if !present && known != 0 {
 		return Object{}, ErrNotFound
 	}
+	newEra := c.eras.next(objects.Era)
 	for revision := objects.Revision; ; {
 		var changes platform.Snapshot
 		err := c.attempt(ctx, CallWatch, watchWait+callTimeout, func(ctx context.Context) error {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			// A watch may stay silent for long, while other calls show that the store returned.
+			defer wait.CancelOn(newEra, cancel)()
 			var err error
 			changes, err = c.store.Watch(ctx, kind, revision, watchWait)
-			if err == nil && changes.Era != objects.Era {
+			if err == nil && changes.Era != objects.Era || isClosed(newEra) {
 				// Revisions have begun again, so changes may be missing.
 				err = platform.ErrHistoryGone
 			}
@@ -361,6 +385,15 @@
 	}
 }
 
+func isClosed(event <-chan struct{}) bool {
+	select {
+	case <-event:
+		return true
+	default:
+		return false
+	}
+}
+
 // listAll returns all objects of a kind. It makes one attempt of a call for each page.
 func (c *Client) listAll(ctx context.Context, call Call, kind string) (platform.Snapshot, error) {
 	return platform.ReadPages(func(after string) (page platform.Snapshot, more bool, err error) {
--- a/daemon/process/wait/wait.go
+++ b/daemon/process/wait/wait.go
@@ -1,5 +1,5 @@
-// Package wait lets a goroutine wait for a duration, or for a decision that another
-// goroutine makes.
+// Package wait lets a goroutine wait for a duration, for an event, or for a decision that
+// another goroutine makes.
 package wait
 
 import (
@@ -20,6 +20,19 @@
 	}
 }
 
+// CancelOn calls cancel once event is closed, unless stop is called before.
+func CancelOn(event <-chan struct{}, cancel func()) (stop func()) {
+	stopped := make(chan struct{})
+	go func() {
+		select {
+		case <-event:
+			cancel()
+		case <-stopped:
+		}
+	}()
+	return func() { close(stopped) }
+}
+
 // Map holds the pending waits, each for one decision under its own key. The zero value
 // is ready to use. It is safe for concurrent use.
 type Map[K comparable, D any] struct {
--- a/daemon/version/mirror/era.go
+++ b/daemon/version/mirror/era.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
 
@@ -86,13 +87,5 @@
 		cancel()
 		return func() {}
 	}
-	stopped := make(chan struct{})
-	go func() {
-		select {
-		case <-newEra:
-			cancel()
-		case <-stopped:
-		}
-	}()
-	return func() { close(stopped) }
+	return wait.CancelOn(newEra, cancel)
 }
--- a/lab/metastore/client_test.go
+++ b/lab/metastore/client_test.go
@@ -308,3 +308,44 @@
 		t.Errorf("stored %q (error %v), want the other writer's value", now.Value, err)
 	}
 }
+
+// Guards against a watch that stays silent after the store's return, although other calls of the
+// process show it.
+func TestSilentWatchEndsWithTheEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		defer store.Close()
+		c := newClient(store)
+		const key = "config/head"
+		first, err := c.Put(t.Context(), key, []byte("first"), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		older := store.Copy()
+		second, err := c.Put(t.Context(), key, []byte("second"), first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan client.Object, 1)
+		go func() {
+			object, err := c.Watch(t.Context(), key, second)
+			if err != nil {
+				t.Error(err)
+			}
+			got <- object
+		}()
+		time.Sleep(time.Second)
+		store.SetFaults(metastore.Faults{Silent: true})
+		store.Restore(older)
+		time.Sleep(time.Second)
+		store.SetFaults(metastore.Faults{})
+		returned := time.Now()
+		if _, err := c.Get(t.Context(), "config/other"); !errors.Is(err, client.ErrNotFound) {
+			t.Fatal(err)
+		}
+		object := <-got
+		if took := time.Since(returned); took > 2*time.Second || string(object.Value) != "first" {
+			t.Errorf("got %q %v after the era was known, want the older value within 2 s", object.Value, took)
+		}
+	})
+}
