Report the end of an upstream's pause with the age of the pause

What an engineer saw in the log: the line on an upstream that is used again named the age of its last answer of any kind, since answers without a limit are recorded as well. Cause: advisedAt was set by each of them. The retention of advice counts the answer that named the limit on its own now. Evidence: TestEndOfAPauseIsReportedWithItsAge reported 200 ms instead of 1.1 s before. Found by reading.

--- a/fleet/process/placement/declined.go
+++ b/fleet/process/placement/declined.go
@@ -19,14 +19,14 @@
 	retrySpreadSteps = 8
 )
 
-// adviceState is the drain advice, the pauses and the limit that an upstream has sent in its answers. It
-// belongs to one incarnation of the upstream: a new incarnation has another identifier.
+// adviceState is the drain advice, the pauses and the limit that an upstream has sent in its
+// answers. It belongs to one incarnation of the upstream: a new incarnation has another identifier.
 type adviceState struct {
 	// leaving is set by drain advice and never reset.
 	leaving bool
 	// pausedUntil is when the pause ends.
 	pausedUntil time.Time
-	// advisedAt is when the upstream last sent advice.
+	// advisedAt is when the upstream last sent drain advice or a pause.
 	advisedAt time.Time
 	// resumed is set once a request has been sent after the newest pause.
 	resumed bool
@@ -64,7 +64,6 @@
 	if state := p.advice[id]; state != nil || advice.Limit.State == request.LimitNamed {
 		state = p.adviceOf(id)
 		state.limit.Observe(now, sentAt, advice.Limit)
-		state.advisedAt = now
 		p.noticeLimit(now, id, &state.limit)
 	}
 	if !advice.Leaving && advice.Pause <= 0 {
@@ -121,7 +120,7 @@
 // registered.
 func (p *Placer) expireAdvice(now time.Time) {
 	for id, state := range p.advice {
-		if p.upstreams[id] == nil && now.Sub(state.advisedAt) > adviceRetention {
+		if p.upstreams[id] == nil && now.Sub(later(state.advisedAt, state.limit.ObservedAt)) > adviceRetention {
 			delete(p.advice, id)
 		}
 	}
--- a/fleet/process/placement/declined_test.go
+++ b/fleet/process/placement/declined_test.go
@@ -151,3 +151,21 @@
 		t.Errorf("%d prompts were sent to three engines, which can prefill %.0f in time", placed, capacity)
 	}
 }
+
+// Guards against a log line on the end of a pause with the age of a later answer, which gave no
+// advice.
+func TestEndOfAPauseIsReportedWithItsAge(t *testing.T) {
+	f := newFixture(1, nil)
+	paused, _ := f.placedAt(1)
+	f.RecordAdvice(f.now, paused, f.now, request.Advice{Pause: time.Second})
+	f.now = f.now.Add(900 * time.Millisecond)
+	f.RecordAdvice(f.now, paused, f.now, request.Advice{Limit: request.RateLimit{State: request.LimitNone}})
+	f.now = f.now.Add(200 * time.Millisecond)
+	f.Notices()
+	if _, refusal := f.placedAt(1); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if notices := f.Notices(); len(notices) != 1 || notices[0].Age != 1100*time.Millisecond {
+		t.Errorf("%+v, want the end of a pause of 1.1 s ago", notices)
+	}
+}
--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -48,7 +48,6 @@
 	}
 	state := p.adviceOf(id)
 	state.limit.Hear(now, sentAt, limit)
-	state.advisedAt = now
 	p.noticeLimit(now, id, &state.limit)
 }
 
