Forget the limits of upstreams that are no longer configured

What it cost: on the OpenAI form, an entry kept the last limit of every upstream that ever named one and was removed before its limit ended, for good. Cause: only an answer without a limit dropped it. Each new configuration does now. Evidence: TestLimitsOfRemovedUpstreamsAreForgotten; found by reading.

--- a/fleet/process/entry/limit.go
+++ b/fleet/process/entry/limit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
@@ -25,6 +26,11 @@
 	namedAt time.Time
 }
 
+// Configure forgets the limits of upstreams that a configuration lacks.
+func (e *Entry) Configure(config *version.Config) {
+	maps.DeleteFunc(e.limits, func(id version.UpstreamID, _ reportedLimit) bool { return config.Upstreams[id] == nil })
+}
+
 // ObserveLimit reports to a pool's dispatcher what the answer to a request, sent age ago, says of
 // its upstream's limit. Nothing is reported of upstreams that named none lately.
 func (e *Entry) ObserveLimit(now time.Time, pool version.PoolID, upstream version.UpstreamID, age time.Duration, limit request.RateLimit) {
--- a/fleet/process/node/node.go
+++ b/fleet/process/node/node.go
@@ -134,6 +134,7 @@
 		return
 	}
 	n.config = config
+	n.entry.Configure(config)
 	n.accounting.meter.Configure(config)
 	n.options.Timeline.Record(now, timeline.Event{Kind: timeline.KindConfigured, Version: config.Number})
 	n.updateOutOfService(now)
