--- a/fleet/connection/ratelimit/ratelimit.go
+++ b/fleet/connection/ratelimit/ratelimit.go
@@ -14,8 +14,9 @@
 	// hearsayMargin is how much younger an observation of another VM must be to replace this
 	// VM's if they differ. The time that its report was under way is not known.
 	hearsayMargin = 250 * time.Millisecond
-	// endedTime is how long the end of a limit is worth reporting.
-	endedTime = 10 * time.Second
+	// EndedTime is how long the end of a limit is reported, in case that a report is lost or
+	// overtaken.
+	EndedTime = 10 * time.Second
 	// probeSilence is how long nobody heard an upstream's limit when it is tried again beyond
 	// the limit, and probeInterval the time for each such request: an upstream that gets
 	// nothing cannot say that its limit has ended.
@@ -76,7 +77,7 @@
 
 // Reportable reports whether the limit, or its end, is worth reporting to other VMs.
 func (l *Limit) Reportable(now time.Time) bool {
-	return l.Named() || l.State == request.LimitNone && now.Sub(l.endedAt) < endedTime
+	return l.Named() || l.State == request.LimitNone && now.Sub(l.endedAt) < EndedTime
 }
 
 // Budget returns how many requests the upstream takes from the whole fleet in any Window. It
--- a/fleet/process/entry/limit.go
+++ b/fleet/process/entry/limit.go
@@ -4,19 +4,14 @@
 	"maps"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/connection/ratelimit"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-const (
-	// limitReportInterval is the least time between two reports of the same limit of an
-	// upstream.
-	limitReportInterval = 200 * time.Millisecond
-	// endedLimitTime is how long the end of a limit is reported again with each answer, in case
-	// that a report is lost or overtaken.
-	endedLimitTime = 10 * time.Second
-)
+// limitReportInterval is the least time between two reports of the same limit of an upstream.
+const limitReportInterval = 200 * time.Millisecond
 
 // reportedLimit is the limit of an upstream that was last reported to a dispatcher.
 type reportedLimit struct {
@@ -38,7 +33,7 @@
 	switch {
 	case limit.State == request.LimitUnsaid, limit.State == request.LimitNone && !reported:
 		return
-	case limit.State == request.LimitNone && now.Sub(last.namedAt) > endedLimitTime:
+	case limit.State == request.LimitNone && now.Sub(last.namedAt) > ratelimit.EndedTime:
 		delete(e.limits, upstream)
 		return
 	case last.limit == limit && now.Sub(last.at) < limitReportInterval:
