--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -19,7 +19,7 @@
 )
 
 // objectsPath is the path prefix under which objects are served.
-const objectsPath = "/-/objects/"
+const objectsPath = platformtest.ObjectsPath
 
 // pageSize is the number of objects in a page of a list. It is small so that
 // tests see lists of several pages.
