--- a/daemon/cmd/trefoilctl/command/store.go
+++ b/daemon/cmd/trefoilctl/command/store.go
@@ -62,5 +62,8 @@
 	if ageMS < 0 {
 		return "no"
 	}
-	return fmt.Sprintf("%.1f s ago", float64(ageMS)/1000)
+	return agoText(ageMS)
 }
+
+// agoText returns an age in milliseconds as text.
+func agoText(ageMS int64) string { return fmt.Sprintf("%.1f s ago", float64(ageMS)/1000) }
--- a/daemon/cmd/trefoilctl/command/upstream.go
+++ b/daemon/cmd/trefoilctl/command/upstream.go
@@ -88,7 +88,7 @@
 	for _, limit := range list {
 		rows = append(rows, []string{
 			limit.Upstream, strconv.FormatFloat(limit.PerSecond, 'f', -1, 64), limit.Since.Format(time.RFC3339),
-			fmt.Sprintf("%.1f s ago", float64(limit.AgeMS)/1000), strconv.Itoa(limit.Sent), strconv.Itoa(limit.Quota),
+			agoText(limit.AgeMS), strconv.Itoa(limit.Sent), strconv.Itoa(limit.Quota),
 			fmt.Sprintf("%d of %d", len(limit.Daemons), daemons),
 		})
 	}
