Write the ledger's records again that the store has lost

What callers would see: a call with an idempotency key runs a second time after the store returned from an older copy, because the claim or the recorded answer of the first is lost there. Cause: a writer takes what the store acknowledged for kept; it read the older log and claimed the key anew. Now a writer that learns of the return reads each cached log from its beginning and writes again what the store lacks; new claims wait until the store has caught up (2 s) and the logs are read again. The daemon learns of the return by the ledger's own calls and by those that follow the configuration. Evidence: TestKeyIsNotRunAgainAfterAReturnOfTheStore got a permit before, the recorded answer now. The model plays returns: no key executed twice in 47,626 and 15,973 states, with two time jumps (-deep) in 542,434; without the daemons' knowledge of the return it finds the second execution. Not covered: records whose writer ended meanwhile or no longer caches the log (a minute), and a writer that learns of the return over 2 s late.

--- a/daemon/connection/objectstore/client.go
+++ b/daemon/connection/objectstore/client.go
@@ -99,6 +99,10 @@
 	// must not block. An error that does not indicate a failure of the store,
 	// such as ErrNotFound or ErrConflict, is reported as nil.
 	Observe func(call Call, err error)
+	// OnNewEra is called when the store is first known to have returned from an older copy of
+	// itself, with the store's era since then, before the call that showed it returns. The
+	// default does nothing.
+	OnNewEra func(era uint64)
 }
 
 // Client implements Store and Directory on the platform's metadata store. It is
@@ -139,18 +143,24 @@
 	if options.Observe == nil {
 		options.Observe = func(Call, error) {}
 	}
+	if options.OnNewEra == nil {
+		options.OnNewEra = func(uint64) {}
+	}
 	return &Client{
 		options: options,
 		store: platform.NewStore(platform.StoreOptions{
 			URL: options.URL, Token: options.Token, Transport: options.Transport,
 		}),
 		budget: rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.CallsBurst),
-		eras:   eraTracker{newEra: make(chan struct{})},
+		eras:   eraTracker{onNewEra: options.OnNewEra, newEra: make(chan struct{})},
 	}
 }
 
 // eraTracker is a storeera.Tracker for concurrent use.
 type eraTracker struct {
+	// onNewEra is called when the era has advanced.
+	onNewEra func(era uint64)
+
 	mu      sync.Mutex
 	tracker storeera.Tracker
 	// newEra is closed and replaced when the era advances.
@@ -159,16 +169,24 @@
 
 // check returns an error, marked with ErrUnavailable, for an answer of an older era.
 func (t *eraTracker) check(era uint64) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch t.tracker.Observe(time.Now(), era) {
+	switch t.observe(era) {
 	case storeera.Outdated:
 		return errors.Mark(errors.Newf("answer of the store's era %d, later ones are known", era), ErrUnavailable)
 	case storeera.Advanced:
+		t.onNewEra(era)
+	}
+	return nil
+}
+
+func (t *eraTracker) observe(era uint64) storeera.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict := t.tracker.Observe(time.Now(), era)
+	if verdict == storeera.Advanced {
 		close(t.newEra)
 		t.newEra = make(chan struct{})
 	}
-	return nil
+	return verdict
 }
 
 // next returns a channel that is closed once an era after the given one is followed.
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -97,6 +97,7 @@
 		CallsPerSecond: s.Platform.CallsPerSecond,
 		CallsBurst:     s.Platform.CallsBurst,
 		Observe:        observe,
+		OnNewEra:       func(era uint64) { a.ledger.StoreReturned(era) },
 	})
 	a.loop = loop.New(loop.Options{Node: a.newNode(incarnation), Log: log})
 	a.quarantine = quarantine.New(quarantine.Options{VM: s.VM, Config: a.loop.Config, Log: log})
--- a/daemon/process/app/ledger.go
+++ b/daemon/process/app/ledger.go
@@ -29,6 +29,7 @@
 // newLedger returns the daemon's ledger. The ledger has its own store client, which does
 // not retry, because the ledger's core decides when to call again.
 func (a *App) newLedger(observe func(objectstore.Call, error)) *ledger.Ledger {
+	var created *ledger.Ledger
 	store := objectstore.New(objectstore.Options{
 		URL:            a.settings.Platform.URL,
 		Token:          a.settings.Platform.Token,
@@ -37,8 +38,10 @@
 		CallsBurst:     ledgerCallsBurst,
 		Retry:          objectstore.Retry{Attempts: 1},
 		Observe:        observe,
+		OnNewEra:       func(era uint64) { created.StoreReturned(era) },
 	})
-	return ledger.New(ledger.Options{VM: a.settings.VM, Store: store, Sender: a.peers, Log: a.log})
+	created = ledger.New(ledger.Options{VM: a.settings.VM, Store: store, Sender: a.peers, Log: a.log})
+	return created
 }
 
 // followOwners updates the owners of the ledger's shards until ctx ends.
--- a/daemon/process/ledger/ledger.go
+++ b/daemon/process/ledger/ledger.go
@@ -59,6 +59,8 @@
 	ownersMu sync.Mutex
 	owners   atomic.Pointer[core.Owners]
 	settled  atomic.Bool
+	// era is the store's era of the last return that was handled.
+	era      atomic.Uint64
 	counters counters
 	// done is closed when Run returns.
 	done chan struct{}
@@ -197,6 +199,18 @@
 	l.post(core.OwnersChanged{Owners: owners})
 }
 
+// StoreReturned handles the return of the store from an older copy of itself: what it has lost is
+// written again, and claims wait until it has caught up. Only the first call for an era counts.
+func (l *Ledger) StoreReturned(era uint64) {
+	for known := l.era.Load(); known < era; known = l.era.Load() {
+		if l.era.CompareAndSwap(known, era) {
+			l.options.Log.Warn("store returned from an older copy, the ledger writes again what it lost", "era", era)
+			l.post(core.StoreReturned{})
+			return
+		}
+	}
+}
+
 // LinkDown handles the loss of the link to vm.
 func (l *Ledger) LinkDown(vm version.VMID) { l.post(core.LinkLost{VM: vm}) }
 
--- a/daemon/process/ledger/ledger_test.go
+++ b/daemon/process/ledger/ledger_test.go
@@ -48,6 +48,32 @@
 	})
 }
 
+// TestKeyIsNotRunAgainAfterAReturnOfTheStore guards against a request that is executed again because
+// the store returned from an older copy and lost its claim: a retry that reaches another daemon right
+// then must wait and get the recorded answer. No call of the store is in progress at that moment.
+func TestKeyIsNotRunAgainAfterAReturnOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		links := startLedgers(t, store, "", "a", "b")
+		key := newKey()
+		first := newClaim(key)
+		if verdict := links["a"].Claim(t.Context(), first); verdict.Run == nil {
+			t.Fatalf("got %+v, want a permit", verdict)
+		}
+		links["a"].Record(first, &claim.Answer{Status: 201, Body: []byte("booked")})
+		time.Sleep(2 * core.FlushDelay)
+		store.configure(func(s *fakeStore) { clear(s.objects) })
+		links["b"].StoreReturned(2)
+		retry := make(chan claim.Verdict)
+		go func() { retry <- links["b"].Claim(t.Context(), newClaim(key)) }()
+		time.Sleep(time.Second)
+		links["a"].StoreReturned(2)
+		if got := <-retry; got.Replay == nil || string(got.Replay.Body) != "booked" {
+			t.Errorf("the retry got %+v, want the recorded answer", got)
+		}
+	})
+}
+
 // TestLostWriteAnswerIsReadBack guards against a claim that is refused, or written
 // twice, because the store's answer to a successful write was lost.
 func TestLostWriteAnswerIsReadBack(t *testing.T) {
--- a/fleet/process/ledger/book.go
+++ b/fleet/process/ledger/book.go
@@ -65,6 +65,11 @@
 	// stale is set if the store may hold more records than this copy. A stale log
 	// is read before it is written.
 	stale bool
+	// found are the records that were read since the store returned from an older copy, until
+	// the log is read up to its end; nil at other times. lost are those that the store lacked
+	// then and that have not been written again.
+	found *foundRecords
+	lost  segment
 
 	claims      map[accountKey][]claimRecord
 	completions map[uuid.UUID]completion
@@ -91,14 +96,17 @@
 	}
 }
 
-// idle reports whether no claim and no completion is pending.
+// idle reports whether no claim, no completion and no lost record is pending.
 func (log *logState) idle() bool {
-	return len(log.pendingClaims) == 0 && len(log.pendingCompletions) == 0
+	return len(log.pendingClaims) == 0 && len(log.pendingCompletions) == 0 && !log.restoring()
 }
 
 // addRecords adds the records of a segment. Adding the same records again has no
 // effect.
 func (log *logState) addRecords(s segment) {
+	if log.found != nil {
+		log.found.add(s)
+	}
 	for _, record := range s.Claims {
 		key := accountKey{record.Account, record.Key}
 		if !containsAttempt(log.claims[key], record.Attempt) {
@@ -201,16 +209,17 @@
 	return stateFree, nil, nil
 }
 
-// batch returns the records to write next: one claim for each free key, and the
-// pending completions. A claim that follows a closed attempt is never written
-// before the closing, but in the same write or a later one.
-func (log *logState) batch() segment {
-	batch := segment{Format: segmentFormat}
+// batch returns the records to write next: lost ones, one claim for each free key
+// unless claims are held back, and the pending completions. A claim that follows a
+// closed attempt is never written before the closing, but in the same write or a
+// later one.
+func (log *logState) batch(holdClaims bool) segment {
+	batch := log.nextLost()
 	bodyBytes := 0
 	claimedKeys := make(map[accountKey]bool)
 	for _, c := range log.pendingClaims {
 		key := accountKey{c.subject.Account, c.subject.Key}
-		if c.holder != nil || claimedKeys[key] || len(batch.Claims) == maxBatchClaims {
+		if holdClaims || c.holder != nil || claimedKeys[key] || len(batch.Claims) >= maxBatchClaims {
 			continue
 		}
 		claimedKeys[key] = true
--- a/fleet/process/ledger/calls.go
+++ b/fleet/process/ledger/calls.go
@@ -1,10 +1,15 @@
 package ledger
 
-import "time"
+import (
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
+)
 
 // startNextCall starts the store call that has been needed longest, unless a call
 // is in progress or the writer backs off.
 func (w *writer) startNextCall(now time.Time) {
+	w.checkSettled(now)
 	if w.call != nil || now.Before(w.nextCallAt) {
 		return
 	}
@@ -31,8 +36,11 @@
 	if !log.stale && now.Before(w.nextWriteAt) {
 		return time.Time{}, false
 	}
+	if log.restoring() {
+		return w.ledger.settledAt.Add(-storeera.SettleTime), true
+	}
 	for _, c := range log.pendingClaims {
-		if c.holder == nil {
+		if c.holder == nil && (log.stale || !w.holdsClaims()) {
 			return c.receivedAt, true
 		}
 	}
@@ -55,7 +63,8 @@
 // startWrite adds all pending records to the last segment and seals the segment
 // if it has reached SegmentSealBytes.
 func (w *writer) startWrite(now time.Time, log *logState) {
-	batch := log.batch()
+	restored := log.nextLost()
+	batch := log.batch(w.holdsClaims())
 	updated := log.openSegment.withRecords(batch)
 	value, err := updated.encode()
 	if err == nil && len(value) >= SegmentSealBytes {
@@ -72,6 +81,7 @@
 		issuedAt:    now,
 		addedClaims: batch.Claims,
 		updated:     updated,
+		restored:    restored,
 	}
 	w.nextWriteAt = now.Add(w.ledger.writeInterval)
 	w.ledger.emit(Write{
@@ -91,6 +101,9 @@
 	done := w.call
 	w.call = nil
 	log := done.log
+	if done.outdated {
+		return
+	}
 	switch e.Result {
 	case Succeeded:
 		read, err := decodeSegment(e.Value)
@@ -117,9 +130,12 @@
 // handleFullRead handles a log that was read up to its last segment. The last
 // read was issued at issuedAt.
 func (w *writer) handleFullRead(now time.Time, log *logState, issuedAt time.Time) {
+	if log.found != nil {
+		log.collectLost()
+	}
 	w.settle(now, log)
 	for _, c := range log.pendingClaims {
-		if c.holder == nil && !c.receivedAt.After(issuedAt) {
+		if c.holder == nil && !w.holdsClaims() && !c.receivedAt.After(issuedAt) {
 			c.foundFree = true
 		}
 	}
@@ -136,8 +152,13 @@
 	done := w.call
 	w.call = nil
 	log := done.log
+	if done.outdated && e.Result == Succeeded {
+		// It is not known whether the write took effect before the return or after it.
+		e.Result = Unresolved
+	}
 	switch e.Result {
 	case Succeeded:
+		log.dropLost(done.restored)
 		log.setLastSegment(done.updated, e.Version)
 		w.resetBackoff(now)
 		w.settle(now, log)
--- a/fleet/process/ledger/event.go
+++ b/fleet/process/ledger/event.go
@@ -59,6 +59,10 @@
 // the write with, as before the daemon shuts down.
 type Flush struct{}
 
+// StoreReturned reports that the store has returned from an older copy of itself, so that records
+// that it had acknowledged may be lost.
+type StoreReturned struct{}
+
 // ReadDone reports the result of a Read.
 type ReadDone struct {
 	Operation Operation
@@ -114,6 +118,8 @@
 
 func (e Undelivered) apply(l *Ledger, now time.Time) { l.handleUndelivered(now, e) }
 
+func (e StoreReturned) apply(l *Ledger, now time.Time) { l.storeReturned(now) }
+
 func (e ReadDone) apply(l *Ledger, now time.Time) {
 	if w := l.storeCalls.finish(e.Operation); w != nil {
 		w.readDone(now, e)
--- a/fleet/process/ledger/ledger.go
+++ b/fleet/process/ledger/ledger.go
@@ -63,6 +63,8 @@
 	// writeInterval is the minimum interval between two writes to a shard.
 	writeInterval time.Duration
 	storeCalls    callRegistry
+	// settledAt is when the store has caught up after its last return from an older copy.
+	settledAt time.Time
 	// flushing is set once completions are to be written without delay.
 	flushing bool
 
@@ -227,7 +229,7 @@
 func (l *Ledger) writerFor(subject wire.LedgerSubject) *writer {
 	shard := logIDOf(subject).Shard
 	if l.writers[shard] == nil {
-		l.writers[shard] = &writer{ledger: l}
+		l.writers[shard] = &writer{ledger: l, settledAt: l.settledAt}
 	}
 	return l.writers[shard]
 }
--- a/fleet/process/ledger/model_test.go
+++ b/fleet/process/ledger/model_test.go
@@ -23,6 +23,8 @@
 	// MessageFaults are messages lost or delivered twice.
 	MessageFaults int
 	Crashes       int
+	// Returns are returns of the store from an older copy, which is empty.
+	Returns int
 	// TimeJumps are advances of the time.
 	TimeJumps int
 	// WithheldPermits are permits released unused.
@@ -42,6 +44,8 @@
 	sendBeforeVerdict
 	// sendAfterRelease sends an attempt after it was released.
 	sendAfterRelease
+	// unnoticedReturns keeps the daemons from learning of the store's return.
+	unnoticedReturns
 )
 
 // packet is a message in transit.
@@ -278,6 +282,8 @@
 	{"store faults", "", faultBudget{StoreFaults: 2, TimeJumps: 1}, []int{0, 1}},
 	{"withheld permits", "", faultBudget{WithheldPermits: 1, TimeJumps: 1}, []int{0, 1}},
 	{"withheld permits, one writer", "a", faultBudget{WithheldPermits: 1, TimeJumps: 1}, []int{0, 1}},
+	{"returns of the store", "", faultBudget{Returns: 1, TimeJumps: 1}, []int{0, 1}},
+	{"returns of the store, one writer", "a", faultBudget{Returns: 1, TimeJumps: 1}, []int{0, 1}},
 }, smallExplorations...)
 
 var deepExplorations = []exploration{
@@ -285,13 +291,14 @@
 	{"store faults and time, one writer", "a", faultBudget{StoreFaults: 1, TimeJumps: 2}, []int{0, 1}},
 	{"crashes and time, one writer", "a", faultBudget{Crashes: 1, StoreFaults: 1, TimeJumps: 1}, []int{0, 1}},
 	{"message faults and time, one request", "a", faultBudget{MessageFaults: 2, TimeJumps: 2}, []int{1}},
+	{"returns of the store and time", "", faultBudget{Returns: 1, TimeJumps: 2}, []int{0, 1}},
 	{"three requests", "", faultBudget{Crashes: 1, StoreFaults: 1}, []int{0, 1, 1}},
 }
 
 // TestModel guards against a key that is executed twice, and against a refusal
 // that wrongly says "not run". It visits every state that a small fleet can reach
-// with a limited number of store faults, message faults, crashes, time jumps and
-// withheld permits.
+// with a limited number of store faults, message faults, crashes, returns of the
+// store from an older copy, time jumps and withheld permits.
 func TestModel(t *testing.T) {
 	chosen := explorations
 	switch {
@@ -324,8 +331,13 @@
 		"no read-back":         unverifiedWrites,
 		"sent before claimed":  sendBeforeVerdict,
 		"sent after released":  sendAfterRelease,
+		"unnoticed returns":    unnoticedReturns,
 	} {
-		e := explore(newModel("", faultBudget{StoreFaults: 1, WithheldPermits: 1, TimeJumps: 1}, d, 0, 1))
+		budget := faultBudget{StoreFaults: 1, WithheldPermits: 1, TimeJumps: 1}
+		if d == unnoticedReturns {
+			budget.Returns = 1
+		}
+		e := explore(newModel("", budget, d, 0, 1))
 		if e.violating == nil {
 			t.Errorf("%s: defect not detected in %d states", name, len(e.visited))
 		}
--- a/fleet/process/ledger/modelmoves_test.go
+++ b/fleet/process/ledger/modelmoves_test.go
@@ -20,7 +20,10 @@
 			transitions = append(transitions, func() { m.crash(i) })
 		}
 	}
-	if m.Budget.TimeJumps > 0 {
+	if m.Budget.Returns > 0 {
+		transitions = append(transitions, m.returnStore)
+	}
+	if m.Budget.TimeJumps > 0 && !m.restoring() {
 		for _, jump := range timeJumps {
 			transitions = append(transitions, func() { m.advanceTime(jump) })
 		}
@@ -211,6 +214,38 @@
 	})
 }
 
+// returnStore returns the store to an empty copy. The calls in progress that have not taken effect
+// get no answer, and the daemons learn of the return at the next one.
+func (m *model) returnStore() {
+	m.Budget.Returns--
+	m.Objects = make(map[string]storedObject)
+	pending := m.Calls
+	m.Calls = slices.DeleteFunc(slices.Clone(m.Calls), func(c *modelStoreCall) bool { return c.Outcome == nil })
+	if m.Defect != unnoticedReturns {
+		for i := range m.Cores {
+			m.step(i, StoreReturned{})
+		}
+	}
+	for _, c := range pending {
+		if c.Outcome == nil && !c.TimedOut {
+			m.reportOutcome(c, &storeOutcome{Result: Unresolved})
+		}
+	}
+}
+
+// restoring reports whether a daemon writes again what the store has lost. That takes less time
+// than a time jump.
+func (m *model) restoring() bool {
+	for _, core := range m.Cores {
+		for _, w := range core.writers {
+			if w != nil && slices.ContainsFunc(w.logs, (*logState).restoring) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *model) advanceTime(duration time.Duration) {
 	m.Budget.TimeJumps--
 	m.Now = m.Now.Add(duration)
--- a/fleet/process/ledger/writer.go
+++ b/fleet/process/ledger/writer.go
@@ -50,6 +50,10 @@
 	nextWriteAt         time.Time
 	nextCallAt          time.Time
 	consecutiveFailures int
+	// settledAt is when the store has caught up after its return from an older copy; zero once
+	// the logs are read again after that. Until then no claim is written: another writer may
+	// have to write again what the store has lost of the same key.
+	settledAt time.Time
 }
 
 // storeCall is a store call in progress.
@@ -61,6 +65,10 @@
 	// segment as written.
 	addedClaims []claimRecord
 	updated     segment
+	// restored are the lost records among those that a write adds.
+	restored segment
+	// outdated is set if the store returned from an older copy during the call.
+	outdated bool
 }
 
 // findLog returns the index of a bucket's log and true, or the index at which to
