--- a/lab/soak/restore.go
+++ b/lab/soak/restore.go
@@ -20,7 +20,7 @@
 	restoreStream = 1<<32 + 2
 )
 
-// runRestores lets the store return from older copies of itself in every second storm, sometimes
+// runRestores lets the store return from older copies of itself during storms, sometimes
 // twice in a row. Between two returns it takes the copies.
 func (s *scenario) runRestores(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
