Show that two drills of the store bring a revoked key back

A tenant loses one of its keys. More than revoke_ms later the store returns twice from a copy that holds the key, and the operator writes the config again 0.5 s after each return. A process that starts at the first return takes the older config, and lets requests with the revoked key run after the second return, for about 0.7 s. Its log shows the older config in force from the first return until it has read the later one in the third era.

--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -58,10 +59,43 @@
 	// down is set while the store answers nobody; back is closed when it answers again.
 	down bool
 	back chan struct{}
+	// era is what Store-Era says: it rises when the store returns from a copy.
+	era uint64
+}
+
+// copied is a copy of what the store held.
+type copied struct {
+	revision uint64
+	kinds    map[string]map[string]object
+	events   []event
+}
+
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copied{revision: s.revision, kinds: make(map[string]map[string]object), events: slices.Clone(s.events)}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// returnFrom lets the store that is away answer again, from a copy.
+func (s *store) returnFrom(c copied) {
+	s.mu.Lock()
+	s.revision, s.events, s.kinds = c.revision, slices.Clone(c.events), make(map[string]map[string]object)
+	for kind, objects := range c.kinds {
+		s.kinds[kind] = maps.Clone(objects)
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	s.setDown(false)
 }
 
 func newStore(ip string) (*store, error) {
-	s := &store{revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
+	s := &store{era: 1, revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
@@ -142,7 +176,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
 	s.mu.Lock()
-	down, back := s.down, s.back
+	down, back, era := s.down, s.back, s.era
 	s.mu.Unlock()
 	if down {
 		// No answer, and nothing is done.
@@ -152,7 +186,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -160,7 +194,7 @@
 	}
 	query := r.URL.Query()
 	if r.Method == http.MethodGet && !named && query.Has("watch") {
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, era)
 		return
 	}
 	s.mu.Lock()
@@ -233,7 +267,7 @@
 	reply(w, http.StatusOK, map[string]any{"items": items, "more": more, "as_of": s.revision})
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, era uint64) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWatch))
@@ -246,7 +280,7 @@
 				events = append(events, e)
 			}
 		}
-		revision, changed, down, back := s.revision, s.changed, s.down, s.back
+		revision, changed, down, back, now := s.revision, s.changed, s.down, s.back, s.era
 		s.mu.Unlock()
 		if down {
 			select {
@@ -255,6 +289,12 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if now != era || since > revision {
+			// The store does not have what the watch begins with.
+			w.Header().Set("Store-Era", strconv.FormatUint(now, 10))
+			reply(w, http.StatusGone, nil)
+			return
+		}
 		if len(events) > 0 || done {
 			reply(w, http.StatusOK, map[string]any{"events": events, "as_of": revision})
 			return
