Check API keys unless the configuration has no section of accounts

Cause: the decoder made an empty list of tenants and a missing one the same empty map, and the check of keys took the empty map for a configuration that needs no keys.

Config.Keyless is set only without the section, and its zero value checks keys. A keyless version runs requests without a key; one with a key gets 401, since dropping the section revokes every key. Logs, the metric keyless and trefoilctl show it.

allowed_regions stays as it is: the platform writes an empty list where there are no homes.

--- a/daemon/cmd/trefoilctl/command/store.go
+++ b/daemon/cmd/trefoilctl/command/store.go
@@ -39,10 +39,10 @@
 		list = append(list, status)
 		rows = append(rows, []string{
 			string(status.VM), strconv.FormatUint(status.Era, 10), sinceText(status.EraSince),
-			strconv.FormatUint(uint64(status.Version), 10), confirmedText(status.AgeMS),
+			strconv.FormatUint(uint64(status.Version), 10), confirmedText(status.AgeMS), keysText(status.Keyless),
 		})
 	}
-	if err := c.table(list, []string{"VM", "ERA", "SINCE", "VERSION", "CONFIRMED"}, rows); err != nil {
+	if err := c.table(list, []string{"VM", "ERA", "SINCE", "VERSION", "CONFIRMED", "KEYS"}, rows); err != nil {
 		return err
 	}
 	if failed := len(c.Operators) - len(list); failed > 0 {
@@ -58,6 +58,13 @@
 	return since.Format(time.RFC3339)
 }
 
+func keysText(keyless bool) string {
+	if keyless {
+		return "not checked"
+	}
+	return "checked"
+}
+
 func confirmedText(ageMS int64) string {
 	if ageMS < 0 {
 		return "no"
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -150,6 +150,7 @@
 	d.metrics.vars.Set("connections_closed", expvar.Func(func() any { return d.rejecter.Counts().Closed }))
 	d.metrics.vars.Set("duty_panics", expvar.Func(func() any { return duty.Panics() }))
 	d.metrics.vars.Set("config_age_ms", expvar.Func(func() any { return clock.Boot().Sub(d.mirror.Confirmed()).Milliseconds() }))
+	d.metrics.vars.Set("keyless", expvar.Func(func() any { config := d.placing.Config(); return config != nil && config.Keyless }))
 	d.placing = placing.New(placement.New(placement.Options{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
--- a/daemon/process/edge/operators.go
+++ b/daemon/process/edge/operators.go
@@ -40,7 +40,7 @@
 		status.EraSince = time.Now().Add(-clock.Boot().Sub(since)).Round(0)
 	}
 	if config := d.placing.Config(); config != nil {
-		status.Version = config.Number
+		status.Version, status.Keyless = config.Number, config.Keyless
 	}
 	if confirmed := d.mirror.Confirmed(); !confirmed.IsZero() {
 		status.AgeMS = clock.Boot().Sub(confirmed).Milliseconds()
--- a/daemon/process/operator/store.go
+++ b/daemon/process/operator/store.go
@@ -21,6 +21,9 @@
 	// was confirmed; -1 if it is not confirmed.
 	Version version.Number `json:"version"`
 	AgeMS   int64          `json:"age_ms"`
+	// Keyless is set if that version has no section of client accounts, so that requests run
+	// without an API key.
+	Keyless bool `json:"keyless"`
 }
 
 // AddStore adds the handler of the store's status to a mux. Authorisation is up to the caller.
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -243,18 +243,16 @@
 	return config.Routes.Find(host, path)
 }
 
-// authenticate sets the account of the request's API key. A public route also accepts
-// requests without a known key. Keys are not checked if no accounts are configured.
+// authenticate sets the account of the request's API key.
 func (c *generalCall) authenticate() *request.Refusal {
-	if len(c.config.Accounts) == 0 {
-		return nil
-	}
-	account, found := c.config.AccountByKey(c.incoming.Key)
-	if c.incoming.Key == "" || !found {
-		if c.route.Public {
-			return nil
-		}
+	account, admitted := c.config.Authenticate(c.route, c.incoming.Key)
+	switch {
+	case !admitted && c.config.Keyless:
+		return refuse(request.ReasonUnauthorised, "the configuration has no accounts, so no API key is valid")
+	case !admitted:
 		return refuse(request.ReasonUnauthorised, "the API key is missing or unknown")
+	case account == nil:
+		return nil
 	}
 	if !c.route.Public {
 		fresh, age := c.handler.options.ConfigFresh()
--- a/daemon/version/mirror/config.go
+++ b/daemon/version/mirror/config.go
@@ -120,8 +120,12 @@
 			"version", config.Number, "in_force", m.base.Number, "revision", object.Revision, "era", object.Era)
 		return
 	}
+	if config.Keyless && (m.base == nil || !m.base.Keyless) {
+		m.options.Log.Warn("configuration has no section of accounts: API keys are not checked, requests without one run",
+			"version", config.Number, "revision", object.Revision, "era", object.Era)
+	}
 	m.base, m.spec, m.at = config, object.Spec, at
 	m.options.Log.Info("configuration in force", "version", config.Number,
-		"revision", object.Revision, "era", object.Era, "accounts", len(config.Accounts), "services", len(config.Pools))
+		"revision", object.Revision, "era", object.Era, "accounts", len(config.Accounts), "keyless", config.Keyless, "services", len(config.Pools))
 	m.publish()
 }
--- a/fleet/version/config.go
+++ b/fleet/version/config.go
@@ -145,9 +145,12 @@
 	Number Number
 	// Preset names the active preset. Its overrides are already applied to
 	// Accounts and Upstreams.
-	Preset      string
-	Presets     map[string]Preset
-	Accounts    map[AccountID]*Account
+	Preset   string
+	Presets  map[string]Preset
+	Accounts map[AccountID]*Account
+	// Keyless is set if the configuration defines no section of client accounts, so that
+	// requests carry no API key. A section without any account is not keyless.
+	Keyless     bool
 	Pools       map[PoolID]*Pool
 	Upstreams   map[UpstreamID]*Upstream
 	DataCentres map[DataCentreID]*DataCentre
@@ -201,6 +204,20 @@
 	return account, ok
 }
 
+// Authenticate returns the client account of a request to route with an API key; nil if the
+// request belongs to none. It reports false if the request must be refused. A public route
+// accepts any key and none. In a keyless configuration requests run without a key, while no key
+// is valid: any that a caller still has was revoked.
+func (c *Config) Authenticate(route *Route, key string) (account *Account, admitted bool) {
+	if key == "" {
+		return nil, route.Public || c.Keyless
+	}
+	if account, found := c.AccountByKey(key); found {
+		return account, true
+	}
+	return nil, route.Public
+}
+
 // PoolByModel returns the pool that serves a model name.
 func (c *Config) PoolByModel(model string) (*Pool, bool) {
 	pool, ok := c.poolsByModel[model]
--- a/lab/edge/state_test.go
+++ b/lab/edge/state_test.go
@@ -226,3 +226,45 @@
 		return true
 	})
 }
+
+// Guards against a configuration whose last account is removed and that then lets every request
+// through: 20 of 20 requests with the revoked key and 20 of 20 with an unknown one ran.
+func TestLastAccountRemovedClosesTheRoutes(t *testing.T) {
+	for name, accounts := range map[string]any{"empty list": []any{}, "null": nil} {
+		t.Run(name, func(t *testing.T) {
+			env := start(t, 1, nil)
+			if status := env.status("/safe/x"); status != http.StatusOK {
+				t.Fatalf("status %d, want 200", status)
+			}
+			env.configure(func(config map[string]any) { config["tenants"] = accounts })
+			env.eventually("requests with the removed key are refused", func() bool { return env.status("/safe/x") == http.StatusUnauthorized })
+			for _, other := range []string{"unknown", ""} {
+				if got := env.do(call{path: "/unsafe/x", id: "key-" + other, header: map[string]string{platformtest.HeaderKey: other}}); got.status != http.StatusUnauthorized {
+					t.Errorf("key %q: status %d, want 401", other, got.status)
+				}
+			}
+			if status := env.status("/open/x"); status != http.StatusOK {
+				t.Errorf("public route: status %d, want 200", status)
+			}
+		})
+	}
+}
+
+// Guards against a configuration that no longer mentions accounts and thereby admits the keys that
+// earlier versions revoked. Without accounts requests carry no key, and those run.
+func TestConfigurationWithoutAccountsAdmitsNoKey(t *testing.T) {
+	env := start(t, 1, nil)
+	env.configure(func(config map[string]any) { delete(config, "tenants") })
+	keyless := call{path: "/safe/x", id: "keyless", header: map[string]string{platformtest.HeaderKey: ""}}
+	env.eventually("requests without a key run", func() bool { return env.do(keyless).status == http.StatusOK })
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		if status := env.status(path); status != http.StatusUnauthorized {
+			t.Errorf("%s with the key of an earlier version: status %d, want 401", path, status)
+		}
+	}
+	if status := env.status("/open/x"); status != http.StatusOK {
+		t.Errorf("public route: status %d, want 200", status)
+	}
+	env.configure(nil)
+	env.eventually("requests without a key are refused again", func() bool { return env.do(keyless).status == http.StatusUnauthorized })
+}
