Bound what all answers together hold in memory

Cause: an event may have 1 MiB, and 428 requests in progress may each hold one, with a second copy of its data; heads were bounded one by one as well. The head of such an answer was recorded as a success of its upstream, which kept its share of the load.

One budget for all attempts, 5 % of the VM's memory. An upstream may hold as much as is left free, so that sound ones go on. Heads, events and buffered bodies reserve before they grow; an answer that may not grow is broken off as a failure of its upstream, and a body that cannot be buffered is passed on as it comes. An event is held once. A stream's first byte counts with its first event.

--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -24,6 +24,9 @@
 	// beforeWrite is called once, before the next write, which fails with its
 	// error; nil permits the write.
 	beforeWrite func() error
+	// onRead is called with what has been read, which is dropped if it returns an error; nil
+	// accepts everything.
+	onRead func(text []byte) error
 }
 
 // Write implements net.Conn.
@@ -34,6 +37,27 @@
 	return c.Conn.Write(b)
 }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	onRead := c.onRead
+	c.mu.Unlock()
+	if n > 0 && onRead != nil {
+		if err := onRead(b[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// setOnRead sets the check of what is read; nil removes it.
+func (c *countedConn) setOnRead(check func(text []byte) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onRead = check
+}
+
 // copyBuffers holds the buffers of ReadFrom, each a *[copyBytes]byte.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
@@ -102,6 +126,10 @@
 	// If it returns an error, nothing is sent and the attempt fails with that error.
 	// A nil BeforeFirstByte permits every attempt.
 	BeforeFirstByte func() error
+	// OnHead is called with what is read from the connection until EndHead is called: the head of
+	// the answer, interim answers before it and perhaps the begin of the body. If it returns an
+	// error, the attempt fails. A nil OnHead accepts everything.
+	OnHead func(text []byte) error
 
 	mu sync.Mutex
 	// connected is set once the attempt has a connection.
@@ -127,6 +155,7 @@
 	own := underlyingCountedConn(conn)
 	if own != nil {
 		own.setBeforeWrite(t.BeforeFirstByte)
+		own.setOnRead(t.OnHead)
 	}
 	if t.connected {
 		// The transport took a second connection for the attempt. Treat the attempt as sent.
@@ -140,6 +169,16 @@
 	}
 }
 
+// EndHead ends the calls of OnHead. Call it once the answer's head is complete or the attempt has
+// failed.
+func (t *SendTracker) EndHead() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.setOnRead(nil)
+	}
+}
+
 // Seal closes the attempt's connection and reports whether a byte of the attempt
 // may have been sent. Once it has returned false, no byte is sent later either.
 // Call it for an attempt that ended without an answer.
--- a/daemon/connection/upstream/transport.go
+++ b/daemon/connection/upstream/transport.go
@@ -19,8 +19,9 @@
 	// are needed for callers' connections.
 	maxIdlePerUpstream = 64
 	maxIdle            = 600
-	// maxAnswerHeaderBytes bounds the total size of an answer's headers.
-	maxAnswerHeaderBytes = 64 << 10
+	// maxAnswerHeaderBytes bounds the total size of an answer's headers. It is above the limit of
+	// the relay, which knows whose answer it is.
+	maxAnswerHeaderBytes = 72 << 10
 )
 
 // NewTransport returns a transport that neither follows redirects nor uses a
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -81,6 +81,7 @@
 	placing        *placing.Placer
 	quarantine     *quarantine.Quarantine
 	software       *software
+	relay          *relay.Relay
 	handler        *serve.GeneralHandler
 	metrics        *metrics
 	lag            lag.Monitor
@@ -209,17 +210,21 @@
 func (d *Daemon) newHandler(plan memoryPlan) *serve.GeneralHandler {
 	transport := upstream.NewTransport(nil)
 	transport.MaxIdleConns = plan.maxIdleUpstreamConns
+	d.relay = relay.New(relay.Options{
+		Accounting:     d.placing,
+		Transport:      transport,
+		Dialect:        platform.Dialect{},
+		General:        true,
+		MaxAnswerBytes: plan.maxAnswerBytes,
+		OnLoad:         d.placing.RecordLoad,
+		OnFirstByte:    d.placing.RecordFirstByte,
+		OnAdvice:       d.placing.RecordAdvice,
+		Declines:       d.placing.UpstreamDeclines,
+	})
+	d.metrics.vars.Set("answers", expvar.Func(func() any { return d.relay.Answers() }))
 	return serve.NewGeneralHandler(serve.GeneralOptions{
-		Fleet: d.placing,
-		Relay: relay.New(relay.Options{
-			Accounting:  d.placing,
-			Transport:   transport,
-			Dialect:     platform.Dialect{},
-			General:     true,
-			OnFirstByte: d.placing.RecordFirstByte,
-			OnAdvice:    d.placing.RecordAdvice,
-			Declines:    d.placing.UpstreamDeclines,
-		}),
+		Fleet:             d.placing,
+		Relay:             d.relay,
 		Guard:             d.quarantine,
 		Streams:           d.software,
 		ParseHeaders:      platform.DecodeIncoming,
--- a/daemon/process/edge/memory.go
+++ b/daemon/process/edge/memory.go
@@ -10,11 +10,13 @@
 	runtimeLimitFraction = 0.78
 	// callerConnsFraction is for the connections of callers, idleUpstreamConnsFraction for
 	// idle connections to upstreams, requestsFraction for the requests in progress without
-	// their bodies, and bodiesFraction for those bodies.
+	// their bodies, bodiesFraction for those bodies, and answersFraction for the heads,
+	// incomplete events and buffered bodies of answers beyond what a request includes.
 	callerConnsFraction       = 0.2
 	idleUpstreamConnsFraction = 0.06
 	requestsFraction          = 0.2
 	bodiesFraction            = 0.15
+	answersFraction           = 0.05
 )
 
 // Memory per connection and request in bytes, with the stacks of their goroutines.
@@ -41,6 +43,8 @@
 	maxCallerConns, maxIdleUpstreamConns, maxRequests int
 	// maxBodyBytes bounds the bodies of all requests in progress together.
 	maxBodyBytes int64
+	// maxAnswerBytes bounds what is held of all answers together.
+	maxAnswerBytes int64
 }
 
 func planMemory(memoryBytes int64) memoryPlan {
@@ -54,5 +58,6 @@
 		maxIdleUpstreamConns: int(fractionBytes(idleUpstreamConnsFraction) / idleUpstreamConnBytes),
 		maxRequests:          int(fractionBytes(requestsFraction) / requestBytes),
 		maxBodyBytes:         fractionBytes(bodiesFraction),
+		maxAnswerBytes:       fractionBytes(answersFraction),
 	}
 }
--- a/daemon/process/edge/usage.go
+++ b/daemon/process/edge/usage.go
@@ -64,7 +64,7 @@
 		}
 		requests, bodies := d.handler.HeldUsage()
 		d.log.With(u.logAttributes()...).Warn("memory is scarce", "used_bytes", used, "limit_bytes", limit,
-			"callers_connections", d.connLimiter.open.Load(), "requests", requests, "bodies_bytes", bodies,
+			"callers_connections", d.connLimiter.open.Load(), "requests", requests, "bodies_bytes", bodies, "answers_bytes", d.relay.Answers().HeldBytes,
 			"members", d.fleetSize.Load(), "upstreams", d.placing.UpstreamCount(), "waiting_to_be_turned_away", d.rejecter.Waiting())
 	}
 }
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -167,12 +167,18 @@
 	return list
 }
 
-// RecordFirstByte records the first byte of an answer, with the load that the upstream
-// reported in it, or nil if it reported none.
-func (p *Placer) RecordFirstByte(grant request.Grant, load *request.Load) {
+// RecordLoad records the load that an upstream reported with an answer.
+func (p *Placer) RecordLoad(at version.UpstreamID, load request.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.placer.RecordFirstByte(time.Now(), grant.ID, grant.Upstream, load, p.lag())
+	p.placer.RecordLoad(time.Now(), at, load)
+}
+
+// RecordFirstByte records the first event of a stream, or the head of another answer.
+func (p *Placer) RecordFirstByte(grant request.Grant, event bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.RecordFirstByte(time.Now(), grant.ID, grant.Upstream, event, p.lag())
 }
 
 // RecordCrash records that an upstream has crashed.
--- a/daemon/request/relay/meter.go
+++ b/daemon/request/relay/meter.go
@@ -41,13 +41,15 @@
 
 // countEvent adds one event of a stream, which stands for one generated token. The first
 // one also adds the cost of the prompt.
-func (m *meter) countEvent(data []byte) {
+func (m *meter) countEvent(next event) {
 	if m.total == 0 {
 		m.total = m.prompt
 	}
 	m.total++
-	if usage, reported := usageOf(data); reported {
-		m.usage = &usage
+	if bytes.Contains(next.raw, usageField) {
+		if usage, reported := usageOf(next.data()); reported {
+			m.usage = &usage
+		}
 	}
 	now := time.Now()
 	if m.total-m.charged >= chargeStep || now.Sub(m.chargedAt) >= chargeInterval {
@@ -100,10 +102,13 @@
 // it is ignored.
 const maxUsageTokens = 10_000_000
 
+// usageField is the name of the field of a report.
+var usageField = []byte(`"usage"`)
+
 // usageOf returns the usage that a response or an event reports. It returns false if there
 // is no valid report.
 func usageOf(data []byte) (request.Usage, bool) {
-	if !bytes.Contains(data, []byte(`"usage"`)) {
+	if !bytes.Contains(data, usageField) {
 		return request.Usage{}, false
 	}
 	var body usageBody
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/fleet/process/answers"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -24,6 +25,9 @@
 	ErrWrongAttempt = errors.New("answer of another attempt")
 	// ErrTruncated is returned for a response that ended before it was complete.
 	ErrTruncated = errors.New("answer was cut")
+	// ErrOversized is returned for a response whose head or event is longer than its limit, or than
+	// the memory for responses allows.
+	ErrOversized = errors.New("answer is too large")
 	// ErrStalled is returned if the upstream sent nothing for the stall timeout.
 	ErrStalled = errors.New("answer stalled")
 	// ErrDeadlinePassed is returned if the upstream did not respond by the request's deadline.
@@ -69,9 +73,15 @@
 	// have no endpoints to resume or cancel an attempt: a stream is continued at another
 	// upstream, and closing the connection cancels the request.
 	General bool
-	// OnFirstByte is called at the first byte of a response, with the load that the response
-	// reports, or nil. The default does nothing. It must not block.
-	OnFirstByte func(grant request.Grant, load *request.Load)
+	// MaxAnswerBytes limits what all attempts together hold of heads, incomplete events and
+	// buffered responses, in bytes, beyond some KiB each; default 64 MiB.
+	MaxAnswerBytes int64
+	// OnLoad is called with the load that a response reports. The default does nothing. It must
+	// not block.
+	OnLoad func(at version.UpstreamID, load request.Load)
+	// OnFirstByte is called when the first event of a stream is complete, and at the head of any
+	// other response. The default does nothing. It must not block.
+	OnFirstByte func(grant request.Grant, event bool)
 	// OnAdvice is called with what a response says of its upstream's availability (drain,
 	// pause, rate limit), the caller's request ID and the time at which the attempt was
 	// started. The default does nothing. It must not block.
@@ -89,6 +99,7 @@
 // Relay sends attempts to upstreams. It is safe for concurrent use.
 type Relay struct {
 	options Options
+	answers *answerBudget
 }
 
 // New returns a relay with the defaults filled in.
@@ -106,7 +117,13 @@
 		options.Dialect = upstream.Native{}
 	}
 	if options.OnFirstByte == nil {
-		options.OnFirstByte = func(request.Grant, *request.Load) {}
+		options.OnFirstByte = func(request.Grant, bool) {}
+	}
+	if options.OnLoad == nil {
+		options.OnLoad = func(version.UpstreamID, request.Load) {}
+	}
+	if options.MaxAnswerBytes == 0 {
+		options.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	if options.OnAdvice == nil {
 		options.OnAdvice = func(version.UpstreamID, string, time.Time, request.Advice) {}
@@ -114,9 +131,12 @@
 	if options.Declines == nil {
 		options.Declines = func(version.UpstreamID) bool { return false }
 	}
-	return &Relay{options: options}
+	return &Relay{options: options, answers: &answerBudget{core: answers.NewBudget(options.MaxAnswerBytes)}}
 }
 
+// Answers returns the figures of the memory for responses.
+func (r *Relay) Answers() answers.Stats { return r.answers.stats() }
+
 // Call describes one granted attempt.
 type Call struct {
 	Grant   request.Grant
@@ -210,8 +230,14 @@
 	finish request.Finish
 	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
 	toCancel *attempt
+	// holding is what is held of the response; nil if the attempt was not started.
+	holding *holding
 }
 
+// Release gives back the memory of a response that is not needed any more. It must be called once
+// for each Result, and not before Buffered has been written.
+func (r Result) Release() { r.holding.release() }
+
 // Continuation is a stream that was relayed in part and may be continued.
 type Continuation struct {
 	writer *callerWriter
@@ -226,6 +252,7 @@
 	target  *version.Upstream
 	writer  *callerWriter
 	meter   *meter
+	holding *holding
 	started time.Time
 	// firstToken is the time from started to the first event of a stream, or to the header
 	// of a plain service's response; 0 before.
@@ -256,7 +283,12 @@
 	}
 	a.target = target
 	a.call.Outgoing.Instance = target.Instance
+	a.holding = &holding{budget: r.answers, upstream: target.ID}
 	result := a.run()
+	result.holding = a.holding
+	if result.Delivery != DeliveryBuffered {
+		a.holding.release()
+	}
 	result.finish = a.finish(result.finish.Outcome)
 	result.TTFB = a.ttfb
 	result.Events, result.SentAt, result.BegunAt = a.events, a.started, a.begunAt
@@ -297,7 +329,7 @@
 func (a *attempt) run() Result {
 	ctx, timer := a.firstByteContext()
 	defer timer.stop()
-	tracker := &upstream.SendTracker{BeforeFirstByte: a.checkSendable}
+	tracker := &upstream.SendTracker{BeforeFirstByte: a.checkSendable, OnHead: a.holding.readHead}
 	outgoing, err := a.newRequest(tracker.Context(ctx))
 	if err != nil {
 		return a.unsentResult(err, request.OutcomeUnused)
@@ -306,6 +338,7 @@
 		return a.unsentResult(ErrPermitExpired, request.OutcomeUnused)
 	}
 	response, err := a.relay.options.Transport.RoundTrip(outgoing)
+	tracker.EndHead()
 	if err != nil {
 		sent := tracker.Seal()
 		err = a.classify(ctx, err)
@@ -355,26 +388,21 @@
 	if dialect.NotExecuted(response.StatusCode, response.Header) {
 		return a.refusedResult(advice)
 	}
-	a.reportFirstByte(response)
-	switch {
-	case a.call.Kind == version.PoolModel && isEventStream(response):
+	a.ttfb = time.Since(a.started)
+	if load, reported := dialect.Load(response.Header); reported {
+		a.relay.options.OnLoad(a.call.Grant.Upstream, load)
+	}
+	if a.call.Kind == version.PoolModel && isEventStream(response) {
+		// The head alone is no progress of the upstream.
 		return a.relayStream(response, timer)
-	case a.call.Continuation != nil:
+	}
+	a.relay.options.OnFirstByte(a.call.Grant, false)
+	if a.call.Continuation != nil {
 		return a.failedResult(errors.Wrapf(ErrTruncated, "upstream continued the stream with status %d", response.StatusCode))
 	}
 	return a.relayNonStream(response, timer)
 }
 
-// reportFirstByte records the time to the first byte and reports the upstream's load.
-func (a *attempt) reportFirstByte(response *http.Response) {
-	a.ttfb = time.Since(a.started)
-	if load, reported := a.relay.options.Dialect.Load(response.Header); reported {
-		a.relay.options.OnFirstByte(a.call.Grant, &load)
-		return
-	}
-	a.relay.options.OnFirstByte(a.call.Grant, nil)
-}
-
 // newContext returns the context of one HTTP request of the attempt. It is cancelled with
 // cause if the upstream sends nothing within limit. An attempt that is recorded is not
 // cancelled when its caller disconnects.
@@ -414,6 +442,14 @@
 	if contextCause := context.Cause(ctx); errors.IsAny(contextCause, ErrDeadlinePassed, ErrStalled) {
 		return contextCause
 	}
+	if excess := a.holding.excess(); excess != nil && !errors.Is(err, ErrOversized) {
+		// The transport reports the error of its reader in its own words.
+		err = oversized(excess)
+	}
+	if errors.Is(err, ErrOversized) {
+		// This process broke it off, so the upstream has not ended anything.
+		return err
+	}
 	a.recordDisconnect(err)
 	return errors.Mark(errors.Wrap(err, "upstream"), ErrTruncated)
 }
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -142,7 +142,7 @@
 // describeForCaller returns a short text for an error, without addresses, to be sent to
 // callers.
 func describeForCaller(err error) string {
-	for _, sentinel := range []error{ErrWrongAttempt, ErrStalled, ErrTruncated} {
+	for _, sentinel := range []error{ErrWrongAttempt, ErrOversized, ErrStalled, ErrTruncated} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
 		}
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -100,7 +100,7 @@
 // relayEvents relays events up to the last one. It returns ErrTruncated or ErrStalled if the
 // response ends before that.
 func (s *streamRelay) relayEvents(response *http.Response, timer *stallTimer) error {
-	reader := newEventReader(response.Body)
+	reader := newEventReader(response.Body, s.holding.hold)
 	defer reader.release()
 	for {
 		next, err := reader.next()
@@ -110,7 +110,7 @@
 		if err != nil {
 			return s.classify(response.Request.Context(), err)
 		}
-		if next.data != nil {
+		if next.hasData {
 			// Comments are keep-alives; they do not count as progress.
 			timer.restart(s.relay.options.StallTimeout)
 		}
@@ -150,11 +150,11 @@
 	if next.id != nil {
 		s.lastEvent = string(next.id)
 	}
-	if next.data != nil && !next.endsStream() {
+	if next.hasData && !next.endsStream() {
 		s.recordBegin()
 		s.eventsWritten++
 		s.events++
-		s.meter.countEvent(next.data)
+		s.meter.countEvent(next)
 	}
 	return nil
 }
@@ -165,6 +165,7 @@
 		return
 	}
 	s.begunAt = time.Now()
+	s.relay.options.OnFirstByte(s.call.Grant, true)
 	if s.call.OnBegin != nil {
 		s.call.OnBegin()
 	}
--- a/daemon/request/relay/whole.go
+++ b/daemon/request/relay/whole.go
@@ -87,41 +87,74 @@
 // buffer reads a response and leaves it to the caller of Do to write. A response that
 // exceeds maxBufferedBytes is passed through instead.
 func (a *attempt) buffer(response *http.Response, timer *stallTimer) Result {
-	var body bytes.Buffer
-	if response.ContentLength > 0 {
-		body.Grow(int(response.ContentLength) + bytes.MinRead)
-	}
-	n, err := io.Copy(&body, io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, err := a.readBuffered(response)
 	if err != nil {
 		return a.failedResult(a.classify(response.Request.Context(), err))
 	}
-	if n > maxBufferedBytes && a.needsLength(response) {
+	whole := body.complete
+	if !whole && a.needsLength(response) {
 		result := a.failedResult(errors.New("response without a length exceeds the buffer limit and cannot be sent over HTTP/1.0"))
 		result.Retryable = false
 		return result
 	}
-	if n > maxBufferedBytes && lacksFraming(response) && !a.relay.options.General {
+	if !whole && lacksFraming(response) && !a.relay.options.General {
 		result := a.failedResult(errors.New("response without a length exceeds the buffer limit, so its end cannot be told from a truncation"))
 		result.Retryable = false
 		return result
 	}
-	if n > maxBufferedBytes {
-		return a.passThrough(response, body.Bytes(), timer)
+	if !whole {
+		return a.passThrough(response, body.bytes, timer)
 	}
-	if a.validatesJSON(response) && !json.Valid(body.Bytes()) {
+	if a.validatesJSON(response) && !json.Valid(body.bytes) {
 		return a.failedResult(errors.Wrap(ErrTruncated, "response is not complete JSON"))
 	}
-	a.chargeResponse(response, body.Bytes())
+	a.chargeResponse(response, body.bytes)
 	a.writer.setHeader(response.StatusCode, response.Header)
 	if a.writer.recorder != nil {
-		a.writer.recorder.add(body.Bytes())
+		a.writer.recorder.add(body.bytes)
 	}
 	result := a.completedResult(DeliveryBuffered, response.StatusCode)
 	result.Retryable = a.upstreamAtFault(response.StatusCode)
-	result.Buffered = &BufferedResponse{Status: response.StatusCode, header: response.Header, body: body.Bytes(), writer: a.writer}
+	result.Buffered = &BufferedResponse{Status: response.StatusCode, header: response.Header, body: body.bytes, writer: a.writer}
 	return result
 }
 
+// bufferedBody is the begin of a response's body that has been read.
+type bufferedBody struct {
+	bytes []byte
+	// complete is set if it is the whole body.
+	complete bool
+}
+
+// minBufferCapacity is the least capacity for a buffered body, in bytes.
+const minBufferCapacity = 1 << 10
+
+// readBuffered reads the body of a response. It stops, with an incomplete body, at
+// maxBufferedBytes and where the memory for answers does not suffice to buffer more.
+func (a *attempt) readBuffered(response *http.Response) (bufferedBody, error) {
+	var body []byte
+	expected := min(max(int(response.ContentLength)+1, minBufferCapacity), freeContentBytes)
+	for {
+		if len(body) == cap(body) {
+			capacity := min(max(2*cap(body), expected), maxBufferedBytes+1)
+			if len(body) > maxBufferedBytes || a.holding.hold(capacity) != nil {
+				return bufferedBody{bytes: body}, nil
+			}
+			grown := make([]byte, len(body), capacity)
+			copy(grown, body)
+			body = grown
+		}
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return bufferedBody{bytes: body, complete: len(body) <= maxBufferedBytes}, nil
+		}
+		if err != nil {
+			return bufferedBody{}, err
+		}
+	}
+}
+
 // passThrough relays a response of any length as it arrives, starting with the bytes in
 // alreadyRead.
 func (a *attempt) passThrough(response *http.Response, alreadyRead []byte, timer *stallTimer) Result {
@@ -134,6 +167,8 @@
 		return a.completedResult(DeliveryComplete, response.StatusCode)
 	}
 	err := a.writeAndFlush(alreadyRead)
+	// Holding less is never refused.
+	_ = a.holding.hold(0)
 	timer.restart(a.relay.options.StallTimeout)
 	buffer, bytesSinceProgress, events := make([]byte, readBufferBytes), 0, isEventStream(response)
 	empty := len(alreadyRead) == 0
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -144,6 +144,7 @@
 	c.pass.EndAttempt(grant.Upstream, result)
 	if c.takeRetry(result) {
 		c.mayHaveExecuted = c.mayHaveExecuted || !result.NotExecuted
+		result.Release()
 		relayer.Settle(result)
 		c.ticket.Avoid = grant.Upstream
 		c.ticket.Attempt++
@@ -157,6 +158,7 @@
 // before the response is written, because the caller may read slowly. Otherwise the slot is
 // freed after the response, because cancelling the attempt may be slow.
 func (c *call) settleAndRespond(result relay.Result) {
+	defer result.Release()
 	if result.Delivery == relay.DeliveryBuffered {
 		c.reservation.addResponseBytes(int64(result.Buffered.Len()))
 		c.handler.options.Relay.Settle(result)
--- a/daemon/request/serve/claimed.go
+++ b/daemon/request/serve/claimed.go
@@ -62,6 +62,7 @@
 			running.done <- result
 			return
 		}
+		result.Release()
 		c.handler.options.Relay.Settle(result)
 		running.release()
 	}()
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -115,6 +115,7 @@
 		Context:            c.pass.Context(),
 		OnBegin:            c.pass.Begin,
 	})
+	defer result.Release()
 	relayer.Settle(result)
 	c.pass.EndAttempt(grant.Upstream, result)
 	if !result.NotExecuted {
@@ -359,7 +360,7 @@
 // relayErrorText returns the text of the relay's error that err matches, or "".
 func relayErrorText(err error) string {
 	for _, sentinel := range []error{
-		relay.ErrWrongAttempt, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrAborted, relay.ErrTruncated,
+		relay.ErrWrongAttempt, relay.ErrOversized, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrAborted, relay.ErrTruncated,
 	} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
--- a/fleet/process/placement/cold_test.go
+++ b/fleet/process/placement/cold_test.go
@@ -39,7 +39,7 @@
 			for _, f := range placers {
 				if grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10)); refusal == nil {
 					sent = append(sent, now)
-					f.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+					f.RecordFirstByte(now, grant.ID, grant.Upstream, true, 0)
 					f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 				}
 			}
@@ -140,7 +140,7 @@
 			}
 			if grant, refusal := v.Place(now, v.ticket(1, 1, 0, 10)); refusal == nil {
 				sent = append(sent, now)
-				v.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+				v.RecordFirstByte(now, grant.ID, grant.Upstream, true, 0)
 				v.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 			}
 		}
@@ -176,7 +176,7 @@
 		place := func() {
 			if grant, refusal := f.Place(now, f.ticket(1, 1, 0, 10)); refusal == nil {
 				sent = append(sent, now)
-				f.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+				f.RecordFirstByte(now, grant.ID, grant.Upstream, true, 0)
 				f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 			}
 		}
@@ -227,7 +227,7 @@
 			if refusal != nil {
 				return false
 			}
-			f.RecordFirstByte(now, grant.ID, grant.Upstream, nil, 0)
+			f.RecordFirstByte(now, grant.ID, grant.Upstream, true, 0)
 			f.RecordOutcome(now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 			return true
 		}
--- a/fleet/process/placement/declined_test.go
+++ b/fleet/process/placement/declined_test.go
@@ -89,7 +89,7 @@
 		if refusal != nil {
 			continue
 		}
-		f.RecordFirstByte(f.now, grant.ID, grant.Upstream, nil, 0)
+		f.RecordFirstByte(f.now, grant.ID, grant.Upstream, true, 0)
 		f.RecordOutcome(f.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 		for _, p := range paused {
 			if grant.Upstream == p.id && f.now.Before(p.until) {
--- a/fleet/process/placement/limits_test.go
+++ b/fleet/process/placement/limits_test.go
@@ -134,7 +134,7 @@
 			advice = named(rate)
 		}
 		a.vm.RecordAdvice(f.now, a.grant.Upstream, a.sentAt, advice)
-		a.vm.RecordFirstByte(f.now, a.grant.ID, a.grant.Upstream, nil, 0)
+		a.vm.RecordFirstByte(f.now, a.grant.ID, a.grant.Upstream, true, 0)
 		a.vm.RecordOutcome(f.now, request.Finish{ID: a.grant.ID, Upstream: a.grant.Upstream, Outcome: request.OutcomeDone})
 		return true
 	})
--- a/fleet/process/placement/load_test.go
+++ b/fleet/process/placement/load_test.go
@@ -76,7 +76,7 @@
 		if a.firstByteAt.After(sim.now) {
 			return false
 		}
-		sim.RecordFirstByte(a.firstByteAt, a.grant.ID, a.grant.Upstream, nil, 0)
+		sim.RecordFirstByte(a.firstByteAt, a.grant.ID, a.grant.Upstream, true, 0)
 		sim.RecordOutcome(a.firstByteAt, request.Finish{ID: a.grant.ID, Upstream: a.grant.Upstream, Outcome: request.OutcomeDone})
 		if a.firstByteAt.Sub(a.sentAt) <= testObjective {
 			sim.inTime[a.account]++
@@ -302,7 +302,7 @@
 		}
 		// The engine preempted the request.
 		sim.now = sim.now.Add(1500 * time.Millisecond)
-		sim.RecordFirstByte(sim.now, grant.ID, grant.Upstream, nil, 0)
+		sim.RecordFirstByte(sim.now, grant.ID, grant.Upstream, true, 0)
 		sim.RecordOutcome(sim.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 	}
 	sim.now = sim.now.Add(2 * time.Second)
@@ -350,7 +350,7 @@
 		if refusal != nil || grant.Upstream == first.Upstream {
 			t.Fatalf("an unresponsive engine got a request, or the request was refused: %v", refusal)
 		}
-		sim.RecordFirstByte(sim.now, grant.ID, grant.Upstream, nil, 0)
+		sim.RecordFirstByte(sim.now, grant.ID, grant.Upstream, true, 0)
 		sim.RecordOutcome(sim.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 	}
 	sim.RecordOutcome(sim.now, request.Finish{ID: first.ID, Upstream: first.Upstream, Outcome: request.OutcomeUnreachable})
--- a/fleet/process/placement/many_test.go
+++ b/fleet/process/placement/many_test.go
@@ -88,7 +88,7 @@
 			if a.firstByteAt.After(sim.now) {
 				return false
 			}
-			vm.RecordFirstByte(a.firstByteAt, a.grant.ID, a.grant.Upstream, nil, 0)
+			vm.RecordFirstByte(a.firstByteAt, a.grant.ID, a.grant.Upstream, true, 0)
 			vm.RecordOutcome(a.firstByteAt, request.Finish{ID: a.grant.ID, Upstream: a.grant.Upstream, Outcome: request.OutcomeDone})
 			sim.answered++
 			if a.firstByteAt.Sub(a.sentAt) > testObjective {
--- a/fleet/process/placement/placement_test.go
+++ b/fleet/process/placement/placement_test.go
@@ -97,7 +97,7 @@
 		f.now = f.now.Add(500 * time.Microsecond)
 		grant, refusal := f.Place(f.now, f.ticket(version.AccountID(i%30), uint64(i%1000), 6000, 2800))
 		if refusal == nil {
-			f.RecordFirstByte(f.now, grant.ID, grant.Upstream, nil, 0)
+			f.RecordFirstByte(f.now, grant.ID, grant.Upstream, true, 0)
 			f.RecordOutcome(f.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
 		}
 	}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -210,16 +210,21 @@
 // to upstreams.
 const maxTrustedLag = 5 * time.Millisecond
 
-// RecordFirstByte records that the first byte of an answer has been received. load is the load
-// that the upstream reported with the answer, or nil; lag is the scheduling lag of this VM.
-func (p *Placer) RecordFirstByte(now time.Time, id request.ID, upstreamID version.UpstreamID, load *request.Load, lag time.Duration) {
+// RecordLoad records the load that an upstream reported with an answer.
+func (p *Placer) RecordLoad(now time.Time, id version.UpstreamID, load request.Load) {
+	if u := p.upstreams[id]; u != nil {
+		u.reportedLoad, u.reportedAt = load, now
+	}
+}
+
+// RecordFirstByte records that the first event of a stream, or the head of another answer, has been
+// received. event is set for an event: a head alone does not show that the upstream can answer.
+// lag is the scheduling lag of this VM.
+func (p *Placer) RecordFirstByte(now time.Time, id request.ID, upstreamID version.UpstreamID, event bool, lag time.Duration) {
 	u := p.upstreams[upstreamID]
 	if u == nil {
 		return
 	}
-	if load != nil {
-		u.reportedLoad, u.reportedAt = *load, now
-	}
 	a := u.inFlight[id]
 	if a == nil || a.gotFirstByte {
 		return
@@ -232,7 +237,9 @@
 	if lag <= maxTrustedLag {
 		u.updatePrediction(now, a, p.networkLatency(u))
 	}
-	u.health.recordSuccess()
+	if event {
+		u.health.recordSuccess()
+	}
 }
 
 // RecordOutcome records the outcome of an attempt.
