Send nothing that a planned stop would cut off

A request whose body ended late in the grace period of a stop was sent, ran, and was cut off at the end without an answer, as another operator had reported (TestStopSendsNothingThatItWouldCut failed: one run, no answer). So were second attempts.

Cause: requests are admitted by their arrival alone; nothing asked before the send what is left of the grace period.

fleet/request/grace decides before each attempt: by the request's deadline, or by the longest response of its route lately, with a margin for requests that may run once only. A refusal is a 503 that says not run, to return at once elsewhere. What was sent is answered; each exception has a log line.

--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/request/grace"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -56,7 +57,7 @@
 	d.leaving.Store(true)
 	period := d.settings.Load().Bounds.TerminationGrace
 	deadline := start.Add(time.Duration((1 - exitReserveFraction) * float64(period)))
-	d.handler.Leave()
+	d.handler.Leave(grace.Stop{Cut: deadline})
 	d.placing.Leave()
 	d.log.Info("stopping", "requests", d.handler.HeldRequests())
 	d.deregister(groupCtx)
@@ -70,6 +71,7 @@
 			return err
 		}
 	}
+	d.handler.LogCut()
 	// Reject connections until the listener closes. Those already accepted reach the
 	// server within a poll interval, and Shutdown then waits for them.
 	d.callerListener.stop()
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/request/grace"
 	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -62,10 +63,15 @@
 type GeneralHandler struct {
 	options GeneralOptions
 	limiter *requestLimiter
-	leaving atomic.Bool
+	// stop is set once the process is told to stop.
+	stop atomic.Pointer[grace.Stop]
 
 	mu           sync.Mutex
 	retryBudgets map[version.PoolID]*retry.Window
+	// durations remembers how long requests took, by route, and inProgress holds those without a
+	// final response.
+	durations  *grace.Durations
+	inProgress map[*generalCall]struct{}
 }
 
 // NewGeneralHandler returns a handler with the defaults filled in.
@@ -101,11 +107,14 @@
 		options:      options,
 		limiter:      newRequestLimiter(options.MaxRequests, options.MaxHeldBytes, generalAccountLimitDivisor),
 		retryBudgets: make(map[version.PoolID]*retry.Window),
+		durations:    grace.NewDurations(),
+		inProgress:   make(map[*generalCall]struct{}),
 	}
 }
 
-// Leave makes the handler close each connection after its next response.
-func (g *GeneralHandler) Leave() { g.leaving.Store(true) }
+// Leave makes the handler close each connection after its next response, and refuse requests that
+// are not expected to end before the cut of the stop.
+func (g *GeneralHandler) Leave(stop grace.Stop) { g.stop.Store(&stop) }
 
 // Close makes the handler refuse every new request.
 func (g *GeneralHandler) Close() { g.limiter.close() }
@@ -130,7 +139,7 @@
 	// The server drops the length of a request that has both a length and chunks. The bytes
 	// after such a request could be meant as part of it (request smuggling), so the
 	// connection is closed after any chunked request.
-	if g.leaving.Load() || len(r.TransferEncoding) > 0 || g.options.AtConnectionLimit() {
+	if g.stop.Load() != nil || len(r.TransferEncoding) > 0 || g.options.AtConnectionLimit() {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal := c.shed(); refusal != nil {
@@ -149,6 +158,8 @@
 	}
 	reserved := &reservation{limiter: g.limiter, account: account}
 	defer reserved.release()
+	g.begin(c)
+	defer g.end(c)
 	body, refusal := c.readBody()
 	reserved.bytes = int64(len(body))
 	if refusal != nil {
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,8 @@
 	// sentAttempts counts the attempts that were granted, executedAttempts those that an
 	// upstream may have executed.
 	sentAttempts, executedAttempts int
+	// sent is set once an attempt was started.
+	sent atomic.Bool
 	// pass may end the request early.
 	pass Pass
 	// continuation is the interrupted stream to be continued; nil if there is none.
@@ -85,6 +88,9 @@
 	if c.callerGone() {
 		return request.Grant{}, refuse(request.ReasonCallerGone, "the caller went away before the request was sent")
 	}
+	if refusal := c.checkStop(now); refusal != nil {
+		return request.Grant{}, refusal
+	}
 	ctx, cancel := context.WithDeadline(c.pass.Context(), c.deadline)
 	defer cancel()
 	grant, refusal := c.handler.options.Fleet.Acquire(ctx, c.ticket)
@@ -97,6 +103,7 @@
 // attempt makes one attempt and reports whether the caller has received the final response.
 func (c *generalCall) attempt(grant request.Grant) bool {
 	c.sentAttempts++
+	c.sent.Store(true)
 	software := c.softwareNow(grant.Upstream)
 	c.beginStream(software)
 	relayer := c.handler.options.Relay
@@ -207,9 +214,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		c.handler.options.Counter.Answered()
+		c.handler.recordDuration(c, time.Now())
 		c.logOutcome("answered", upstream, slog.Int("status", result.Buffered.Status))
 	case relay.DeliveryComplete:
 		c.handler.options.Counter.Answered()
+		c.handler.recordDuration(c, time.Now())
 		c.logOutcome("answered", upstream)
 	case relay.DeliveryTruncated:
 		c.logOutcome("broken off", upstream)
--- a/lab/edge/stop_test.go
+++ b/lab/edge/stop_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -69,3 +70,75 @@
 		t.Errorf("%d requests were answered, %d were not; want all answered and at least one", answered.Load(), unanswered.Load())
 	}
 }
+
+// halfRequest opens a connection and sends a request without the end of its body. The returned
+// function sends the end and reads the answer.
+func (env *environment) halfRequest(id string) func() (status int, retryAfter string, err error) {
+	env.t.Helper()
+	conn, err := net.Dial("tcp", env.callers)
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.t.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 4000\r\nContent-Length: 4\r\n\r\nbo",
+		host, platformtest.HeaderRequestID, id, platformtest.HeaderKey, key, platformtest.HeaderDeadline)
+	return func() (int, string, error) {
+		if _, err := io.WriteString(conn, "dy"); err != nil {
+			return 0, "", err
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, "", err
+		}
+		defer answer.Body.Close()
+		_, err = io.Copy(io.Discard, answer.Body)
+		return answer.StatusCode, answer.Header.Get("Retry-After"), err
+	}
+}
+
+// Guards against a planned stop that sends what comes late in its grace period and cuts it off at
+// the end, without an answer: what was sent is answered whole, and what could not end is refused as
+// not run and not sent, with when to come back.
+func TestStopSendsNothingThatItWouldCut(t *testing.T) {
+	const (
+		gracePeriod = 4 * time.Second
+		delay       = 1200 * time.Millisecond
+	)
+	env := start(t, 1, func(bounds platformtest.Fields) { bounds["grace_s"] = gracePeriod.Seconds() })
+	env.setFaults(generalupstream.Faults{Delay: delay})
+	if reply := env.do(call{path: "/unsafe/x", id: "first", body: "body"}); reply.status != http.StatusOK {
+		t.Fatalf("status %d before the stop, want 200", reply.status)
+	}
+	stopped := time.Now()
+	env.stop()
+	var group sync.WaitGroup
+	for _, c := range []struct {
+		begin, end time.Duration
+		want       int
+	}{
+		{0, 200 * time.Millisecond, http.StatusOK},
+		{1200 * time.Millisecond, 1300 * time.Millisecond, http.StatusOK},
+		{800 * time.Millisecond, 2500 * time.Millisecond, http.StatusServiceUnavailable},
+		{1200 * time.Millisecond, 3 * time.Second, http.StatusServiceUnavailable},
+	} {
+		group.Go(func() {
+			time.Sleep(time.Until(stopped.Add(c.begin)))
+			id := fmt.Sprintf("late-%v", c.end)
+			finish := env.halfRequest(id)
+			time.Sleep(time.Until(stopped.Add(c.end)))
+			status, retryAfter, err := finish()
+			runs := len(env.runs(id))
+			if err != nil || status != c.want {
+				t.Errorf("a request whose body ended %v after the stop: status %d, error %v, want %d", c.end, status, err, c.want)
+			}
+			if ran := runs > 0; ran != (status == http.StatusOK) {
+				t.Errorf("a request whose body ended %v after the stop: status %d and %d runs", c.end, status, runs)
+			}
+			if status == http.StatusServiceUnavailable && retryAfter == "" {
+				t.Errorf("a request whose body ended %v after the stop: no Retry-After", c.end)
+			}
+		})
+	}
+	group.Wait()
+}
