--- a/daemon/version/mirror/mirror_test.go
+++ b/daemon/version/mirror/mirror_test.go
@@ -88,7 +88,7 @@
 
 func registration(name string, revision uint64) platform.Object {
 	return platform.Object{Name: name, Revision: revision, Spec: []byte(
-		`{"service":"s","address":"10.0.0.1:80","zone":"dc","slots":8,"state":"ready"}`)}
+		`{"service":"s","address":"10.0.0.1:80","zone":"dc","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1}`)}
 }
 
 func draining(name string, revision uint64) platform.Object {
