Let the soak meet endless streams, empty accounts and unseen restarts

The soak now lets upstreams send events without end, publishes versions without accounts, and restarts upstreams with another software version while the store is silent; some callers use a key that no version has held. It checks the anonymous memory of each process against that of the smallest VM, 112 MB.

A short run of it is part of the tests: TestPromisesHoldUnderOddFaults, 32 s.

--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -53,6 +53,9 @@
 	// AnswerEarly is how many requests are answered before their body is read. The
 	// connection stays open and the body is read after the answer.
 	AnswerEarly int
+	// Endless is how many streams have a first event that never ends: a megabyte of it comes at
+	// once, and a kilobyte each endlessPause after that, until the caller disconnects.
+	Endless int
 	// Delay is the execution time before the first byte of the answer.
 	Delay time.Duration
 	// Pause is the time between two events of a stream.
@@ -296,6 +299,7 @@
 	faults, limit := u.faults, u.limit
 	fail, noAnswer := !refuse && consume(&u.faults.Fail), !refuse && consume(&u.faults.NoAnswer)
 	wrongID, noLength := consume(&u.faults.WrongID), consume(&u.faults.NoLength)
+	endless := !refuse && strings.Contains(r.URL.Path, StreamPath) && consume(&u.faults.Endless)
 	u.mu.Unlock()
 	if faults.DrainAdvice {
 		w.Header().Set(platformtest.HeaderLeaving, "1")
@@ -325,6 +329,8 @@
 	case fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed "+id)
+	case endless:
+		u.streamEndless(w, r)
 	case faults.NoFraming && strings.Contains(r.URL.Path, StreamPath):
 		writeUnframedStream(w, id, faults)
 	case strings.Contains(r.URL.Path, StreamPath):
@@ -422,6 +428,28 @@
 	}
 }
 
+const (
+	// endlessBurst is the number of kilobytes of an endless event that come at once.
+	endlessBurst = 1000
+	endlessPause = 100 * time.Millisecond
+)
+
+// streamEndless begins an event and goes on with it until the caller disconnects.
+func (u *Upstream) streamEndless(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	line := "data: " + strings.Repeat("x", 1000) + "\n"
+	_, err := io.WriteString(w, "id: 1\n")
+	for n := 0; err == nil; n++ {
+		if n >= endlessBurst {
+			if err := control.Flush(); err != nil || !u.sleep(r, endlessPause) {
+				return
+			}
+		}
+		_, err = io.WriteString(w, line)
+	}
+}
+
 // sleep waits for a duration. If the caller disconnects first, it counts that and
 // reports false.
 func (u *Upstream) sleep(r *http.Request, duration time.Duration) bool {
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -102,6 +102,10 @@
 			c.keyVersion = max(c.keyVersion-1, 1)
 		case 1:
 			c.keyVersion = max(c.keyVersion-2-random.IntN(2), 0)
+		case 2:
+			if n%2 == 0 {
+				c.keyVersion = unheldVersion
+			}
 		}
 		if deadly := f.deadlyCauses(); len(deadly) > 0 && random.IntN(deadlyDivisor) == 0 {
 			c.makeDeadly(deadly[random.IntN(len(deadly))])
@@ -118,6 +122,10 @@
 	}
 }
 
+// unheldVersion is a version whose key no configuration has held. It counts as revoked by the first
+// one.
+const unheldVersion = -1
+
 // call sends a request and records the answer.
 func (f *fleet) call(client *http.Client, l *callLog, c *call) {
 	d := f.daemons[c.vm]
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -67,6 +67,8 @@
 	heldUp map[int][]span
 	// limits are the phases by upstream in which it named a limit.
 	limits map[int][]limitPhase
+	// peakMemory is the highest memory of the processes of each VM, in bytes.
+	peakMemory []int64
 }
 
 // upstreamRequest is a request that an upstream received or executed.
@@ -99,6 +101,7 @@
 	e.checkRollbacks(report)
 	e.checkRetryBudget(report)
 	e.checkDeadly(byID, report)
+	e.checkMemory(report)
 	if timing {
 		e.checkBesideDeadly(report)
 		e.checkCold(byID, report)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,7 +35,10 @@
 	NoRestores bool
 	// NoLimits leaves out upstreams that name rate limits.
 	NoLimits bool
-	Log      *slog.Logger
+	// NoOdd leaves out streams without end, versions without accounts and upstreams that start
+	// again unseen.
+	NoOdd bool
+	Log   *slog.Logger
 }
 
 // Report is the result of a run. Requests counts the ended calls, Served those with a
@@ -45,7 +49,10 @@
 	// Limits counts the limits that upstreams named, Restores the store's returns from older
 	// copies.
 	Limits, Restores int
-	Violations       []Violation
+	// Odd counts the odd faults, and PeakMemory is the highest memory of a process, in bytes.
+	Odd        int
+	PeakMemory int64
+	Violations []Violation
 }
 
 const (
@@ -94,6 +101,11 @@
 		random := rand.New(rand.NewPCG(options.Seed, restoreStream))
 		background.Go(func() { s.runRestores(ctx, random) })
 	}
+	if !options.NoOdd {
+		random := rand.New(rand.NewPCG(options.Seed, oddStream))
+		background.Go(func() { s.runOdd(ctx, random) })
+	}
+	background.Go(func() { f.watchMemory(ctx) })
 	var report Report
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -124,7 +136,8 @@
 // examine checks the observations so far.
 func examine(f *fleet, s *scenario, calls []call, timing bool) Report {
 	e := evidence{calls: calls, revokedAt: f.revokedAt, publishedAt: f.publishedAt}
-	report := Report{Requests: len(calls)}
+	e.peakMemory = f.peakMemory()
+	report := Report{Requests: len(calls), PeakMemory: slices.Max(e.peakMemory)}
 	for _, u := range f.upstreams {
 		var executions, arrivals []upstreamRequest
 		for _, r := range u.Runs() {
@@ -144,7 +157,7 @@
 		}
 	}
 	s.mu.Lock()
-	report.Restores = s.restores
+	report.Restores, report.Odd = s.restores, s.odd
 	s.mu.Unlock()
 	report.Disturbances, e.calm, e.drained, e.cold, e.leaving = s.observed()
 	e.deadly = s.observedDeadly()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -39,7 +39,7 @@
 	}
 	for _, seed := range seeds {
 		report, err := Run(t.Context(), Options{
-			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, NoRestores: true, Log: slog.New(slog.DiscardHandler),
+			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, NoRestores: true, NoOdd: true, Log: slog.New(slog.DiscardHandler),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -123,6 +123,8 @@
 		"requests beyond a named limit":    {withNamedLimit(evidenceOf(complete, 0), at, 5*limitSlack, span{}), "named limits"},
 		"requests within a named limit":    {withNamedLimit(evidenceOf(complete, 0), at, limitSlack, span{}), ""},
 		"limit and a frozen VM":            {withNamedLimit(evidenceOf(complete, 0), at, 5*limitSlack, span{from: at.Add(contactBound)}), ""},
+		"too much memory":                  {withMemory(evidenceOf(complete, 1), memoryMB<<20+1), "memory"},
+		"memory of the VM":                 {withMemory(evidenceOf(complete, 1), memoryMB<<20), ""},
 		"too many retries":                 {evidenceOf(changed(func(c *call) { c.kind = "safe" }), retrySlack+3), "retry budget"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -284,10 +286,34 @@
 	return e
 }
 
+// withMemory lets a process have so many bytes.
+func withMemory(e evidence, bytes int64) evidence {
+	e.peakMemory = []int64{1 << 20, bytes}
+	return e
+}
+
+// A short run with streams without end, versions without accounts and upstreams that start again with
+// another software version while the store is silent.
+func TestPromisesHoldUnderOddFaults(t *testing.T) {
+	report, err := Run(t.Context(), Options{
+		Seed: 93001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, NoRestores: true, NoLimits: true,
+		Callers: 24, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Served == 0 || report.Odd < 3 || report.PeakMemory == 0 {
+		t.Errorf("no request served, too few faults, or no memory seen: %+v", report)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+}
+
 // A short run with upstreams that name rate limits and a store that returns from older copies.
 func TestPromisesHoldUnderLimitsAndReturnsOfTheStore(t *testing.T) {
 	report, err := Run(t.Context(), Options{
-		Seed: 61001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, Log: slog.New(slog.DiscardHandler),
+		Seed: 61001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, NoOdd: true, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -34,10 +34,12 @@
 	disturbances int
 	// restores counts the store's returns from older copies.
 	restores int
-	calm     []span
-	drained  map[int][]span
-	cold     map[int][]span
-	leaving  map[int][]span
+	// odd counts the odd faults.
+	odd     int
+	calm    []span
+	drained map[int][]span
+	cold    map[int][]span
+	leaving map[int][]span
 	// restarting are the upstreams that are down because of a restart or crash, draining those
 	// that are registered as draining.
 	restarting, draining map[int]bool
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -30,6 +30,8 @@
 	drainBound  = 2500 * time.Millisecond
 	configBound = 2500 * time.Millisecond
 	grace       = 2 * time.Second
+	// memoryMB is the memory of the smallest VM, which no process may exceed.
+	memoryMB = 112
 	// In each retryWindow, upstreams may get retryRatio repeats for each request and
 	// retrySlack further ones.
 	retryRatio  = 0.2
@@ -59,6 +61,8 @@
 	// times at which versions were written to the store, by number.
 	version      int
 	publishTimes map[int]time.Time
+	// emptied are the numbers of the versions without accounts.
+	emptied []int
 	// deadly is what crashes upstreams now: prompt segments, and bodies of requests.
 	deadly []string
 	// written is what the operator and the upstreams wrote last.
@@ -88,6 +92,8 @@
 	// incarnation numbers the VM's processes, from 1.
 	incarnation int
 	command     *exec.Cmd
+	// peakBytes is the highest anonymous memory of any process of the VM that was seen.
+	peakBytes int64
 	// exited is closed when the process has exited.
 	exited chan struct{}
 	log    *os.File
@@ -159,7 +165,19 @@
 func apiKeyOf(version int) string { return "key-" + strconv.Itoa(version) }
 
 // publishNextVersion writes the next version of the configuration to the store.
-func (f *fleet) publishNextVersion() {
+func (f *fleet) publishNextVersion() { f.publish(nil) }
+
+// publishWithoutAccounts writes a next version whose list of accounts is empty, which revokes every
+// key.
+func (f *fleet) publishWithoutAccounts() {
+	f.publish(func(config platformtest.Fields) {
+		config["tenants"] = []any{}
+		f.emptied = append(f.emptied, f.version)
+	})
+}
+
+// publish writes the next version of the configuration, as change alters it, to the store.
+func (f *fleet) publish(change func(config platformtest.Fields)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
@@ -167,14 +185,18 @@
 		return platformtest.Route(name, host, prefix, kind, service,
 			platformtest.Fields{"timeout_ms": routeTimeout.Milliseconds(), "resumable": resumable})
 	}
-	f.put(platform.KindConfig, platform.ConfigName, platformtest.Config(f.version, []any{
+	config := platformtest.Config(f.version, []any{
 		route("safe", "/safe/", platformtest.KindSafe, false),
 		route("unsafe", "/unsafe/", platformtest.KindUnsafe, false),
 		route("stream", "/stream/", platformtest.KindStreaming, false),
 		route("resume", "/resume-stream/", platformtest.KindStreaming, true),
 	}, platformtest.Service(service, platformtest.Fields{
 		"cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond,
-	}), "account-1", apiKeyOf(f.version), apiKeyOf(f.version-1)))
+	}), "account-1", apiKeyOf(f.version), apiKeyOf(f.version-1))
+	if change != nil {
+		change(config)
+	}
+	f.put(platform.KindConfig, platform.ConfigName, config)
 	f.publishTimes[f.version] = time.Now()
 }
 
@@ -211,8 +233,18 @@
 	return f.version
 }
 
-// revokedAt returns when the key of a version was revoked; zero if it is valid.
-func (f *fleet) revokedAt(version int) time.Time { return f.publishedAt(version + 2) }
+// revokedAt returns when the key of a version was revoked; zero if it is valid. A version without
+// accounts revokes the keys of all versions before it.
+func (f *fleet) revokedAt(version int) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, number := range f.emptied {
+		if number > version && number <= version+2 {
+			return f.publishTimes[number]
+		}
+	}
+	return f.publishTimes[version+2]
+}
 
 // publishedAt returns when a version was written to the store; zero if it was not yet.
 func (f *fleet) publishedAt(version int) time.Time {
@@ -244,7 +276,7 @@
 	}
 	return d, platformtest.Settings{
 		VM: name, CallerAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2],
-		StoreAddress: d.storeProxy.Address(), MemoryMB: 256,
+		StoreAddress: d.storeProxy.Address(), MemoryMB: memoryMB,
 		Bounds: platformtest.Bounds(platformtest.Fields{
 			"drain_ms": drainBound.Milliseconds(), "config_apply_ms": configBound.Milliseconds(),
 			"revoke_ms": revokeBound.Milliseconds(), "grace_s": grace.Seconds(), "retry_budget_ratio": retryRatio,
