Count the end of an unbuffered body as the upstream's

A body that could not be buffered for want of memory is passed on. If its upstream then ended, that counted as a break by this process, so that the end of the upstream was no evidence of its crash.

Cause: the reservation for the buffer was noted as what ended the answer. Only the head notes it now.

TestEndOfAnUnbufferedBodyIsTheUpstreams failed before.

--- a/daemon/request/relay/endless_test.go
+++ b/daemon/request/relay/endless_test.go
@@ -182,3 +182,30 @@
 		})
 	}
 }
+
+// Guards against a body that could not be buffered and is passed on, whose upstream then ends: the end
+// must count as the upstream's, not as that of this process.
+func TestEndOfAnUnbufferedBodyIsTheUpstreams(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+		w.Header().Set("Content-Length", "100000")
+		_, _ = w.Write([]byte(strings.Repeat("y", 50_000)))
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	target := &version.Upstream{ID: 1, Address: server.Listener.Addr().String()}
+	accounting := &fakeAccounting{}
+	accounting.setConfig(configOf(target))
+	transport := upstream.NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	relay := New(Options{Accounting: accounting, Transport: transport, General: true, MaxAnswerBytes: 20 << 10})
+	result := relay.Do(&discardWriter{header: make(http.Header)}, Call{
+		Grant: request.Grant{Upstream: target.ID}, Kind: version.PoolService,
+		Request: httptest.NewRequest(http.MethodPost, "/x", nil), Outgoing: request.Outgoing{ID: "e"},
+		FirstByteDeadline: time.Now().Add(10 * time.Second), CompletionDeadline: time.Now().Add(10 * time.Second),
+	})
+	result.Release()
+	if result.Delivery != DeliveryTruncated || result.DisconnectedAt.IsZero() {
+		t.Errorf("delivery %d, disconnected at %v, want the upstream's end of a truncated response", result.Delivery, result.DisconnectedAt)
+	}
+}
--- a/daemon/request/relay/holding.go
+++ b/daemon/request/relay/holding.go
@@ -60,7 +60,7 @@
 	headRead, head, content int64
 	reserved                int64
 	released                bool
-	// exceeded is the first error of a limit or of the budget.
+	// exceeded is the error with which a limit or the budget ended the head.
 	exceeded error
 }
 
@@ -73,15 +73,23 @@
 		return h.exceeded
 	}
 	h.head += 2*int64(len(text)) + headLineBytes*int64(bytes.Count(text, []byte("\n")))
-	return h.adjust()
+	if err := h.adjust(); h.exceeded == nil {
+		h.exceeded = err
+	}
+	return h.exceeded
 }
 
 // hold sets the bytes held of an event or a buffered body.
 func (h *holding) hold(n int) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before := h.content
 	h.content = int64(n)
-	return h.adjust()
+	err := h.adjust()
+	if err != nil {
+		h.content = before
+	}
+	return err
 }
 
 // adjust reserves or releases bytes as the held ones change. h.mu must be held.
@@ -94,9 +102,6 @@
 		h.budget.release(h.upstream, h.reserved-needed)
 	default:
 		if err := h.budget.reserve(h.upstream, needed-h.reserved); err != nil {
-			if h.exceeded == nil {
-				h.exceeded = err
-			}
 			return err
 		}
 	}
@@ -104,7 +109,7 @@
 	return nil
 }
 
-// excess returns the error with which a limit or the budget ended the answer, or nil.
+// excess returns the error with which a limit or the budget ended the head, or nil.
 func (h *holding) excess() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
