Judge connections only for streams that may be taken up

Each request read the clock that includes suspension and asked whether the store answers, although only streams that callers may take up need to know whether a connection is trusted.

--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -143,7 +143,7 @@
 	// A nil BeforeFirstByte permits every attempt.
 	// trusted tells whether the connection may be taken for one to the incarnation of the upstream
 	// that is registered; true if no Lives follows the transport.
-	BeforeFirstByte func(trusted bool) error
+	BeforeFirstByte func(trusted func() bool) error
 	// OnHead is called with what is read from the connection until EndHead is called: the head of
 	// the answer, interim answers before it and perhaps the begin of the body. If it returns an
 	// error, the attempt fails. A nil OnHead accepts everything.
@@ -173,7 +173,7 @@
 	own := underlyingCountedConn(conn)
 	if own != nil {
 		if t.BeforeFirstByte != nil {
-			own.setBeforeWrite(func() error { return t.BeforeFirstByte(own.life.trusted()) })
+			own.setBeforeWrite(func() error { return t.BeforeFirstByte(own.life.trusted) })
 		}
 		own.setOnRead(t.OnHead)
 	}
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -172,7 +172,7 @@
 	// OnSend is called just before the first byte of the attempt is sent. trusted tells whether the
 	// connection may be taken for one to the incarnation of the upstream that is registered. An
 	// error of this package keeps the attempt from being sent; nil does nothing.
-	OnSend func(trusted bool) error
+	OnSend func(trusted func() bool) error
 	// Record keeps the response for the ledger, and lets the attempt complete after the
 	// caller has disconnected.
 	Record bool
@@ -361,7 +361,7 @@
 // checkSendable returns an error if a granted attempt must no longer be sent. It is called
 // just before the first byte is sent: opening the connection may take seconds, and in an
 // overloaded process so may any other step since the grant.
-func (a *attempt) checkSendable(trusted bool) error {
+func (a *attempt) checkSendable(trusted func() bool) error {
 	if a.call.CallerWaits != nil && !a.call.CallerWaits() {
 		return ErrCallerGone
 	}
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -122,8 +122,11 @@
 		Continuation:       c.continuation,
 		CallerWaits:        func() bool { return !c.callerGone() },
 		Context:            c.pass.Context(),
-		OnSend: func(trusted bool) error {
-			if !trusted {
+		OnSend: func(trusted func() bool) error {
+			if !c.mayBeTakenUp() {
+				return nil
+			}
+			if !trusted() {
 				if c.continuesStream() {
 					return relay.ErrUntrusted
 				}
@@ -148,7 +151,7 @@
 		if result.Continuation != nil {
 			c.continuation = result.Continuation
 		}
-		if noted && c.mayBeTakenUp() {
+		if noted {
 			// Other VMs may know the stream by this version, and this process may end before it
 			// tells them of another one.
 			c.ticket.Software = fits
--- a/daemon/request/serve/streams.go
+++ b/daemon/request/serve/streams.go
@@ -72,9 +72,6 @@
 // beginStream records that the stream is sent to an upstream of a software version; empty if the
 // version is not known for certain.
 func (c *generalCall) beginStream(software string) {
-	if !c.mayBeTakenUp() {
-		return
-	}
 	streams := c.handler.options.Streams
 	streams.Begin(resume.StreamOf(c.ticket.Account, c.incoming.ID), c.pool.ID, software, int(c.ticket.Attempt))
 	if c.incoming.LastEvent != "" && c.incoming.Resumes != "" {
