Count the heads of cancelled and resumed attempts

In the product's own form an attempt that ended was cancelled, or resumed, by a request of its own, whose head was not counted: 200 cancellations at an upstream that sends heads without end took 99 MB.

These heads reserve memory too, and an answer that is too large is not resumed. The test of answers without end has three forms of the own form now; one failed before.

--- a/daemon/request/relay/endless_test.go
+++ b/daemon/request/relay/endless_test.go
@@ -94,16 +94,21 @@
 		burst      int
 		// passedOn is set if the bytes are passed on as they come, which holds none of them.
 		passedOn bool
+		// own is set for an upstream of the product's own form.
+		own bool
 	}{
-		"event's lines":    {version.PoolModel, stream + "\r\nid: 1\n", "data: " + strings.Repeat("x", 1000) + "\n", 1000 << 10, false},
-		"one line":         {version.PoolModel, stream + "\r\nid: 1\ndata: ", strings.Repeat("x", 1000), 1000 << 10, false},
-		"IDs":              {version.PoolModel, stream + "\r\n", "id: " + strings.Repeat("7", 1000) + "\n", 1000 << 10, false},
-		"header lines":     {version.PoolService, head, "A: \r\n", 60 << 10, false},
-		"one header line":  {version.PoolService, head + "X-More: ", "x", 60 << 10, false},
-		"interim answers":  {version.PoolService, "HTTP/1.1 103 Early Hints\r\n", "Link: x\r\n", 60 << 10, false},
-		"trailer":          {version.PoolModel, stream + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: \r\n", 60 << 10, false},
-		"announced length": {version.PoolService, head + "Content-Length: 262144\r\n\r\n", strings.Repeat("x", 50), 200 << 10, true},
-		"chunks":           {version.PoolModel, head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", 400 << 10, true},
+		"event's lines":            {version.PoolModel, stream + "\r\nid: 1\n", "data: " + strings.Repeat("x", 1000) + "\n", 1000 << 10, false, false},
+		"one line":                 {version.PoolModel, stream + "\r\nid: 1\ndata: ", strings.Repeat("x", 1000), 1000 << 10, false, false},
+		"IDs":                      {version.PoolModel, stream + "\r\n", "id: " + strings.Repeat("7", 1000) + "\n", 1000 << 10, false, false},
+		"header lines":             {version.PoolService, head, "A: \r\n", 60 << 10, false, false},
+		"one header line":          {version.PoolService, head + "X-More: ", "x", 60 << 10, false, false},
+		"interim answers":          {version.PoolService, "HTTP/1.1 103 Early Hints\r\n", "Link: x\r\n", 60 << 10, false, false},
+		"trailer":                  {version.PoolModel, stream + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: \r\n", 60 << 10, false, false},
+		"announced length":         {version.PoolService, head + "Content-Length: 262144\r\n\r\n", strings.Repeat("x", 50), 200 << 10, true, false},
+		"chunks":                   {version.PoolModel, head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", 400 << 10, true, false},
+		"own form, event's lines":  {version.PoolModel, stream + "\r\nid: 1\n", "data: " + strings.Repeat("x", 1000) + "\n", 1000 << 10, false, true},
+		"own form, header lines":   {version.PoolModel, head, "A: \r\n", 60 << 10, false, true},
+		"own form, buffered chunk": {version.PoolModel, head + "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", 400 << 10, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sound := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -117,7 +122,7 @@
 			accounting.setConfig(configOf(bad, good))
 			transport := upstream.NewTransport(nil)
 			defer transport.CloseIdleConnections()
-			relay := New(Options{Accounting: accounting, Transport: transport, General: true, MaxAnswerBytes: maxAnswerBytes})
+			relay := New(Options{Accounting: accounting, Transport: transport, General: !c.own, MaxAnswerBytes: maxAnswerBytes})
 			do := func(id string, target *version.Upstream, kind version.PoolKind, limit time.Duration) Result {
 				result := relay.Do(&discardWriter{header: make(http.Header)}, Call{
 					Grant: request.Grant{Upstream: target.ID}, Kind: kind,
--- a/daemon/request/relay/holding.go
+++ b/daemon/request/relay/holding.go
@@ -64,6 +64,20 @@
 	exceeded error
 }
 
+// newHolding returns what a request to an upstream holds, at first nothing.
+func (r *Relay) newHolding(upstream version.UpstreamID) *holding {
+	return &holding{budget: r.answers, upstream: upstream}
+}
+
+// nextHead prepares for the head of another answer.
+func (h *holding) nextHead() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.headRead, h.head, h.exceeded = 0, 0, nil
+	// Holding less is never refused.
+	_ = h.adjust()
+}
+
 // readHead adds bytes of the head that have been read.
 func (h *holding) readHead(text []byte) error {
 	h.mu.Lock()
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -290,7 +290,7 @@
 	}
 	a.target = target
 	a.call.Outgoing.Instance = target.Instance
-	a.holding = &holding{budget: r.answers, upstream: target.ID}
+	a.holding = r.newHolding(target.ID)
 	result := a.run()
 	result.holding = a.holding
 	if result.Delivery != DeliveryBuffered {
--- a/daemon/request/relay/send.go
+++ b/daemon/request/relay/send.go
@@ -64,12 +64,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
+	held := a.relay.newHolding(a.target.ID)
+	defer held.release()
+	tracker := &upstream.SendTracker{OnHead: held.readHead}
 	targetURL := a.upstreamURL(upstream.PathAttempts + a.call.Outgoing.ID)
-	outgoing, err := http.NewRequestWithContext(ctx, http.MethodDelete, targetURL, nil)
+	outgoing, err := http.NewRequestWithContext(tracker.Context(ctx), http.MethodDelete, targetURL, nil)
 	if err != nil {
 		return
 	}
 	response, err := a.relay.options.Transport.RoundTrip(outgoing)
+	tracker.EndHead()
 	if err != nil {
 		// An engine that cannot be reached executes nothing.
 		return
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -94,7 +94,8 @@
 	if errors.Is(err, ErrStalled) {
 		return s.writer.headerWritten || s.call.Record
 	}
-	return errors.Is(err, ErrTruncated)
+	// The rest of an answer that is too large would be too large again.
+	return errors.Is(err, ErrTruncated) && !errors.Is(err, ErrOversized)
 }
 
 // relayEvents relays events up to the last one. It returns ErrTruncated or ErrStalled if the
@@ -186,11 +187,14 @@
 	defer timer.stop()
 	targetURL := s.upstreamURL(upstream.PathAttempts + s.call.Outgoing.ID +
 		"?" + upstream.QueryOffset + "=" + strconv.Itoa(s.eventsWritten))
-	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, targetURL, nil)
+	s.holding.nextHead()
+	tracker := &upstream.SendTracker{OnHead: s.holding.readHead}
+	outgoing, err := http.NewRequestWithContext(tracker.Context(ctx), http.MethodGet, targetURL, nil)
 	if err != nil {
 		return errors.Wrap(err, "build resume request")
 	}
 	response, err := s.relay.options.Transport.RoundTrip(outgoing)
+	tracker.EndHead()
 	if err != nil {
 		return s.classify(ctx, err)
 	}
