Do not take a broken answer for the end of its upstream

The close of the last connection counts only if it was idle. Whether an upstream that breaks an answer off has crashed is checked by a connection at once, as before. TestBrokenAnswerIsNoEndOfTheUpstream.

--- a/daemon/connection/upstream/lives.go
+++ b/daemon/connection/upstream/lives.go
@@ -66,6 +66,14 @@
 	l.tracker.Ended(now, address)
 }
 
+// BrokeOff records that the upstream at an address broke off an answer.
+func (l *Lives) BrokeOff(address string) {
+	now := l.clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tracker.BrokeOff(now, address)
+}
+
 // life is the part of a Lives that belongs to one connection. The nil life is not followed.
 type life struct {
 	lives *Lives
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -224,6 +224,7 @@
 		OnLoad:         d.placing.RecordLoad,
 		OnFirstByte:    d.placing.RecordFirstByte,
 		OnAdvice:       d.placing.RecordAdvice,
+		OnBreak:        d.lives.BrokeOff,
 		Declines:       d.placing.UpstreamDeclines,
 	})
 	d.metrics.vars.Set("answers", expvar.Func(func() any { return d.relay.Answers() }))
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -89,6 +89,9 @@
 	// pause, rate limit), the caller's request ID and the time at which the attempt was
 	// started. The default does nothing. It must not block.
 	OnAdvice func(at version.UpstreamID, requestID string, sentAt time.Time, advice request.Advice)
+	// OnBreak is called with the host:port of an upstream that ended a connection before its response
+	// was complete. The default does nothing. It must not block.
+	OnBreak func(address string)
 	// Declines reports whether an upstream has advised that it accepts no requests now. The
 	// default returns false. It must not block.
 	Declines func(id version.UpstreamID) bool
@@ -131,6 +134,9 @@
 	if options.OnAdvice == nil {
 		options.OnAdvice = func(version.UpstreamID, string, time.Time, request.Advice) {}
 	}
+	if options.OnBreak == nil {
+		options.OnBreak = func(string) {}
+	}
 	if options.Declines == nil {
 		options.Declines = func(version.UpstreamID) bool { return false }
 	}
@@ -469,6 +475,7 @@
 
 // recordDisconnect records that the upstream ended a connection, or refused one.
 func (a *attempt) recordDisconnect(err error) {
+	a.relay.options.OnBreak(a.target.Address)
 	if a.disconnectedAt.IsZero() {
 		a.disconnectedAt = time.Now()
 		return
--- a/fleet/connection/incarnation/incarnation.go
+++ b/fleet/connection/incarnation/incarnation.go
@@ -7,7 +7,7 @@
 // registration was read is proven; another one is proven if the upstream has been sending on a
 // proven connection until the other one was opened. One that is not proven is trusted while the
 // registrations are read regularly, unless the upstream has crashed, refused a connection or closed
-// all of them since.
+// the last idle one since.
 package incarnation
 
 import "time"
@@ -49,9 +49,10 @@
 type address struct {
 	// aliveAt is when the registered incarnation last sent a byte.
 	aliveAt time.Time
-	// endedAt is when the upstream was last known to have crashed, refused a connection or closed
-	// all of them.
-	endedAt  time.Time
+	// endedAt is when the upstream was last known to have crashed or refused a connection, and
+	// emptiedAt when it closed the last connection while that was idle.
+	endedAt, emptiedAt time.Time
+
 	open     int
 	closedAt time.Time
 }
@@ -102,15 +103,19 @@
 }
 
 // Close records that a connection is closed. If the upstream closed it and no other one is left,
-// the upstream may have ended.
+// the upstream may have ended, unless BrokeOff follows.
 func (t *Tracker) Close(now time.Time, c *Conn, byUpstream bool) {
 	c.address.open--
 	c.address.closedAt = now
 	if byUpstream && c.address.open == 0 {
-		c.address.endedAt = now
+		c.address.emptiedAt = now
 	}
 }
 
+// BrokeOff records that the upstream at an address broke off an answer. That the connection is closed
+// says nothing more then: whether the upstream has crashed is found out by itself.
+func (t *Tracker) BrokeOff(now time.Time, at string) { t.address(now, at).emptiedAt = time.Time{} }
+
 // Received records that bytes were received on a connection.
 func (t *Tracker) Received(now time.Time, c *Conn) {
 	if now.Sub(t.receivedAt) > standstill {
@@ -139,8 +144,11 @@
 		return true
 	}
 	fresh := storeAnswers && !t.readAt.IsZero() && now.Sub(t.readAt) <= freshTime
-	ended := !c.address.endedAt.IsZero() && c.address.endedAt.After(t.readAt.Add(-t.registrationTime))
-	return fresh && !ended
+	lastEnd := c.address.endedAt
+	if c.address.emptiedAt.After(lastEnd) {
+		lastEnd = c.address.emptiedAt
+	}
+	return fresh && !lastEnd.After(t.readAt.Add(-t.registrationTime))
 }
 
 // makeRoom forgets addresses without connections when there are too many.
--- a/fleet/connection/incarnation/incarnation_test.go
+++ b/fleet/connection/incarnation/incarnation_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// Guards against streams that cannot be continued because they began at an upstream that had broken
+// another one off: its connection was the only one, and its end was taken for that of the upstream.
+func TestBrokenAnswerIsNoEndOfTheUpstream(t *testing.T) {
+	f := newFixture()
+	f.Close(f.now, f.first, true)
+	if f.Trusted(f.now, f.Open(f.now, "a"), true) {
+		t.Error("a connection is trusted after the upstream closed the only idle one")
+	}
+	g := newFixture()
+	g.Close(g.now, g.first, true)
+	g.BrokeOff(g.now, "a")
+	if !g.Trusted(g.now, g.Open(g.now, "a"), true) {
+		t.Error("a connection is not trusted after the upstream broke off an answer")
+	}
+	g.Ended(g.now, "a")
+	g.BrokeOff(g.now, "a")
+	if g.Trusted(g.now, g.Open(g.now, "a"), true) {
+		t.Error("a connection is trusted after a crash")
+	}
+}
+
 func TestConnectionsOfOtherAddressesProveNothing(t *testing.T) {
 	f := newFixture()
 	f.stream(f.first, time.Second)
--- a/lab/edge/crash_test.go
+++ b/lab/edge/crash_test.go
@@ -16,9 +16,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/trefoilwell/trefoilwell/daemon/cmd/trefoilctl/command"
 	"github.com/trefoilwell/trefoilwell/daemon/process/edge"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -159,22 +162,30 @@
 // startDaemon starts the daemon of one more VM and waits until it is ready.
 func (f *crashingFleet) startDaemon(name, storeAddress string) {
 	f.t.Helper()
-	settings := platformtest.Settings{
-		VM: name, CallerAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t),
-		StoreAddress: storeAddress, MemoryMB: 512, FirstStart: f.isStarting, Bounds: platformtest.Bounds(nil),
-	}
 	path := filepath.Join(f.t.TempDir(), name+".json")
-	if err := settings.Write(path); err != nil {
-		f.t.Fatal(err)
-	}
-	operators := freeAddress(f.t)
-	_, port, _ := net.SplitHostPort(operators)
-	metricsPort, _ := strconv.Atoi(port)
-	daemon, err := edge.New(edge.Options{
-		SettingsPath: path, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute, MetricsPort: metricsPort,
-	})
-	if err != nil {
-		f.t.Fatal(err)
+	var settings platformtest.Settings
+	var operators string
+	var daemon *edge.Daemon
+	// Another process may take a free port before the daemon listens on it.
+	for try := 1; daemon == nil; try++ {
+		settings = platformtest.Settings{
+			VM: name, CallerAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t),
+			StoreAddress: storeAddress, MemoryMB: 512, FirstStart: f.isStarting, Bounds: platformtest.Bounds(nil),
+		}
+		if err := settings.Write(path); err != nil {
+			f.t.Fatal(err)
+		}
+		operators = freeAddress(f.t)
+		_, port, _ := net.SplitHostPort(operators)
+		metricsPort, _ := strconv.Atoi(port)
+		started, err := edge.New(edge.Options{
+			SettingsPath: path, SettingsInterval: time.Hour, LogLevel: slog.LevelError, MaxLag: time.Minute, MetricsPort: metricsPort,
+		})
+		if err == nil {
+			daemon = started
+		} else if !errors.Is(err, syscall.EADDRINUSE) || try == startTries {
+			f.t.Fatal(err)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
