Name only requests that the end of a stop does cut off

The lines on requests that are cut off were written before the last responses get their time to be sent, so that some of these requests were answered after all. They follow the end of that time now.

--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -71,7 +71,6 @@
 			return err
 		}
 	}
-	d.handler.LogCut()
 	// Reject connections until the listener closes. Those already accepted reach the
 	// server within a poll interval, and Shutdown then waits for them.
 	d.callerListener.stop()
@@ -89,6 +88,7 @@
 	defer cancel()
 	if err := d.callerServer.http.Shutdown(ctx); err != nil {
 		d.log.Warn("grace period is over, requests are cut off", "requests", d.handler.HeldRequests())
+		d.handler.LogCut()
 	}
 	ctx, cancel = context.WithTimeout(groupCtx, shutdownTimeout)
 	defer cancel()
