--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -287,3 +287,12 @@
 	}
 	k.gone[name] = goneEntry{spec: spec, at: now}
 }
+
+// recordComplete records that the copy of a kind has all that the store had at a time. While the
+// store lacks what was written before its return, or entries are kept that it lacks, that is not
+// known.
+func (m *Mirror) recordComplete(k *kindCopy, now, at time.Time) {
+	if k == m.upstreams && len(k.missing) == 0 && m.eras.Settled(now) {
+		m.options.UpstreamsRead(at)
+	}
+}
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -386,15 +386,6 @@
 	m.recordComplete(k, k.lastAnswer, sentAt)
 }
 
-// recordComplete records that the copy of a kind has all that the store had at a time. While the
-// store lacks what was written before its return, or entries are kept that it lacks, that is not
-// known.
-func (m *Mirror) recordComplete(k *kindCopy, now, at time.Time) {
-	if k == m.upstreams && len(k.missing) == 0 && m.eras.Settled(now) {
-		m.options.UpstreamsRead(at)
-	}
-}
-
 // sourceStore is the logged source of changes that this process read from the store itself.
 const sourceStore = "store"
 
--- a/lab/edge/path_test.go
+++ b/lab/edge/path_test.go
@@ -163,7 +163,7 @@
 // events.
 func TestStreamWithoutEventsHasItsUpstreamsReceipt(t *testing.T) {
 	env := start(t, 1, nil)
-	last := map[string]string{"Last-Event-Id": strconv.Itoa(generalupstream.Events)}
+	last := map[string]string{platformtest.HeaderLastEvent: strconv.Itoa(generalupstream.Events)}
 	got := env.do(call{path: "/resume-stream/x", id: "ended", header: last})
 	if got.status != http.StatusOK || got.body != "" || got.header.Get(platformtest.HeaderReceipt) != generalupstream.Receipt("ended") {
 		t.Errorf("answer is %+v, want an empty success with the upstream's receipt", got)
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -428,28 +428,6 @@
 	}
 }
 
-const (
-	// endlessBurst is the number of kilobytes of an endless event that come at once.
-	endlessBurst = 1000
-	endlessPause = 100 * time.Millisecond
-)
-
-// streamEndless begins an event and goes on with it until the caller disconnects.
-func (u *Upstream) streamEndless(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	line := "data: " + strings.Repeat("x", 1000) + "\n"
-	_, err := io.WriteString(w, "id: 1\n")
-	for n := 0; err == nil; n++ {
-		if n >= endlessBurst {
-			if err := control.Flush(); err != nil || !u.sleep(r, endlessPause) {
-				return
-			}
-		}
-		_, err = io.WriteString(w, line)
-	}
-}
-
 // sleep waits for a duration. If the caller disconnects first, it counts that and
 // reports false.
 func (u *Upstream) sleep(r *http.Request, duration time.Duration) bool {
