--- a/daemon/connection/upstream/lives.go
+++ b/daemon/connection/upstream/lives.go
@@ -78,26 +78,35 @@
 type life struct {
 	lives *Lives
 	conn  *incarnation.Conn
-	// markedAt is when bytes were last recorded, in nanoseconds of the wall clock.
-	markedAt atomic.Int64
-	once     sync.Once
+	// triedAt is when bytes of the connection were last recorded, in nanoseconds of the wall clock.
+	triedAt atomic.Int64
+	once    sync.Once
 }
 
-// received records that bytes were received.
+// received records that bytes were received, at most once in an interval for the address if its
+// connections are proven, else for the connection.
 func (f *life) received() {
 	if f == nil {
 		return
 	}
 	// The clock that includes suspension takes a system call.
 	now := time.Now().UnixNano()
-	if marked := f.markedAt.Load(); now >= marked && now-marked < int64(incarnation.MarkInterval) {
+	if isRecent(f.conn.Marked(), now) || isRecent(&f.triedAt, now) {
 		return
 	}
-	f.markedAt.Store(now)
+	f.triedAt.Store(now)
 	at := f.lives.clock()
 	f.lives.mu.Lock()
 	defer f.lives.mu.Unlock()
-	f.lives.tracker.Received(at, f.conn)
+	if f.lives.tracker.Received(at, f.conn) {
+		f.conn.Marked().Store(now)
+	}
+}
+
+// isRecent reports whether a time was less than a MarkInterval before now.
+func isRecent(at *atomic.Int64, now int64) bool {
+	last := at.Load()
+	return now >= last && now-last < int64(incarnation.MarkInterval)
 }
 
 // closed records that the connection is closed, by the upstream or by this process.
--- a/fleet/connection/incarnation/incarnation.go
+++ b/fleet/connection/incarnation/incarnation.go
@@ -10,11 +10,14 @@
 // the last idle one since.
 package incarnation
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// MarkInterval is the shortest time between two calls of Received for an address that make a
-	// difference.
+	// difference, if the first one showed that the incarnation lives.
 	MarkInterval = 30 * time.Millisecond
 	// restartTime is the least time that an upstream takes from its end until it accepts
 	// connections again.
@@ -55,6 +58,7 @@
 
 	open     int
 	closedAt time.Time
+	marked   atomic.Int64
 }
 
 // Conn is a connection to an upstream.
@@ -116,18 +120,24 @@
 // says nothing more then: whether the upstream has crashed is found out by itself.
 func (t *Tracker) BrokeOff(now time.Time, at string) { t.address(now, at).emptiedAt = time.Time{} }
 
-// Received records that bytes were received on a connection.
-func (t *Tracker) Received(now time.Time, c *Conn) {
+// Marked returns when bytes were last recorded for a connection's address, in nanoseconds of the wall
+// clock. It may be read and set without the Tracker's lock.
+func (c *Conn) Marked() *atomic.Int64 { return &c.address.marked }
+
+// Received records that bytes were received on a connection. It reports whether they show that the
+// registered incarnation lives.
+func (t *Tracker) Received(now time.Time, c *Conn) bool {
 	if now.Sub(t.receivedAt) > standstill {
 		t.settledAt = now.Add(settleTime)
 	}
 	t.receivedAt = now
 	if now.Before(t.settledAt) || !t.Proven(c) {
-		return
+		return false
 	}
 	if now.After(c.address.aliveAt) {
 		c.address.aliveAt = now
 	}
+	return true
 }
 
 // Proven reports whether a connection reaches the incarnation that the registration describes
