Ask once more before an attempt is sent whether the stop lets it end

An attempt was judged by what is left of the grace period before its connection was opened, which takes up to 2 s, and could then be sent so late that the stop cut it off. It is judged again when its first byte is about to be sent, and refused as not run.

TestStopIsCheckedOnceTheConnectionIsOpen failed before: the attempt was sent, status 502.

--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -123,6 +123,10 @@
 		CallerWaits:        func() bool { return !c.callerGone() },
 		Context:            c.pass.Context(),
 		OnSend: func(trusted func() bool) error {
+			// Opening the connection may have taken seconds.
+			if c.checkStop(time.Now()) != nil {
+				return relay.ErrWithdrawn
+			}
 			if !c.mayBeTakenUp() {
 				return nil
 			}
