Count the time for the load balancer from the signal to stop

While the store hung, a stop took in new requests for 0.5 s longer, since the time that the balancer gets began only after the call that removes the registration had failed. These requests came later than the grace period has room for.

--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -61,7 +61,7 @@
 	d.placing.Leave()
 	d.log.Info("stopping", "requests", d.handler.HeldRequests())
 	d.deregister(groupCtx)
-	if err := wait.Sleep(groupCtx, min(balancerNoticeTime, time.Duration(maxNoticeFraction*float64(period)))); err != nil {
+	if err := wait.Sleep(groupCtx, noticeLeft(time.Since(start), period)); err != nil {
 		return err
 	}
 	d.handler.Close()
@@ -81,6 +81,13 @@
 	return errDrained
 }
 
+// noticeLeft returns how much longer the load balancer may send new connections, a time after the
+// signal to stop, with a grace period.
+func noticeLeft(sinceSignal, period time.Duration) time.Duration {
+	notice := min(balancerNoticeTime, time.Duration(maxNoticeFraction*float64(period)))
+	return max(notice-sinceSignal, 0)
+}
+
 // shutDown closes the listener and the callers' connections, once the last bytes of responses are
 // sent and the connections that were queued at the listener are rejected.
 func (d *Daemon) shutDown(groupCtx context.Context) {
