Count the crashes of an upstream that is back at once

Callers of the own form saw it too: an engine that is back within 2 s under its name and crashes again counted as crashed once.

What an upstream cuts off within 2 s was taken for parts of one crash. An attempt whose connection was opened after the crash was known shows that the upstream had returned; it is one of another crash now. On the users' platform an upstream that registers its start has a new identifier, so that nothing changes there.

TestChatsWithAMessageThatCrashesOneEngineAreRefused failed before (9 crashes, want at most 6), and passes.

The test's fake fleet went on granting an engine that could not be reached, which neither front path does, so that no other prompt was answered meanwhile; it takes the next one now.

--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +19,8 @@
 // which every write fails.
 type countedConn struct {
 	net.Conn
+	// openedAt is when the opening of the connection began.
+	openedAt time.Time
 
 	mu     sync.Mutex
 	writes uint64
@@ -189,6 +192,17 @@
 	}
 }
 
+// OpenedAt returns when the opening of the attempt's connection began; zero if it has none, or
+// several.
+func (t *SendTracker) OpenedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return time.Time{}
+	}
+	return t.conn.openedAt
+}
+
 // EndHead ends the calls of OnHead. Call it once the answer's head is complete or the attempt has
 // failed.
 func (t *SendTracker) EndHead() {
--- a/daemon/connection/upstream/transport.go
+++ b/daemon/connection/upstream/transport.go
@@ -36,11 +36,12 @@
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			begin := time.Now()
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: conn, openedAt: begin}, nil
 		},
 		TLSClientConfig:        config,
 		TLSHandshakeTimeout:    dialTimeout,
--- a/daemon/process/quarantine/crash.go
+++ b/daemon/process/quarantine/crash.go
@@ -32,8 +32,9 @@
 	at       time.Time
 	pool     version.PoolID
 	attempts []quarantine.Attempt
-	// crashed is set once it is known that the upstream has crashed.
+	// crashed is set once it is known that the upstream has crashed, and knownAt when it was.
 	crashed bool
+	knownAt time.Time
 }
 
 // recordDisconnect records that an upstream ended the connection of an attempt at a time. An
@@ -48,7 +49,8 @@
 		return
 	}
 	d := q.disconnects[id]
-	if d != nil && d.crashed && at.Sub(d.at) < crashWindow {
+	returned := d != nil && d.crashed && attempt.Returned(d.knownAt)
+	if d != nil && d.crashed && !returned && at.Sub(d.at) < crashWindow {
 		q.tracker.RecordCrash(now, id, d.pool, d.at, []quarantine.Attempt{attempt})
 		return
 	}
@@ -125,7 +127,7 @@
 	if d == nil || d.crashed {
 		return
 	}
-	d.crashed = true
+	d.crashed, d.knownAt = true, now
 	q.crashed++
 	q.options.Log.Info("upstream crashed", "upstream", q.upstreamNames([]version.UpstreamID{id})[0], "in_flight", len(d.attempts))
 	q.tracker.RecordCrash(now, id, d.pool, d.at, d.attempts)
--- a/daemon/process/quarantine/pass.go
+++ b/daemon/process/quarantine/pass.go
@@ -125,7 +125,7 @@
 		q.applyNotices(now)
 		q.recordAlive(upstream, result.SentAt)
 	case !result.DisconnectedAt.IsZero():
-		attempt := quarantine.Attempt{Content: p.content, SentAt: result.SentAt, BegunAt: result.BegunAt}
+		attempt := quarantine.Attempt{Content: p.content, SentAt: result.SentAt, BegunAt: result.BegunAt, ConnectedAt: result.ConnectedAt}
 		q.recordDisconnect(now, upstream, result.DisconnectedAt, attempt)
 		if result.UpstreamDown {
 			q.confirmCrash(now, upstream)
--- a/daemon/process/quarantine/quarantine_test.go
+++ b/daemon/process/quarantine/quarantine_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// Guards against taking the crashes of an upstream that is back at once, under the identifier that
+// it had, for one crash: an attempt on a connection that was opened since is one of another crash.
+func TestUpstreamThatIsBackAtOnceIsCheckedAgain(t *testing.T) {
+	env := newEnvironment(t, refused)
+	p := env.admit(1, deadly)
+	for range 2 {
+		now := time.Now()
+		p.EndAttempt(1, relay.Result{SentAt: now, ConnectedAt: now, DisconnectedAt: now})
+		env.runChecks()
+		p.EndAttempt(1, relay.Result{SentAt: now, ConnectedAt: now, DisconnectedAt: time.Now()})
+		env.runChecks()
+	}
+	if got := env.Stats().Crashes; got != 2 || env.dials != 2 {
+		t.Errorf("%d crashes after %d checks, want 2 after 2", got, env.dials)
+	}
+}
+
 // Guards against an upstream that restarts faster than it is checked: its next incarnation
 // shows that it has crashed, unless it has answered a later request.
 func TestUpstreamThatIsReplacedHasCrashed(t *testing.T) {
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -239,6 +239,9 @@
 	// complete; zero if it did not. UpstreamDown is set if it refused a connection since.
 	DisconnectedAt time.Time
 	UpstreamDown   bool
+	// ConnectedAt is when the opening of the connection began that the upstream ended; zero if it
+	// is not known.
+	ConnectedAt time.Time
 
 	finish request.Finish
 	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
@@ -280,6 +283,8 @@
 	// it refused a connection since.
 	disconnectedAt time.Time
 	upstreamDown   bool
+	// connectedAt is when the opening of the attempt's connection began; zero if it is not known.
+	connectedAt time.Time
 }
 
 // Do sends the attempt and relays the response until it ends.
@@ -306,7 +311,7 @@
 	result.TTFB = a.ttfb
 	result.Events, result.SentAt, result.BegunAt = a.events, a.started, a.begunAt
 	if result.finish.Outcome == request.OutcomeBroken {
-		result.DisconnectedAt, result.UpstreamDown = a.disconnectedAt, a.upstreamDown
+		result.DisconnectedAt, result.UpstreamDown, result.ConnectedAt = a.disconnectedAt, a.upstreamDown, a.connectedAt
 	}
 	return result
 }
@@ -352,6 +357,7 @@
 	}
 	response, err := a.relay.options.Transport.RoundTrip(outgoing)
 	tracker.EndHead()
+	a.connectedAt = tracker.OpenedAt()
 	if err != nil {
 		sent := tracker.Seal()
 		err = a.classify(ctx, err)
--- a/fleet/process/quarantine/evidence.go
+++ b/fleet/process/quarantine/evidence.go
@@ -31,8 +31,14 @@
 	SentAt  time.Time
 	// BegunAt is when the first event of the answer arrived; zero if none did.
 	BegunAt time.Time
+	// ConnectedAt is when the opening of its connection began; zero if it is not known.
+	ConnectedAt time.Time
 }
 
+// Returned reports whether the upstream had returned, when the attempt was sent, from a crash that
+// was known at a time.
+func (a Attempt) Returned(knownAt time.Time) bool { return a.ConnectedAt.After(knownAt) }
+
 // crash is the end of one upstream, with the subjects that may have caused it.
 type crash struct {
 	upstream version.UpstreamID
@@ -44,6 +50,11 @@
 	requests int
 	// answersBefore is Tracker.answers when this VM learned of the crash.
 	answersBefore uint64
+	// knownAt is when this VM learned of the crash.
+	knownAt time.Time
+	// again is set if the upstream had just returned from another crash under the same identifier.
+	// Only this VM can tell the two apart, so the others are not told of it.
+	again bool
 }
 
 // suspect is how a subject was in flight at an upstream when that crashed.
@@ -81,9 +92,26 @@
 			previous = subject.ID
 		}
 	}
+	if c := t.crashOf(upstream, at); c != nil && allReturned(attempts, c.knownAt) && now.Sub(at) <= crashRetention {
+		again := t.newCrash(now, upstream, at)
+		again.again = true
+		t.mergeSuspects(again, pool, suspects)
+		return
+	}
 	t.mergeCrash(now, upstream, pool, at, suspects)
 }
 
+// allReturned reports whether there are attempts, all sent after the upstream had returned from a
+// crash that was known at a time.
+func allReturned(attempts []Attempt, knownAt time.Time) bool {
+	for _, attempt := range attempts {
+		if !attempt.Returned(knownAt) {
+			return false
+		}
+	}
+	return len(attempts) > 0
+}
+
 // inFlight returns how long before a crash the attempt was sent, in whole milliseconds.
 func (a Attempt) inFlight(crash time.Time) time.Duration {
 	return max(crash.Sub(a.SentAt), 0).Truncate(time.Millisecond)
@@ -117,15 +145,25 @@
 	}
 	c := t.crashOf(upstream, at)
 	if c == nil {
-		c = &crash{upstream: upstream, at: at, suspects: make(map[Subject]suspect), answersBefore: t.answers}
-		t.addCrash(c)
-		if now.Sub(at) <= recentCrash {
-			t.newCrashes = append(t.newCrashes, upstream)
-		}
+		c = t.newCrash(now, upstream, at)
 	}
+	t.mergeSuspects(c, pool, suspects)
+}
+
+// newCrash adds a crash without suspects.
+func (t *Tracker) newCrash(now time.Time, upstream version.UpstreamID, at time.Time) *crash {
+	c := &crash{upstream: upstream, at: at, suspects: make(map[Subject]suspect), answersBefore: t.answers, knownAt: now}
+	t.addCrash(c)
+	if now.Sub(at) <= recentCrash {
+		t.newCrashes = append(t.newCrashes, upstream)
+	}
+	return c
+}
+
+func (t *Tracker) mergeSuspects(c *crash, pool version.PoolID, suspects map[Subject]suspect) {
 	if c.pool == 0 && pool != 0 {
 		c.pool = pool
-		t.changes.crashes[c] = struct{}{}
+		t.tell(c)
 	}
 	for _, subject := range t.mostSuspectFirst(suspects) {
 		t.mergeSuspect(c, subject, suspects[subject])
@@ -153,10 +191,17 @@
 		}
 	}
 	t.undecided = true
-	t.changes.crashes[c] = struct{}{}
+	t.tell(c)
 	t.tellEarlierAnswer(subject)
 }
 
+// tell has the other VMs told of what is new of a crash.
+func (t *Tracker) tell(c *crash) {
+	if !c.again {
+		t.changes.crashes[c] = struct{}{}
+	}
+}
+
 // isFull reports whether a crash has as many segments, or requests, as suspects as are kept.
 func (c *crash) isFull(requests bool) bool {
 	if requests {
@@ -196,14 +241,16 @@
 	return list
 }
 
-// crashOf returns the crash of an upstream at about a time, or nil.
+// crashOf returns the crash of an upstream that is nearest to a time, or nil if none is near.
 func (t *Tracker) crashOf(upstream version.UpstreamID, at time.Time) *crash {
+	var nearest *crash
+	distance := sameCrashWindow
 	for _, c := range t.crashes {
-		if c.upstream == upstream && c.at.Sub(at).Abs() < sameCrashWindow {
-			return c
+		if d := c.at.Sub(at).Abs(); c.upstream == upstream && d < distance {
+			nearest, distance = c, d
 		}
 	}
-	return nil
+	return nearest
 }
 
 // addCrash adds a crash, in the order of their times. Beyond maxCrashes the oldest one is
--- a/fleet/process/quarantine/gossip.go
+++ b/fleet/process/quarantine/gossip.go
@@ -147,7 +147,9 @@
 func (t *Tracker) All(now time.Time) Messages {
 	var messages evidenceMessages
 	for _, c := range t.crashes {
-		messages.addCrash(now, c)
+		if !c.again {
+			messages.addCrash(now, c)
+		}
 	}
 	for subject := range t.holds {
 		messages.addHolds(subject, t.encodeHold(now, subject))
--- a/lab/calls/crash_test.go
+++ b/lab/calls/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,10 +18,14 @@
 	"github.com/trefoilwell/trefoilwell/lab/proxy"
 )
 
-const (
-	// engineDowntime is how long an engine is unreachable after a crash.
-	engineDowntime = 200 * time.Millisecond
-	deadlyMessage  = `{"role":"user","content":"deadly"}`
+// engineDowntime is how long an engine is unreachable after a crash.
+const engineDowntime = 200 * time.Millisecond
+
+// deadlyText crashes the engines of this process only: while an engine is down, a copy of these tests
+// may take its port.
+var (
+	deadlyText    = fmt.Sprintf("deadly %d", os.Getpid())
+	deadlyMessage = fmt.Sprintf(`{"role":"user","content":%q}`, deadlyText)
 )
 
 // chatBody returns a completion request with a system prompt, further messages and one that no
@@ -31,8 +36,9 @@
 	return fmt.Sprintf(`{"model":"polish-7b","stream":%t,"max_tokens":5,"messages":[%s]}`, stream, strings.Join(all, ","))
 }
 
-// crashingRouter is a router with a quarantine, and engines that a deadly message crashes.
-func crashingRouter(t *testing.T, engines int) (r *router, crashes *atomic.Int64) {
+// crashingRouter is a router with a quarantine, and engines that a deadly message crashes and that are
+// unreachable for downtime then.
+func crashingRouter(t *testing.T, engines int, downtime time.Duration) (r *router, crashes *atomic.Int64) {
 	t.Helper()
 	crashes = &atomic.Int64{}
 	var addresses []string
@@ -41,7 +47,7 @@
 		crash := func() {
 			crashes.Add(1)
 			p.StopListening()
-			time.AfterFunc(engineDowntime, func() {
+			time.AfterFunc(downtime, func() {
 				for range 1000 {
 					if p.ResumeListening() == nil {
 						break
@@ -51,7 +57,7 @@
 			})
 		}
 		fake := engine.New(engine.Options{
-			FirstToken: 10 * time.Millisecond, ColdLimit: 100, RestartTime: time.Millisecond, DeadlyText: "deadly", OnCrash: crash,
+			FirstToken: 10 * time.Millisecond, ColdLimit: 100, RestartTime: time.Millisecond, DeadlyText: deadlyText, OnCrash: crash,
 		})
 		var err error
 		if p, err = proxy.New(listen(t, fake)); err != nil {
@@ -75,7 +81,7 @@
 func TestChatsWithAMessageThatCrashesEnginesAreRefused(t *testing.T) {
 	for _, stream := range []bool{false, true} {
 		t.Run(fmt.Sprintf("stream=%t", stream), func(t *testing.T) {
-			r, crashes := crashingRouter(t, 4)
+			r, crashes := crashingRouter(t, 4, engineDowntime)
 			n := 0
 			sound := func() answer {
 				n++
@@ -119,10 +125,38 @@
 	}
 }
 
+// Guards against a message that crashes an engine again and again because the engine is back within
+// moments, under the identifier that it had: each of these crashes counts.
+func TestChatsWithAMessageThatCrashesOneEngineAreRefused(t *testing.T) {
+	r, crashes := crashingRouter(t, 1, 500*time.Millisecond)
+	n := 0
+	chat := func(messages ...string) answer {
+		n++
+		return r.chat(t, chatBody(false, n, append([]string{`{"role":"user","content":"shared"}`}, messages...)...))
+	}
+	for deadline := time.Now().Add(20 * time.Second); ; {
+		got := chat(deadlyMessage)
+		if strings.Contains(got.body, string(request.ReasonPromptHeld)) {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the message is not refused after %d crashes", crashes.Load())
+		}
+		for answered := 0; answered < 3; time.Sleep(20 * time.Millisecond) {
+			if got := chat(); got.status == http.StatusOK && got.err == nil {
+				answered++
+			}
+		}
+	}
+	if got := crashes.Load(); got > 6 {
+		t.Errorf("the engine crashed %d times until the message was refused, want at most 6", got)
+	}
+}
+
 // Guards against one chat that crashes every engine being sent to one engine after the other when
 // it comes again: no other request has the message that crashes them.
 func TestChatThatCrashesEnginesIsRefusedWhenItComesAgain(t *testing.T) {
-	r, crashes := crashingRouter(t, 4)
+	r, crashes := crashingRouter(t, 4, engineDowntime)
 	body := `{"model":"polish-7b","max_tokens":5,"messages":[{"role":"system","content":"be brief"},` + deadlyMessage + `]}`
 	sound := func(n int) answer { return r.chat(t, chatBody(false, n, `{"role":"user","content":"shared"}`)) }
 	for n := range 12 {
--- a/lab/calls/harness_test.go
+++ b/lab/calls/harness_test.go
@@ -27,8 +27,8 @@
 	testAccount = "counters"
 )
 
-// fakeFleet grants each request at once, on the current upstream of its pool. If the
-// ticket avoids that one, the next upstream of the pool becomes the current one.
+// fakeFleet grants each request at once, on the current upstream of its pool. If the ticket avoids
+// that one, or it could not be reached, the next upstream of the pool becomes the current one.
 type fakeFleet struct {
 	config *version.Config
 	// order holds the upstreams of all pools in order of use.
@@ -54,12 +54,7 @@
 func (f *fakeFleet) Acquire(_ context.Context, ticket request.Ticket) (request.Grant, *request.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var candidates []version.UpstreamID
-	for _, id := range f.order {
-		if f.config.Upstreams[id].Pool == ticket.Pool {
-			candidates = append(candidates, id)
-		}
-	}
+	candidates := f.candidates(ticket.Pool)
 	chosen := candidates[f.nextUpstream%len(candidates)]
 	if chosen == ticket.Avoid && len(candidates) > 1 {
 		f.nextUpstream++
@@ -69,6 +64,17 @@
 	return request.Grant{ID: ticket.ID, Attempt: ticket.Attempt, Pool: ticket.Pool, Upstream: chosen}, nil
 }
 
+// candidates returns the upstreams of a pool in order of use.
+func (f *fakeFleet) candidates(pool version.PoolID) []version.UpstreamID {
+	var list []version.UpstreamID
+	for _, id := range f.order {
+		if f.config.Upstreams[id].Pool == pool {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 func (f *fakeFleet) Charge(_ request.ID, _ version.AccountID, cost request.Cost) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,6 +85,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.finishes = append(f.finishes, finish)
+	candidates := f.candidates(finish.Pool)
+	if finish.Outcome == request.OutcomeUnreachable && candidates[f.nextUpstream%len(candidates)] == finish.Upstream {
+		f.nextUpstream++
+	}
 }
 
 // waitFinishes waits until every granted attempt has finished, and returns how they
