Keep the port of a proxy that does not listen

Tests let an upstream crash by closing the listener of its proxy for 0.2 to 0.5 s. Another process could take the port meanwhile: TestChatsWithAMessageThatCrashesOneEngineAreRefused failed in one of 14 runs beside three copies of the tests of lab/edge, after 13 s (2 s in all others), and 3 of 128 runs of the chat tests did, 32 at once.

--- a/lab/proxy/proxy.go
+++ b/lab/proxy/proxy.go
@@ -34,6 +34,8 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	// reserved keeps the port while the proxy does not listen.
+	reserved reservation
 	// changed is signalled when mode or closed changes.
 	changed *sync.Cond
 	mode    Mode
@@ -183,12 +185,15 @@
 	}
 }
 
-// StopListening resets all open connections and stops listening until ResumeListening.
+// StopListening resets all open connections and refuses new ones until ResumeListening.
 func (p *Proxy) StopListening() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listener.Close()
 	p.resetAll()
+	if !p.closed {
+		p.reserved.take(p.address)
+	}
 }
 
 // errClosed is returned for a proxy that was closed.
@@ -202,6 +207,7 @@
 	if p.closed {
 		return errClosed
 	}
+	p.reserved.release()
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
@@ -218,5 +224,6 @@
 	p.closed = true
 	p.changed.Broadcast()
 	p.listener.Close()
+	p.reserved.release()
 	p.resetAll()
 }
