Let no cold upstream of the soak register as warm

In the log an upstream that had registered as cold was restarted unseen 30 ms later, and the soak registered it as warm 1.3 s after that, while its check still counted it as cold.

The soak leaves out unseen restarts of upstreams that are cold.

--- a/lab/soak/odd.go
+++ b/lab/soak/odd.go
@@ -71,6 +71,10 @@
 		return
 	}
 	defer s.endRestart(i)
+	if s.isCold(i) {
+		// It would register as warm again while it must get no more than a cold one may.
+		return
+	}
 	u := s.fleet.upstreams[i]
 	s.fleet.mu.Lock()
 	software := softwareVersions[0]
--- a/lab/soak/storm.go
+++ b/lab/soak/storm.go
@@ -241,6 +241,14 @@
 	s.mu.Unlock()
 }
 
+// isCold reports whether an upstream is still cold.
+func (s *scenario) isCold(i int) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.cold[i], func(cold span) bool { return cold.contains(now) })
+}
+
 var disturbances = []disturbance{
 	{"pause", func(s *scenario, pick func(int) int) func() {
 		vm := pick(len(s.fleet.daemons))
