Let the soak meet heads and bodies without end

The fake upstream's endless answers were events of streams only. Another operator's came in a head or in a body, so it writes those too, and the soak takes the three forms in turn.

--- a/lab/cmd/soak/main.go
+++ b/lab/cmd/soak/main.go
@@ -36,7 +36,7 @@
 	NoDeadly  bool    `long:"no-deadly" description:"leave out prompts that crash upstreams"`
 	NoRestore bool    `long:"no-restores" description:"leave out returns of the store from older copies"`
 	NoLimits  bool    `long:"no-limits" description:"leave out upstreams that name rate limits"`
-	NoOdd     bool    `long:"no-odd" description:"leave out streams without end, versions without accounts and upstreams that start again unseen"`
+	NoOdd     bool    `long:"no-odd" description:"leave out answers without end, versions without accounts and upstreams that start again unseen"`
 	Verbose   bool    `long:"verbose" description:"log each disturbance"`
 }
 
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -53,9 +53,10 @@
 	// AnswerEarly is how many requests are answered before their body is read. The
 	// connection stays open and the body is read after the answer.
 	AnswerEarly int
-	// Endless is how many streams have a first event that never ends: a megabyte of it comes at
-	// once, and a kilobyte each endlessPause after that, until the caller disconnects.
-	Endless int
+	// Endless is how many streams have a first event that never ends, EndlessHeads how many answers
+	// have such a head, and EndlessBodies how many that are no streams have such a body: a megabyte
+	// comes at once, and a kilobyte each endlessPause after that, until the caller disconnects.
+	Endless, EndlessHeads, EndlessBodies int
 	// Delay is the execution time before the first byte of the answer.
 	Delay time.Duration
 	// Pause is the time between two events of a stream.
@@ -299,7 +300,9 @@
 	faults, limit := u.faults, u.limit
 	fail, noAnswer := !refuse && consume(&u.faults.Fail), !refuse && consume(&u.faults.NoAnswer)
 	wrongID, noLength := consume(&u.faults.WrongID), consume(&u.faults.NoLength)
-	endless := !refuse && strings.Contains(r.URL.Path, StreamPath) && consume(&u.faults.Endless)
+	isStream := strings.Contains(r.URL.Path, StreamPath)
+	endless := !refuse && isStream && consume(&u.faults.Endless)
+	endlessHead, endlessBody := !refuse && consume(&u.faults.EndlessHeads), !refuse && !isStream && consume(&u.faults.EndlessBodies)
 	u.mu.Unlock()
 	if faults.DrainAdvice {
 		w.Header().Set(platformtest.HeaderLeaving, "1")
@@ -329,11 +332,16 @@
 	case fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed "+id)
+	case endlessHead:
+		writeEndlessHead(w, id)
 	case endless:
-		u.streamEndless(w, r)
-	case faults.NoFraming && strings.Contains(r.URL.Path, StreamPath):
+		w.Header().Set("Content-Type", "text/event-stream")
+		u.writeEndless(w, r, "id: 1\n", "data: "+strings.Repeat("x", 1000)+"\n")
+	case endlessBody:
+		u.writeEndless(w, r, "", strings.Repeat("x", 1000))
+	case faults.NoFraming && isStream:
 		writeUnframedStream(w, id, faults)
-	case strings.Contains(r.URL.Path, StreamPath):
+	case isStream:
 		u.stream(w, r, faults)
 	case noLength, faults.NoFraming:
 		writeWithoutLength(w, id)
--- a/lab/soak/odd.go
+++ b/lab/soak/odd.go
@@ -22,8 +22,8 @@
 	// duration of one.
 	maxOddPause  = 4 * time.Second
 	maxOddLength = 3 * time.Second
-	// endlessStreams is how many streams of an upstream are endless.
-	endlessStreams = 200
+	// endlessAnswers is how many answers of an upstream are endless.
+	endlessAnswers = 200
 	// emptyTime is how long a version without accounts is the newest one.
 	emptyTime = 2500 * time.Millisecond
 	// rebornDowntime is how long an upstream is down that starts again unseen.
@@ -32,7 +32,10 @@
 	memoryInterval = 50 * time.Millisecond
 )
 
-// runOdd makes faults during storms that no other disturbance makes: streams without end, versions
+// endlessForms are the parts of an answer that have no end, in turn.
+var endlessForms = []generalupstream.Faults{{Endless: endlessAnswers}, {EndlessHeads: endlessAnswers}, {EndlessBodies: endlessAnswers}}
+
+// runOdd makes faults during storms that no other disturbance makes: answers without end, versions
 // without accounts, and upstreams that start again with another software version while the store is
 // silent.
 func (s *scenario) runOdd(ctx context.Context, random *rand.Rand) {
@@ -45,12 +48,13 @@
 		}
 		s.awaitStorm(ctx)
 		s.mu.Lock()
+		form := endlessForms[s.odd%len(endlessForms)]
 		s.odd++
 		s.mu.Unlock()
 		switch kind {
 		case 0:
-			s.log.Info("endless streams", "upstream", i, "for", length)
-			s.fleet.upstreams[i].SetFaults(generalupstream.Faults{Endless: endlessStreams})
+			s.log.Info("endless answers", "upstream", i, "for", length, "heads", form.EndlessHeads > 0, "bodies", form.EndlessBodies > 0)
+			s.fleet.upstreams[i].SetFaults(form)
 			_ = wait.Sleep(ctx, length)
 			s.fleet.upstreams[i].SetFaults(generalupstream.Faults{})
 		case 1:
