Ask the store before a stream goes on over a first connection

Callers got the rest of a stream from another software version at a VM that had had no connection to the upstream: the store fell silent, the upstream started again unseen, and the VM trusted the first connection that it opened, since it learns 1.3 to 2.1 s late that the store does not answer.

While the store answers at least 9 of 10 streams go on at such a VM.

New streams are noted as before: a call for each would cost the store too much.

--- a/daemon/connection/upstream/lives.go
+++ b/daemon/connection/upstream/lives.go
@@ -122,8 +122,18 @@
 	})
 }
 
-// trusted reports whether the connection may be taken for one to the registered incarnation.
-func (f *life) trusted() bool {
+// Trust tells what is known of the upstream's incarnation behind a connection. Everything holds of a
+// connection that no Lives follows.
+type Trust interface {
+	// Trusted reports whether the connection may be taken for one to the registered incarnation.
+	Trusted() bool
+	// Checked reports whether that is known of the connection itself, or the store answered a call
+	// that was sent at answeredAt, by the clock of the Lives, right before it was opened or later.
+	Checked(answeredAt time.Time) bool
+}
+
+// Trusted implements Trust.
+func (f *life) Trusted() bool {
 	if f == nil {
 		return true
 	}
@@ -132,3 +142,13 @@
 	defer f.lives.mu.Unlock()
 	return f.lives.tracker.Trusted(now, f.conn, answers)
 }
+
+// Checked implements Trust.
+func (f *life) Checked(answeredAt time.Time) bool {
+	if f == nil {
+		return true
+	}
+	f.lives.mu.Lock()
+	defer f.lives.mu.Unlock()
+	return f.lives.tracker.Checked(f.conn, answeredAt)
+}
--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -143,10 +143,8 @@
 	// BeforeFirstByte is called when the first byte of the attempt is about to be
 	// sent, which in a busy process is long after the attempt requested a connection.
 	// If it returns an error, nothing is sent and the attempt fails with that error.
-	// A nil BeforeFirstByte permits every attempt.
-	// trusted tells whether the connection may be taken for one to the incarnation of the upstream
-	// that is registered; true if no Lives follows the transport.
-	BeforeFirstByte func(trusted func() bool) error
+	// A nil BeforeFirstByte permits every attempt. conn is the attempt's connection.
+	BeforeFirstByte func(conn Trust) error
 	// OnHead is called with what is read from the connection until EndHead is called: the head of
 	// the answer, interim answers before it and perhaps the begin of the body. If it returns an
 	// error, the attempt fails. A nil OnHead accepts everything.
@@ -176,7 +174,7 @@
 	own := underlyingCountedConn(conn)
 	if own != nil {
 		if t.BeforeFirstByte != nil {
-			own.setBeforeWrite(func() error { return t.BeforeFirstByte(own.life.trusted) })
+			own.setBeforeWrite(func() error { return t.BeforeFirstByte(own.life) })
 		}
 		own.setOnRead(t.OnHead)
 	}
--- a/daemon/connection/upstream/probe_test.go
+++ b/daemon/connection/upstream/probe_test.go
@@ -105,7 +105,7 @@
 			check = errCheckFailed
 		}
 		before := arrived.Load()
-		tracker := &SendTracker{BeforeFirstByte: func(func() bool) error { return check }}
+		tracker := &SendTracker{BeforeFirstByte: func(Trust) error { return check }}
 		out, err := http.NewRequestWithContext(tracker.Context(t.Context()), step.method, server.URL, nil)
 		if err != nil {
 			t.Fatal(err)
--- a/daemon/process/edge/software.go
+++ b/daemon/process/edge/software.go
@@ -38,6 +38,8 @@
 	// taken up, and recordReadTimeout limits one read.
 	recordReadInterval = 20 * time.Millisecond
 	recordReadTimeout  = 500 * time.Millisecond
+	// answerFresh is how old an answer of the store may be when streams are about to go on.
+	answerFresh = 40 * time.Millisecond
 	// recordWait is how long after its start a process is not ready for want of a record, without
 	// which it refuses streams that callers may take up.
 	recordWait = 3 * time.Second
@@ -60,6 +62,8 @@
 	// is when the last one was sent.
 	reading  *recordRead
 	lastRead time.Time
+	// answeredAt is when the last read of the record was sent that the store has answered.
+	answeredAt time.Time
 	// resumed and unknown count the streams that were taken up, and those that were refused
 	// because it is not known what began them.
 	resumed, unknown uint64
@@ -170,12 +174,18 @@
 func (s *software) read(read *recordRead, pause time.Duration) {
 	defer close(read.done)
 	time.Sleep(pause)
+	sentAt := clock.Boot()
 	s.mu.Lock()
-	s.reading, s.lastRead = nil, clock.Boot()
+	s.reading, s.lastRead = nil, sentAt
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
 	defer cancel()
 	object, err := s.daemon.store.Get(ctx, platform.KindMember, memberSoftwareName)
+	if err == nil || errors.Is(err, platform.ErrNotFound) {
+		s.mu.Lock()
+		s.answeredAt = later(s.answeredAt, sentAt)
+		s.mu.Unlock()
+	}
 	if err != nil {
 		read.err = err
 		return
@@ -186,6 +196,34 @@
 	}
 }
 
+// StoreAnsweredAt implements serve.Streams.
+func (s *software) StoreAnsweredAt() time.Time {
+	confirmed := s.daemon.mirror.Confirmed()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return later(s.answeredAt, confirmed)
+}
+
+// AskStore implements serve.Streams.
+func (s *software) AskStore(ctx context.Context) error {
+	if clock.Boot().Sub(s.StoreAnsweredAt()) < answerFresh {
+		return nil
+	}
+	_, _, err := s.readRecord(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // setRecord takes in the record from the list of the members; spec is nil if the store has none.
 func (s *software) setRecord(spec []byte) {
 	s.mu.Lock()
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -175,10 +175,9 @@
 	// CallerWaits is called before the first byte of the attempt is sent and reports whether
 	// the caller still waits; nil means that the attempt is always sent.
 	CallerWaits func() bool
-	// OnSend is called just before the first byte of the attempt is sent. trusted tells whether the
-	// connection may be taken for one to the incarnation of the upstream that is registered. An
+	// OnSend is called just before the first byte of the attempt is sent on a connection. An
 	// error of this package keeps the attempt from being sent; nil does nothing.
-	OnSend func(trusted func() bool) error
+	OnSend func(conn upstream.Trust) error
 	// Record keeps the response for the ledger, and lets the attempt complete after the
 	// caller has disconnected.
 	Record bool
@@ -373,7 +372,7 @@
 // checkSendable returns an error if a granted attempt must no longer be sent. It is called
 // just before the first byte is sent: opening the connection may take seconds, and in an
 // overloaded process so may any other step since the grant.
-func (a *attempt) checkSendable(trusted func() bool) error {
+func (a *attempt) checkSendable(conn upstream.Trust) error {
 	if a.call.CallerWaits != nil && !a.call.CallerWaits() {
 		return ErrCallerGone
 	}
@@ -389,7 +388,7 @@
 		return ErrWithdrawn
 	}
 	if a.call.OnSend != nil {
-		return a.call.OnSend(trusted)
+		return a.call.OnSend(conn)
 	}
 	return nil
 }
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/daemon/request/relay"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/request/retry"
@@ -55,6 +56,8 @@
 	sent atomic.Bool
 	// pass may end the request early.
 	pass Pass
+	// storeAsked counts how often the store was asked for a connection to go on over.
+	storeAsked int
 	// continuation is the interrupted stream to be continued; nil if there is none.
 	continuation *relay.Continuation
 }
@@ -107,7 +110,8 @@
 	software := c.softwareNow(grant.Upstream)
 	// fits is the version that another upstream has to have to go on with the stream, and noted is
 	// set once other VMs may be told of it.
-	fits, noted := software, false
+	// unchecked is set if only an answer of the store is missing for that.
+	fits, noted, unchecked := software, false, false
 	relayer := c.handler.options.Relay
 	result := relayer.Do(c.w, relay.Call{
 		Grant:              grant,
@@ -122,7 +126,7 @@
 		Continuation:       c.continuation,
 		CallerWaits:        func() bool { return !c.callerGone() },
 		Context:            c.pass.Context(),
-		OnSend: func(trusted func() bool) error {
+		OnSend: func(conn upstream.Trust) error {
 			// Opening the connection may have taken seconds.
 			if c.checkStop(time.Now()) != nil {
 				return relay.ErrWithdrawn
@@ -130,10 +134,14 @@
 			if !c.mayBeTakenUp() {
 				return nil
 			}
-			if !trusted() {
-				if c.continuesStream() {
+			trusted := conn.Trusted()
+			if c.continuesStream() {
+				unchecked = trusted && !conn.Checked(c.handler.options.Streams.StoreAnsweredAt())
+				if !trusted || unchecked {
 					return relay.ErrUntrusted
 				}
+			}
+			if !trusted {
 				fits = ""
 			}
 			c.beginStream(fits)
@@ -149,6 +157,10 @@
 		c.executedAttempts++
 	}
 	c.logFailedAttempt(grant, result)
+	if unchecked && c.askStore() {
+		c.ticket.Attempt++
+		return false
+	}
 	if c.takeRetry(result, fits) {
 		c.ticket.Avoided = append(c.ticket.Avoided, grant.Upstream)
 		c.ticket.Attempt++
--- a/daemon/request/serve/stopping_test.go
+++ b/daemon/request/serve/stopping_test.go
@@ -24,6 +24,12 @@
 	return request.Grant{}, nil
 }
 
+// trustedConn is a connection of which everything holds.
+type trustedConn struct{}
+
+func (trustedConn) Trusted() bool          { return true }
+func (trustedConn) Checked(time.Time) bool { return true }
+
 // slowRelay is a Relay whose connections take long to open: dialing is called before an attempt is
 // sent. It records the error that kept an attempt from being sent, and counts those that were.
 type slowRelay struct {
@@ -34,7 +40,7 @@
 
 func (s *slowRelay) Do(_ http.ResponseWriter, call relay.Call) relay.Result {
 	s.dialing()
-	if s.err = call.OnSend(func() bool { return true }); s.err != nil {
+	if s.err = call.OnSend(trustedConn{}); s.err != nil {
 		return relay.Result{NotExecuted: true, Retryable: true, Refusal: refuse(request.ReasonUpstreamFailed, "")}
 	}
 	s.sent++
--- a/daemon/request/serve/streams.go
+++ b/daemon/request/serve/streams.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/process/resume"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -15,6 +17,11 @@
 	// Origin returns which of some pools, and which software version of it, began a stream, or the
 	// refusal of a request that takes it up.
 	Origin(ctx context.Context, stream resume.Stream, pools []*version.Pool) (pool *version.Pool, software string, refusal *request.Refusal)
+	// StoreAnsweredAt returns when the last call was sent that the store has answered, by the clock
+	// that includes suspension; zero if none was.
+	StoreAnsweredAt() time.Time
+	// AskStore makes a call to the store, unless it has answered one just now.
+	AskStore(ctx context.Context) error
 }
 
 // openStreams knows no versions: any upstream may continue a stream.
@@ -28,6 +35,12 @@
 	return pools[0], "", nil
 }
 
+// StoreAnsweredAt implements Streams.
+func (openStreams) StoreAnsweredAt() time.Time { return time.Time{} }
+
+// AskStore implements Streams.
+func (openStreams) AskStore(context.Context) error { return nil }
+
 // mayBeTakenUp reports whether the request's stream may be continued by another request.
 func (c *generalCall) mayBeTakenUp() bool {
 	return c.route.Stream && c.route.Repeat == version.RepeatResume
@@ -64,6 +77,27 @@
 	return nil
 }
 
+// maxStoreAsked limits the calls to the store for one request.
+const maxStoreAsked = 2
+
+// askStore asks the store before the stream goes on over another connection, and reports whether it
+// has answered.
+func (c *generalCall) askStore() bool {
+	if c.storeAsked >= maxStoreAsked {
+		return false
+	}
+	c.storeAsked++
+	ctx, cancel := context.WithDeadline(c.pass.Context(), c.deadline)
+	defer cancel()
+	if err := c.handler.options.Streams.AskStore(ctx); err != nil {
+		c.handler.options.Log.LogAttrs(context.Background(), slog.LevelInfo, "stream cannot go on, the store does not answer",
+			slog.String("request", c.incoming.ID), slog.Any("error", err))
+		c.storeAsked = maxStoreAsked
+		return false
+	}
+	return true
+}
+
 // origin returns the stream that the request takes up.
 func (c *generalCall) origin() resume.Stream {
 	return resume.StreamOf(c.ticket.Account, c.incoming.Resumes)
--- a/fleet/connection/incarnation/incarnation.go
+++ b/fleet/connection/incarnation/incarnation.go
@@ -7,7 +7,9 @@
 // registration was read is proven; another one is proven if the upstream has been sending on a
 // proven connection until the other one was opened. One that is not proven is trusted while the
 // registrations are read regularly, unless the upstream has crashed, refused a connection or closed
-// the last idle one since.
+// the last idle one since. A VM without a connection to the upstream sees no such sign, and learns late
+// that the store has fallen silent. So a stream goes on over one that is not proven only if the store
+// has answered right before it was opened.
 package incarnation
 
 import (
@@ -161,6 +163,12 @@
 	return fresh && !lastEnd.After(t.readAt.Add(-t.registrationTime))
 }
 
+// Checked reports whether a connection is proven, or was opened before an upstream that ended after
+// answeredAt could accept it. answeredAt is when a call was sent that the store has answered.
+func (t *Tracker) Checked(c *Conn, answeredAt time.Time) bool {
+	return t.Proven(c) || !answeredAt.IsZero() && c.openedAt.Sub(answeredAt) < restartTime
+}
+
 // makeRoom forgets addresses without connections when there are too many.
 func (t *Tracker) makeRoom(now time.Time) {
 	if len(t.addresses) < maxAddresses {
--- a/fleet/connection/incarnation/incarnation_test.go
+++ b/fleet/connection/incarnation/incarnation_test.go
@@ -151,3 +151,21 @@
 		t.Errorf("%d addresses are remembered, over %d", len(f.addresses), maxAddresses)
 	}
 }
+
+// Guards against a VM that has had no connection to an upstream and trusts one without any sign that the
+// store still answers: the upstream may have started again since the last answer.
+func TestFirstConnectionIsCheckedByAnAnswerOfTheStore(t *testing.T) {
+	f := newFixture()
+	if !f.Checked(f.first, time.Time{}) {
+		t.Error("a proven connection needs an answer")
+	}
+	for after, want := range map[time.Duration]bool{-time.Second: true, restartTime / 2: true, restartTime: false, time.Second: false} {
+		opened := f.Open(f.now, "b")
+		if got := f.Checked(opened, f.now.Add(-after)); got != want {
+			t.Errorf("opened %v after the answer: checked is %t, want %t", after, got, want)
+		}
+		if f.Checked(opened, time.Time{}) {
+			t.Error("checked without any answer")
+		}
+	}
+}
--- a/lab/edge/software_test.go
+++ b/lab/edge/software_test.go
@@ -469,3 +469,27 @@
 		t.Errorf("%d streams were taken up, %d of them of the new version", takenUp, begun)
 	}
 }
+
+// Guards against a VM that has had no connection to an upstream and trusts the first one that it opens,
+// right after the store has fallen silent: the upstream has started again with another software version
+// since, and could not register. While the store answers, most streams go on there.
+func TestVMWithoutConnectionsJoinsNoStream(t *testing.T) {
+	for name, silent := range map[string]bool{"the store answers": false, "the store falls silent": true} {
+		t.Run(name, func(t *testing.T) {
+			f := startTwoVersions(t, 1, 4, generalupstream.Faults{Delay: 50 * time.Millisecond, Pause: 30 * time.Millisecond})
+			f.startDaemon("vm-late", strings.TrimPrefix(f.storeURL, "http://"))
+			list := f.takeUps(40, func(int) int { return 1 }, func() {
+				waitUntil(t, "the later VM knows the streams", func() bool { return f.softwareStatus(1).Streams == f.softwareStatus(0).Streams })
+				if silent {
+					f.store.SetFaults(metastore.Faults{Silent: true})
+					f.upstreams[0].restartWith("v1.1")
+					time.Sleep(crashDowntime + 50*time.Millisecond)
+				}
+			})
+			takenUp, wentOn := checkTakeUps(t, list)
+			if takenUp < 30 || !silent && wentOn < takenUp*9/10 {
+				t.Errorf("%d of %d streams went on", wentOn, takenUp)
+			}
+		})
+	}
+}
