Take any answer of the store for one when streams go on

A record of software versions that is malformed was taken for a store that does not answer. The store has answered; the record is logged as malformed when it is adopted.

--- a/daemon/process/edge/software.go
+++ b/daemon/process/edge/software.go
@@ -206,11 +206,13 @@
 
 // AskStore implements serve.Streams.
 func (s *software) AskStore(ctx context.Context) error {
-	if clock.Boot().Sub(s.StoreAnsweredAt()) < answerFresh {
+	now := clock.Boot()
+	if now.Sub(s.StoreAnsweredAt()) < answerFresh {
 		return nil
 	}
 	_, _, err := s.readRecord(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if s.StoreAnsweredAt().After(now) {
+		// That the record is missing or malformed is an answer too.
 		return nil
 	}
 	return err
--- a/fleet/process/quarantine/evidence.go
+++ b/fleet/process/quarantine/evidence.go
@@ -92,10 +92,10 @@
 			previous = subject.ID
 		}
 	}
-	if c := t.crashOf(upstream, at); c != nil && allReturned(attempts, c.knownAt) && now.Sub(at) <= crashRetention {
-		again := t.newCrash(now, upstream, at)
-		again.again = true
-		t.mergeSuspects(again, pool, suspects)
+	if before := t.crashOf(upstream, at); before != nil && allReturned(attempts, before.knownAt) && now.Sub(at) <= crashRetention {
+		c := t.newCrash(now, upstream, at)
+		c.again = true
+		t.mergeSuspects(c, pool, suspects)
 		return
 	}
 	t.mergeCrash(now, upstream, pool, at, suspects)
