--- a/lab/engine/faults.go
+++ b/lab/engine/faults.go
@@ -20,6 +20,9 @@
 	EndEarly bool
 	// WrongAttempt is how many answers carry another attempt's identifier.
 	WrongAttempt int
+	// Endless is how many streams have a first event that never ends: it comes at full speed until
+	// the client disconnects.
+	Endless int
 	// Delay is how many answers are delayed by DelayBy.
 	Delay   int
 	DelayBy time.Duration
@@ -50,6 +53,7 @@
 // answerFaults are the faults to inject into one answer.
 type answerFaults struct {
 	fail, truncate, wrongAttempt bool
+	endless                      bool
 	truncateAfter                int
 	truncateMidEvent, endEarly   bool
 	delay                        time.Duration
@@ -64,6 +68,7 @@
 		fail:             consume(&e.faults.Fail),
 		wrongAttempt:     consume(&e.faults.WrongAttempt),
 		truncate:         consume(&e.faults.Truncate),
+		endless:          consume(&e.faults.Endless),
 		truncateAfter:    e.faults.TruncateAfter,
 		truncateMidEvent: e.faults.TruncateMidEvent,
 		endEarly:         e.faults.EndEarly,
--- a/lab/engine/handlers.go
+++ b/lab/engine/handlers.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -94,6 +96,9 @@
 	case faults.fail:
 		a.stopAndWait()
 		http.Error(w, "internal error", http.StatusInternalServerError)
+	case stream && faults.endless:
+		writeEndlessEvent(w)
+		a.stopAndWait()
 	case stream:
 		e.writeStream(w, r, a, 0, faults)
 	default:
@@ -135,6 +140,17 @@
 	}
 }
 
+// writeEndlessEvent writes lines of one event until the client disconnects.
+func writeEndlessEvent(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	line := "data: " + strings.Repeat("x", 1000) + "\n"
+	for {
+		if _, err := io.WriteString(w, line); err != nil {
+			return
+		}
+	}
+}
+
 // event returns event number n, counted from 0. The last one reports the usage.
 func (a *attempt) event(n int) string {
 	usage := ""
