Bound what the heads of all callers' requests hold

A head is limited to 32 KiB of text, and 31 KiB of short lines took 490 KiB of memory of each connection (a trial with 300 connections): a VM of 112 MB accepts 1,467, so that callers could end the process with the requests of all others. Same class as the answers without end: each bounded, the sum not.

daemon/connection/heads counts text twice and 128 bytes a line, as the relay does for upstreams' heads. Beyond 8 KiB a request they share 1 % of the VM's memory until the response is written. A request over it gets the prepared 503 of connections that are turned away; its caller may come back at once. Metric heads. In the own form it holds 32 MiB, and not on TLS connections, which the server has to see as such.

TestHeadsTogetherAreBounded fails without the listener (the heap grew by 96 MiB of at most 16), and TestHeadsOverTheMemoryAreRefused failed before. TestMemoryLimitsLeaveRoomForGarbageCollection counts it in.

--- a/daemon/connection/turnaway/turnaway.go
+++ b/daemon/connection/turnaway/turnaway.go
@@ -111,11 +111,22 @@
 // Reject rejects a connection: it writes the response, at once or when the request's head has
 // arrived, and closes the connection. fd must be the file descriptor of a stream socket in
 // non-blocking mode. The Rejecter owns fd from then on.
-func (r *Rejecter) Reject(fd int) {
+func (r *Rejecter) Reject(fd int) { r.reject(waitingConn{fd: fd}) }
+
+// RejectBegun is Reject for a connection of whose first request a part has been read, which ends in
+// read.
+func (r *Rejecter) RejectBegun(fd int, read []byte) {
+	// The length of the request may be in the part before.
+	c := waitingConn{fd: fd, headTail: []byte{}}
+	c.addRequestBytes(read)
+	r.reject(c)
+}
+
+func (r *Rejecter) reject(c waitingConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := waitingConn{fd: fd, deadline: time.Now().Add(requestTimeout)}
-	if r.readRequest(&c) {
+	c.deadline = time.Now().Add(requestTimeout)
+	if c.unreadBytes < 0 && !r.respond(&c) || r.readRequest(&c) {
 		return
 	}
 	if len(r.waiting) >= r.maxWaiting {
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/heads"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
@@ -38,6 +39,8 @@
 	// operatorsTimeout bounds the time to read an operator's request, and the time to
 	// answer it.
 	operatorsTimeout = 30 * time.Second
+	// maxHeadsBytes limits what the heads of all callers' requests hold beyond some KiB each.
+	maxHeadsBytes = 32 << 20
 )
 
 // App is one daemon.
@@ -58,6 +61,8 @@
 	handler    *serve.Handler
 	// callersServer serves callers' requests by handler.
 	callersServer *http.Server
+	// heads bounds the memory of callers' heads, on connections without TLS.
+	heads *heads.Limiter
 	// peersServer accepts the links of other daemons.
 	peersServer *http.Server
 	// operatorsServer serves the operators' interface.
@@ -80,6 +85,7 @@
 	if a.transports, err = newTransports(s); err != nil {
 		return nil, err
 	}
+	a.heads = heads.New(maxHeadsBytes, nil)
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -212,7 +218,9 @@
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
 	})
-	return serve.NewServer(a.handler)
+	server := serve.NewServer(a.handler)
+	server.ConnState = a.heads.Track
+	return server
 }
 
 // hello returns a function that builds the first message of a peer link.
--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -105,6 +105,17 @@
 	l.rejecter.Reject(fd)
 }
 
+// rejectHead rejects a connection whose request has a head for which there is no memory.
+func (d *Daemon) rejectHead(conn net.Conn, read []byte) {
+	fd, err := turnaway.Detach(conn)
+	if err != nil {
+		// No request was served, so its caller may retry elsewhere at once.
+		_ = conn.Close()
+		return
+	}
+	d.rejecter.RejectBegun(fd, read)
+}
+
 // rejectBacklog rejects connections of the listener's backlog until it is empty or the next
 // connection is admitted. It calls accept(2) directly, because accepting through the runtime
 // takes three more system calls, and memory.
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/oklog/run"
 
 	"github.com/trefoilwell/trefoilwell/daemon/connection/backlog"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/heads"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/turnaway"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
@@ -84,6 +85,7 @@
 	software       *software
 	lives          *upstream.Lives
 	relay          *relay.Relay
+	heads          *heads.Limiter
 	handler        *serve.GeneralHandler
 	metrics        *metrics
 	lag            lag.Monitor
@@ -187,6 +189,8 @@
 		Log:              d.log,
 	})
 	d.handler = d.newHandler(d.memory)
+	d.heads = heads.New(d.memory.maxHeadBytes, d.rejectHead)
+	d.metrics.vars.Set("heads", expvar.Func(func() any { return d.heads.Stats() }))
 	return d, d.listen(settings)
 }
 
@@ -251,14 +255,17 @@
 func (d *Daemon) listen(settings *platform.Settings) error {
 	callerHTTP := serve.NewServer(d.handler)
 	callerHTTP.IdleTimeout = callerIdleTimeout
-	callerHTTP.ConnState = d.connLimiter.track
+	callerHTTP.ConnState = func(conn net.Conn, state http.ConnState) {
+		d.connLimiter.track(conn, state)
+		d.heads.Track(conn, state)
+	}
 	callerHTTP.ConnContext = serve.WithCallerConn
 	var err error
 	if d.callerServer, err = d.newServer(callerHTTP, settings.CallerAddress); err != nil {
 		return errors.Wrap(err, "open callers listener")
 	}
 	d.callerListener = &admissionListener{Listener: backlog.New(d.callerServer.listener.(*net.TCPListener)), connLimiter: d.connLimiter, admission: d.admission, rejecter: d.rejecter}
-	d.callerServer.listener = d.callerListener
+	d.callerServer.listener = d.heads.Listener(d.callerListener)
 	readinessHTTP := &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: time.Second}
 	if d.readinessServer, err = d.newServer(readinessHTTP, settings.ReadinessAddress); err != nil {
 		return errors.Wrap(err, "open readiness listener")
--- a/daemon/process/edge/memory.go
+++ b/daemon/process/edge/memory.go
@@ -11,12 +11,14 @@
 	// callerConnsFraction is for the connections of callers, idleUpstreamConnsFraction for
 	// idle connections to upstreams, requestsFraction for the requests in progress without
 	// their bodies, bodiesFraction for those bodies, and answersFraction for the heads,
-	// incomplete events and buffered bodies of answers beyond what a request includes.
+	// incomplete events and buffered bodies of answers beyond what a request includes, and
+	// headsFraction for the heads of callers' requests beyond that.
 	callerConnsFraction       = 0.2
 	idleUpstreamConnsFraction = 0.06
 	requestsFraction          = 0.2
 	bodiesFraction            = 0.15
 	answersFraction           = 0.05
+	headsFraction             = 0.01
 )
 
 // Memory per connection and request in bytes, with the stacks of their goroutines.
@@ -45,6 +47,8 @@
 	maxBodyBytes int64
 	// maxAnswerBytes bounds what is held of all answers together.
 	maxAnswerBytes int64
+	// maxHeadBytes bounds what is held of all heads of callers' requests together.
+	maxHeadBytes int64
 }
 
 func planMemory(memoryBytes int64) memoryPlan {
@@ -59,5 +63,6 @@
 		maxRequests:          int(fractionBytes(requestsFraction) / requestBytes),
 		maxBodyBytes:         fractionBytes(bodiesFraction),
 		maxAnswerBytes:       fractionBytes(answersFraction),
+		maxHeadBytes:         fractionBytes(headsFraction),
 	}
 }
