Refuse a request that the stop overtakes by the stop's own reason

A request whose connection opened too late in the grace period was kept from being sent as if its upstream had been taken out: the log named the upstream, another attempt took from the retry budget, and with none left the caller read that the upstream had failed. It gets the stop's refusal at once, and the log says why.

'request is cut off by the stop' has sent only if a byte may have been sent, not once an attempt was started.

TestStopIsCheckedOnceTheConnectionIsOpen, with no retry left and the reason checked, failed before (upstream-failed).

--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -43,6 +43,8 @@
 	// ErrUntrusted is returned if the upstream may have started again with another software version
 	// than the attempt needs.
 	ErrUntrusted = errors.New("upstream may have started again with another software version")
+	// ErrStopping is returned if this process stops before the response could end.
+	ErrStopping = errors.New("this router stops before the answer could end")
 	// ErrAborted is returned for an attempt whose Call.Context was cancelled with a refusal.
 	ErrAborted = errors.New("request was refused while its attempt was in progress")
 	// ErrUnconfigured is returned if the grant's upstream is no longer configured.
@@ -460,6 +462,9 @@
 	if errors.Is(err, ErrUntrusted) {
 		return ErrUntrusted
 	}
+	if errors.Is(err, ErrStopping) {
+		return ErrStopping
+	}
 	if a.abortRefusal() != nil {
 		return ErrAborted
 	}
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -37,6 +37,10 @@
 		outcome = request.OutcomeUnused
 		refusal.Reason = request.ReasonStreamUnknown
 		refusal.Detail = ErrUntrusted.Error()
+	case errors.Is(err, ErrStopping):
+		outcome = request.OutcomeUnused
+		refusal.Reason = request.ReasonNotReady
+		refusal.Detail = ErrStopping.Error()
 	case errors.Is(err, ErrAborted):
 		outcome = request.OutcomeUnused
 		refusal = a.abortRefusal()
@@ -48,7 +52,7 @@
 		Delivery:    DeliveryNone,
 		Refusal:     refusal,
 		NotExecuted: true,
-		Retryable:   !errors.IsAny(err, ErrDeadlinePassed, ErrPermitExpired, ErrAborted),
+		Retryable:   !errors.IsAny(err, ErrDeadlinePassed, ErrPermitExpired, ErrAborted, ErrStopping),
 		Err:         err,
 		finish:      a.finish(outcome),
 	}
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -52,7 +52,7 @@
 	// sentAttempts counts the attempts that were granted, executedAttempts those that an
 	// upstream may have executed.
 	sentAttempts, executedAttempts int
-	// sent is set once an attempt was started.
+	// sent is set once an attempt was sent.
 	sent atomic.Bool
 	// pass may end the request early.
 	pass Pass
@@ -106,12 +106,13 @@
 // attempt makes one attempt and reports whether the caller has received the final response.
 func (c *generalCall) attempt(grant request.Grant) bool {
 	c.sentAttempts++
-	c.sent.Store(true)
 	software := c.softwareNow(grant.Upstream)
-	// fits is the version that another upstream has to have to go on with the stream, and noted is
-	// set once other VMs may be told of it.
-	// unchecked is set if only an answer of the store is missing for that.
+	// fits is the version that another upstream has to have to go on with the stream, and noted is set
+	// once other VMs may be told of it. unchecked is set if the connection would be trusted with the
+	// rest of a stream if the store had just answered.
 	fits, noted, unchecked := software, false, false
+	// stopping is the refusal of a request that may not be sent any more.
+	var stopping *request.Refusal
 	relayer := c.handler.options.Relay
 	result := relayer.Do(c.w, relay.Call{
 		Grant:              grant,
@@ -128,10 +129,11 @@
 		Context:            c.pass.Context(),
 		OnSend: func(conn upstream.Trust) error {
 			// Opening the connection may have taken seconds.
-			if c.checkStop(time.Now()) != nil {
-				return relay.ErrWithdrawn
+			if stopping = c.checkStop(time.Now()); stopping != nil {
+				return relay.ErrStopping
 			}
 			if !c.mayBeTakenUp() {
+				c.sent.Store(true)
 				return nil
 			}
 			trusted := conn.Trusted()
@@ -146,6 +148,7 @@
 			}
 			c.beginStream(fits)
 			noted = true
+			c.sent.Store(true)
 			return nil
 		},
 		OnBegin: c.pass.Begin,
@@ -157,6 +160,10 @@
 		c.executedAttempts++
 	}
 	c.logFailedAttempt(grant, result)
+	if stopping != nil && result.NotExecuted {
+		c.respondWithoutUpstream(stopping)
+		return true
+	}
 	if unchecked && c.askStore() {
 		c.ticket.Attempt++
 		return false
@@ -405,7 +412,7 @@
 // relayErrorText returns the text of the relay's error that err matches, or "".
 func relayErrorText(err error) string {
 	for _, sentinel := range []error{
-		relay.ErrWrongAttempt, relay.ErrOversized, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrUntrusted, relay.ErrAborted, relay.ErrTruncated,
+		relay.ErrWrongAttempt, relay.ErrOversized, relay.ErrStalled, relay.ErrDeadlinePassed, relay.ErrCallerGone, relay.ErrUnconfigured, relay.ErrWithdrawn, relay.ErrUntrusted, relay.ErrStopping, relay.ErrAborted, relay.ErrTruncated,
 	} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
--- a/daemon/request/serve/stopping_test.go
+++ b/daemon/request/serve/stopping_test.go
@@ -70,8 +70,9 @@
 			ParseHeaders: platform.DecodeIncoming,
 			RequestID:    platform.RequestID,
 			ConfigFresh:  func() (bool, time.Duration) { return true, 0 },
-			Retry:        func() retry.WindowOptions { return retry.WindowOptions{Length: time.Second, Slack: 10} },
-			Log:          slog.New(slog.DiscardHandler),
+			// A refusal needs no retry.
+			Retry: func() retry.WindowOptions { return retry.WindowOptions{Length: time.Second} },
+			Log:   slog.New(slog.DiscardHandler),
 		})
 		slow.dialing = func() { general.Leave(grace.Stop{Cut: time.Now()}) }
 		call := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
@@ -79,6 +80,9 @@
 		call.Header.Set(platformtest.HeaderKey, key)
 		answer := httptest.NewRecorder()
 		general.ServeHTTP(answer, call)
+		if !strings.Contains(answer.Body.String(), string(request.ReasonNotReady)) {
+			t.Errorf("%s: refused with %s, want the reason %s", kind, answer.Body, request.ReasonNotReady)
+		}
 		if slow.sent > 0 || answer.Code != http.StatusServiceUnavailable || answer.Header().Get("Retry-After") == "" {
 			t.Errorf("%s: %d attempts were sent, status %d, Retry-After %q; want none, 503 and one", kind, slow.sent, answer.Code, answer.Header().Get("Retry-After"))
 		}
