Bound the addresses of upstreams that are remembered

The limit of 4,096 addresses held only for those that were left a minute before: registrations that change their address each time grew the map without limit. The address that was left first goes now. TestRecentAddressesAreBounded failed before (8,193 addresses).

--- a/fleet/connection/incarnation/incarnation.go
+++ b/fleet/connection/incarnation/incarnation.go
@@ -169,14 +169,24 @@
 	return t.Proven(c) || !answeredAt.IsZero() && c.openedAt.Sub(answeredAt) < restartTime
 }
 
-// makeRoom forgets addresses without connections when there are too many.
+// makeRoom forgets addresses without connections when there are too many: those that were left long
+// ago, or else the one that was left first. What is forgotten of an address is a sign of its end.
 func (t *Tracker) makeRoom(now time.Time) {
 	if len(t.addresses) < maxAddresses {
 		return
 	}
+	first, forgotten := "", false
 	for to, a := range t.addresses {
-		if a.open == 0 && now.Sub(a.closedAt) > retention {
+		switch {
+		case a.open > 0:
+		case now.Sub(a.closedAt) > retention:
 			delete(t.addresses, to)
+			forgotten = true
+		case first == "" || a.closedAt.Before(t.addresses[first].closedAt):
+			first = to
 		}
 	}
+	if !forgotten {
+		delete(t.addresses, first)
+	}
 }
--- a/fleet/connection/incarnation/incarnation_test.go
+++ b/fleet/connection/incarnation/incarnation_test.go
@@ -152,6 +152,22 @@
 	}
 }
 
+// Guards against addresses that are remembered without limit because all of them are recent, as with
+// registrations that change their address each time; the one that was left first goes.
+func TestRecentAddressesAreBounded(t *testing.T) {
+	f := newFixture()
+	for i := range 2 * maxAddresses {
+		f.now = f.now.Add(time.Millisecond)
+		f.Close(f.now, f.Open(f.now, fmt.Sprintf("address-%d", i)), true)
+	}
+	if len(f.addresses) > maxAddresses {
+		t.Errorf("%d addresses are remembered, over %d", len(f.addresses), maxAddresses)
+	}
+	if f.addresses["a"] == nil || f.addresses[fmt.Sprintf("address-%d", 2*maxAddresses-1)] == nil {
+		t.Error("an address with a connection, or the last one, is forgotten")
+	}
+}
+
 // Guards against a VM that has had no connection to an upstream and trusts one without any sign that the
 // store still answers: the upstream may have started again since the last answer.
 func TestFirstConnectionIsCheckedByAnAnswerOfTheStore(t *testing.T) {
