Ask for the store's answers only for connections that are not proven

Each attempt of a stream that may be taken up took the lock of all registrations just before its first byte was sent, also over a proven connection, for which nothing more is asked.

--- a/daemon/connection/upstream/lives.go
+++ b/daemon/connection/upstream/lives.go
@@ -137,12 +137,22 @@
 	if f == nil {
 		return true
 	}
+	if f.proven() {
+		// Whether the store answers is asked under the lock of all registrations.
+		return true
+	}
 	now, answers := f.lives.clock(), f.lives.storeAnswers()
 	f.lives.mu.Lock()
 	defer f.lives.mu.Unlock()
 	return f.lives.tracker.Trusted(now, f.conn, answers)
 }
 
+func (f *life) proven() bool {
+	f.lives.mu.Lock()
+	defer f.lives.mu.Unlock()
+	return f.lives.tracker.Proven(f.conn)
+}
+
 // Checked implements Trust.
 func (f *life) Checked(answeredAt time.Time) bool {
 	if f == nil {
