Take over the whole queue of a listener that closes

A queued connection that its caller had given up, or a signal, ended the loop, and the rest of the queue was reset.

--- a/daemon/connection/backlog/backlog.go
+++ b/daemon/connection/backlog/backlog.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -67,6 +68,9 @@
 func (l *Listener) takeQueued(fd int) {
 	for {
 		accepted, _, err := unix.Accept4(fd, unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
+		if errors.IsAny(err, unix.EINTR, unix.ECONNABORTED) {
+			continue
+		}
 		if err != nil {
 			return
 		}
