--- a/daemon/version/mirror/config.go
+++ b/daemon/version/mirror/config.go
@@ -132,3 +132,14 @@
 		"revision", object.Revision, "era", object.Era, "accounts", len(config.Accounts), "keyless", config.Keyless, "services", len(config.Pools))
 	m.publish()
 }
+
+// Confirmed returns the latest time, by the mirror's clock, at which the active
+// configuration was certainly the newest one; zero if that is not certain yet.
+func (m *Mirror) Confirmed() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.mayHaveMissedReturn(m.options.Clock()) {
+		return time.Time{}
+	}
+	return m.confirmed
+}
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -168,17 +168,6 @@
 	return m
 }
 
-// Confirmed returns the latest time, by the mirror's clock, at which the active
-// configuration was certainly the newest one; zero if that is not certain yet.
-func (m *Mirror) Confirmed() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.mayHaveMissedReturn(m.options.Clock()) {
-		return time.Time{}
-	}
-	return m.confirmed
-}
-
 // FollowUpstreams keeps the registered upstreams up to date until ctx ends.
 func (m *Mirror) FollowUpstreams(ctx context.Context) error { return m.follow(ctx, m.upstreams) }
 
