--- a/daemon/process/edge/software.go
+++ b/daemon/process/edge/software.go
@@ -183,7 +183,9 @@
 	object, err := s.daemon.store.Get(ctx, platform.KindMember, memberSoftwareName)
 	if err == nil || errors.Is(err, platform.ErrNotFound) {
 		s.mu.Lock()
-		s.answeredAt = later(s.answeredAt, sentAt)
+		if sentAt.After(s.answeredAt) {
+			s.answeredAt = sentAt
+		}
 		s.mu.Unlock()
 	}
 	if err != nil {
@@ -201,7 +203,10 @@
 	confirmed := s.daemon.mirror.Confirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return later(s.answeredAt, confirmed)
+	if s.answeredAt.After(confirmed) {
+		return s.answeredAt
+	}
+	return confirmed
 }
 
 // AskStore implements serve.Streams.
@@ -218,14 +223,6 @@
 	return err
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // setRecord takes in the record from the list of the members; spec is nil if the store has none.
 func (s *software) setRecord(spec []byte) {
 	s.mu.Lock()
