Let the soak's callers hold heads that do not end

250 requests with 30 KiB of short header lines are held at a process beside each span of endless answers.

--- a/lab/soak/odd.go
+++ b/lab/soak/odd.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -24,6 +26,9 @@
 	maxOddLength = 3 * time.Second
 	// endlessAnswers is how many answers of an upstream are endless.
 	endlessAnswers = 200
+	// heldHeads is how many requests have a head of headBytes that does not end.
+	heldHeads = 250
+	headBytes = 30 << 10
 	// emptyTime is how long a version without accounts is the newest one.
 	emptyTime = 2500 * time.Millisecond
 	// rebornDowntime is how long an upstream is down that starts again unseen.
@@ -35,9 +40,9 @@
 // endlessForms are the parts of an answer that have no end, in turn.
 var endlessForms = []generalupstream.Faults{{Endless: endlessAnswers}, {EndlessHeads: endlessAnswers}, {EndlessBodies: endlessAnswers}}
 
-// runOdd makes faults during storms that no other disturbance makes: answers without end, versions
-// without accounts, and upstreams that start again with another software version while the store is
-// silent.
+// runOdd makes faults during storms that no other disturbance makes: answers without end and heads of
+// requests without end, versions without accounts, and upstreams that start again with another software
+// version while the store is silent.
 func (s *scenario) runOdd(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		pause := time.Duration(random.Int64N(int64(maxOddPause)))
@@ -55,7 +60,7 @@
 		case 0:
 			s.log.Info("endless answers", "upstream", i, "for", length, "heads", form.EndlessHeads > 0, "bodies", form.EndlessBodies > 0)
 			s.fleet.upstreams[i].SetFaults(form)
-			_ = wait.Sleep(ctx, length)
+			s.fleet.holdHeads(ctx, i%len(s.fleet.daemons), length)
 			s.fleet.upstreams[i].SetFaults(generalupstream.Faults{})
 		case 1:
 			s.log.Info("version without accounts")
@@ -68,6 +73,31 @@
 	}
 }
 
+// holdHeads begins requests at a daemon with as many header lines as it reads of one, and ends their
+// connections after a time.
+func (f *fleet) holdHeads(ctx context.Context, vm int, length time.Duration) {
+	var head strings.Builder
+	head.WriteString("GET / HTTP/1.1\r\n")
+	for n := 0; head.Len() < headBytes; n++ {
+		fmt.Fprintf(&head, "%x:\r\n", n)
+	}
+	var conns []net.Conn
+	for range heldHeads {
+		conn, err := net.DialTimeout("tcp", f.daemons[vm].callersProxy.Address(), time.Second)
+		if err != nil {
+			// The daemon may have been ended.
+			break
+		}
+		conns = append(conns, conn)
+		// The daemon closes the connections that it has no memory for.
+		_, _ = io.WriteString(conn, head.String())
+	}
+	_ = wait.Sleep(ctx, length)
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
 // startAgainUnseen lets an upstream start again under its name, with another software version, while
 // the store is silent for a time.
 func (s *scenario) startAgainUnseen(ctx context.Context, i int, silence time.Duration) {
