Let an account hold what others leave of a VM's requests

On one deployment the load balancer sends all callers of an account to one VM, and their retries too (60 of 60 requests seen twice). An account may now hold what the others leave, but for an eighth of the room, and half in any case.

--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/request/occupancy"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
@@ -68,7 +69,7 @@
 	switch {
 	case l.closed:
 		return refuse(request.ReasonNotReady, "this router is shutting down")
-	case account.requests >= accountLimit(l.maxRequests, l.accountLimitDivisor):
+	case account.requests >= l.accountRequests(account):
 		return refuse(request.ReasonAccountQueueFull, "the account holds too many requests at this router")
 	case l.total.requests >= l.maxRequests:
 		return refuse(request.ReasonQueueFull, "this router holds too many requests")
@@ -79,6 +80,12 @@
 	return nil
 }
 
+// accountRequests returns how many requests an account may hold, given what the others hold.
+func (l *requestLimiter) accountRequests(account *usage) int {
+	guaranteed := accountLimit(l.maxRequests, l.accountLimitDivisor)
+	return occupancy.Limit(l.maxRequests, guaranteed, l.total.requests-account.requests)
+}
+
 // leave removes a request from the usage.
 func (l *requestLimiter) leave(id version.AccountID) {
 	l.mu.Lock()
