--- a/fleet/request/occupancy/occupancy.go
+++ b/fleet/request/occupancy/occupancy.go
@@ -14,5 +14,5 @@
 // while the other accounts hold heldByOthers. It is what the others and the reserve leave, and at
 // least guaranteed, so that an account above it gives way to others as they come.
 func Limit(total, guaranteed, heldByOthers int) int {
-	return max(guaranteed, total-total/reserveDivisor-heldByOthers, 1)
+	return max(guaranteed, total-max(total/reserveDivisor, 1)-heldByOthers, 1)
 }
