Take no answer for whole that ended before its request was sent

Callers got a part of an answer as a complete one where an upstream answered a long upload at once, without a length, and then ended or reset the connection; a status of 600 to 999 was passed on, and so were the chunks' sizes of an HTTP/1.0 answer with a transfer encoding.

The kernel reports a reset to one caller only: where the write of the upload has learned of it, the next read finds an orderly end. So an answer that ends with its connection is complete only if the transport has written the request and the other end's kernel has received it. A request that its upstream does not read is given up after 15 s without an accepted write, beyond the first 32 KiB, and counts as stalled.

--- a/daemon/cmd/trefoilctl/command/daemons.go
+++ b/daemon/cmd/trefoilctl/command/daemons.go
@@ -82,10 +82,17 @@
 		return nil, errors.Wrap(err, "call daemon")
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// Daemons always tell the length or send chunks.
+		return nil, errors.New("daemon's answer has neither a length nor chunks, so it may be cut")
+	}
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read daemon's answer")
 	}
+	if len(answer) > maxAnswerBytes {
+		return nil, errors.Newf("daemon's answer is longer than %d bytes", maxAnswerBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, statusError(response.StatusCode, answer)
 	}
--- a/daemon/connection/upstream/poll.go
+++ b/daemon/connection/upstream/poll.go
@@ -146,8 +146,12 @@
 	default:
 		return Load{}, errors.Newf("load report: status %d, want 200", response.StatusCode)
 	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxLoadBytes))
+	if err != nil {
+		return Load{}, errors.Wrap(err, "read load report")
+	}
 	var load Load
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&load); err != nil {
+	if err := json.Unmarshal(text, &load); err != nil {
 		return Load{}, errors.Wrap(err, "decode load report")
 	}
 	return load, nil
--- a/daemon/connection/upstream/poll_test.go
+++ b/daemon/connection/upstream/poll_test.go
@@ -58,3 +58,19 @@
 		t.Error("Run returned no error after its context was cancelled")
 	}
 }
+
+// Guards against a load report that is taken for whole although its connection ended before its length:
+// the decoder stopped at the end of the first value.
+func TestPollerDropsReportsThatBreakOff(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte(`{"running":3,"waiting":1,"cold":true}`))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	poller := NewPoller(PollerOptions{Log: slog.New(slog.DiscardHandler)})
+	if load, err := poller.fetchLoad(t.Context(), server.Listener.Addr().String()); err == nil {
+		t.Errorf("a report that broke off was taken for the load %+v", load)
+	}
+}
--- a/daemon/connection/upstream/probe.go
+++ b/daemon/connection/upstream/probe.go
@@ -12,8 +12,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errSealed is returned for a write to a sealed connection.
-var errSealed = errors.New("connection is sealed")
+var (
+	// errSealed is returned for a write to a sealed connection.
+	errSealed = errors.New("connection is sealed")
+	// ErrUploadStalled is returned for a request that its upstream does not read.
+	ErrUploadStalled = errors.New("upstream does not read the request")
+)
+
+const (
+	// uploadTimeout is how long an upstream may take to accept one write of a request, at most
+	// copyBytes long. An upstream that reads at all accepts a write within milliseconds; one on a
+	// slow machine pauses for less than a second.
+	uploadTimeout = 15 * time.Second
+	// uploadFreeBytes is how much of a request is written without a time limit. The kernel's buffers
+	// of both ends take more than that on an idle connection, so that such a write does not wait.
+	uploadFreeBytes = 32 << 10
+)
 
 // countedConn counts the writes that were started, and can be sealed, after
 // which every write fails.
@@ -21,10 +35,21 @@
 	net.Conn
 	// openedAt is when the opening of the connection began.
 	openedAt time.Time
+	// uploadTimeout bounds one write of a long request.
+	uploadTimeout time.Duration
 
 	mu     sync.Mutex
 	writes uint64
-	sealed bool
+	// written counts the bytes of the present request. limited is set while a write deadline is set.
+	written int64
+	limited bool
+	// failed is the error with which this package ended a write: that of beforeWrite, or
+	// ErrUploadStalled.
+	failed error
+	// unreceived is how much of what was written the other end's kernel had not confirmed when it
+	// ended the connection.
+	unreceived int
+	sealed     bool
 	// beforeWrite is called once, before the next write, which fails with its
 	// error; nil permits the write.
 	beforeWrite func() error
@@ -44,10 +69,20 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	if err := c.startWrite(); err != nil {
+	limited, err := c.startWrite(len(b))
+	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	if limited {
+		// A closed connection fails at the write.
+		_ = c.SetWriteDeadline(time.Now().Add(c.uploadTimeout))
+	}
+	n, err := c.Conn.Write(b)
+	if limited && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errors.Mark(errors.Wrapf(err, "no write of %d bytes was accepted in %v", len(b), c.uploadTimeout), ErrUploadStalled)
+		c.setFailed(err)
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -58,6 +93,7 @@
 		c.life.received()
 	case err != nil && !errors.IsAny(err, net.ErrClosed, os.ErrDeadlineExceeded):
 		c.life.closed(true)
+		c.noteUnreceived()
 	}
 	c.mu.Lock()
 	onRead := c.onRead
@@ -92,30 +128,51 @@
 	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer[:])
 }
 
-// startWrite counts a write, or returns why it must not be made. A beforeWrite
-// that returns an error seals the connection.
-func (c *countedConn) startWrite() error {
+// startWrite counts a write of n bytes, or returns why it must not be made. A beforeWrite
+// that returns an error seals the connection. It reports whether the write is limited in time.
+func (c *countedConn) startWrite(n int) (limited bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		return errSealed
+		return false, errSealed
 	}
 	if c.beforeWrite != nil {
 		if err := c.beforeWrite(); err != nil {
-			c.sealed = true
-			return err
+			c.sealed, c.failed = true, err
+			return false, err
 		}
 	}
 	c.beforeWrite = nil
 	c.writes++
-	return nil
+	c.written += int64(n)
+	c.limited = c.limited || c.written > uploadFreeBytes
+	return c.limited, nil
+}
+
+// beginRequest prepares for the next request, whose first write has to pass a check; nil permits
+// it.
+func (c *countedConn) beginRequest(check func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeWrite, c.written = check, 0
+	if c.limited {
+		c.limited = false
+		// A closed connection fails at the write.
+		_ = c.SetWriteDeadline(time.Time{})
+	}
 }
 
-// setBeforeWrite sets the check that the next write has to pass.
-func (c *countedConn) setBeforeWrite(check func() error) {
+func (c *countedConn) setFailed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.beforeWrite = check
+	c.failed = err
+}
+
+// failure returns the error with which this package ended a write, or nil.
+func (c *countedConn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
 }
 
 // writesStarted returns the number of writes started so far.
@@ -158,13 +215,18 @@
 	conn *countedConn
 	// writesBefore is the number of writes started on conn before the attempt.
 	writesBefore uint64
+	// upload is how far the request was written, and uploadEnded is closed once it is not under way
+	// any more; nil if nobody waits for that.
+	upload      uploadState
+	uploadEnded chan struct{}
 }
 
 // Context returns a context for the attempt's request, through which t learns
 // which connection the request uses.
 func (t *SendTracker) Context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.gotConn(info.Conn) },
+		GotConn:      func(info httptrace.GotConnInfo) { t.gotConn(info.Conn) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { t.endUpload(info.Err) },
 	})
 }
 
@@ -173,9 +235,11 @@
 	defer t.mu.Unlock()
 	own := underlyingCountedConn(conn)
 	if own != nil {
+		var check func() error
 		if t.BeforeFirstByte != nil {
-			own.setBeforeWrite(func() error { return t.BeforeFirstByte(own.life) })
+			check = func() error { return t.BeforeFirstByte(own.life) }
 		}
+		own.beginRequest(check)
 		own.setOnRead(t.OnHead)
 	}
 	if t.connected {
@@ -211,6 +275,18 @@
 	}
 }
 
+// WriteError returns the error with which BeforeFirstByte kept the attempt from being sent, or
+// ErrUploadStalled; nil if neither happened. The transport may report the end of the connection that
+// follows instead.
+func (t *SendTracker) WriteError() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	return t.conn.failure()
+}
+
 // Seal closes the attempt's connection and reports whether a byte of the attempt
 // may have been sent. Once it has returned false, no byte is sent later either.
 // Call it for an attempt that ended without an answer.
--- a/daemon/connection/upstream/transport.go
+++ b/daemon/connection/upstream/transport.go
@@ -41,7 +41,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn, openedAt: begin}, nil
+			return &countedConn{Conn: conn, openedAt: begin, uploadTimeout: uploadTimeout}, nil
 		},
 		TLSClientConfig:        config,
 		TLSHandshakeTimeout:    dialTimeout,
--- a/daemon/request/relay/header.go
+++ b/daemon/request/relay/header.go
@@ -6,6 +6,8 @@
 	"net/textproto"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -83,3 +85,18 @@
 	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	return err == nil && media == "text/event-stream"
 }
+
+// maxStatus is the highest status of a response (RFC 9110, section 15).
+const maxStatus = 599
+
+// checkFrame returns an error for a response that is none: its status is not one of a final
+// response, or its framing cannot be told.
+func (a *attempt) checkFrame(response *http.Response) error {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return errors.Wrapf(ErrTruncated, "upstream sent the status %03d as the final one", response.StatusCode)
+	}
+	if a.holding.isFaultilyFramed() {
+		return errors.Wrapf(ErrTruncated, "upstream sent a response of %s with a transfer encoding", response.Proto)
+	}
+	return nil
+}
--- a/daemon/request/relay/holding.go
+++ b/daemon/request/relay/holding.go
@@ -60,6 +60,8 @@
 	headRead, head, content int64
 	reserved                int64
 	released                bool
+	// oldHead is the head so far if it is one of HTTP/1.0; else nil.
+	oldHead []byte
 	// exceeded is the error with which a limit or the budget ended the head.
 	exceeded error
 }
@@ -73,7 +75,7 @@
 func (h *holding) nextHead() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.headRead, h.head, h.exceeded = 0, 0, nil
+	h.headRead, h.head, h.oldHead, h.exceeded = 0, 0, nil, nil
 	// Holding less is never refused.
 	_ = h.adjust()
 }
@@ -82,6 +84,9 @@
 func (h *holding) readHead(text []byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.oldHead != nil || h.headRead == 0 && bytes.HasPrefix(text, oldProtocol) {
+		h.oldHead = append(h.oldHead, text...)
+	}
 	if h.headRead += int64(len(text)); h.headRead > maxHeadBytes {
 		h.exceeded = errors.Newf("head is longer than %d bytes", maxHeadBytes)
 		return h.exceeded
@@ -93,6 +98,28 @@
 	return h.exceeded
 }
 
+// oldProtocol is the begin of a head of HTTP/1.0.
+var oldProtocol = []byte("HTTP/1.0 ")
+
+// isFaultilyFramed reports whether the head is one of HTTP/1.0 with a transfer encoding. The
+// transport ignores the encoding, so that the sizes of chunks would be taken for a part of a body
+// that ends with its connection (RFC 9112, section 6.1).
+func (h *holding) isFaultilyFramed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	head := h.oldHead
+	h.oldHead = nil
+	for line := range bytes.Lines(head) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			break
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // hold sets the bytes held of an event or a buffered body.
 func (h *holding) hold(n int) error {
 	h.mu.Lock()
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -286,6 +285,8 @@
 	upstreamDown   bool
 	// connectedAt is when the opening of the attempt's connection began; zero if it is not known.
 	connectedAt time.Time
+	// tracker follows the present request to the upstream.
+	tracker *upstream.SendTracker
 }
 
 // Do sends the attempt and relays the response until it ends.
@@ -349,6 +350,7 @@
 	ctx, timer := a.firstByteContext()
 	defer timer.stop()
 	tracker := &upstream.SendTracker{BeforeFirstByte: a.checkSendable, OnHead: a.holding.readHead}
+	a.tracker = tracker
 	outgoing, err := a.newRequest(tracker.Context(ctx))
 	if err != nil {
 		return a.unsentResult(err, request.OutcomeUnused)
@@ -368,6 +370,7 @@
 		return a.failedResult(err)
 	}
 	defer response.Body.Close()
+	tracker.GuardEnd(response)
 	return a.relayResponse(response, timer)
 }
 
@@ -401,8 +404,8 @@
 	if !dialect.Echoes(response.Header, a.call.Outgoing) {
 		return a.failedResult(ErrWrongAttempt)
 	}
-	if response.StatusCode < http.StatusOK {
-		return a.failedResult(errors.Wrapf(ErrTruncated, "upstream sent the informational status %d as the final one", response.StatusCode))
+	if err := a.checkFrame(response); err != nil {
+		return a.failedResult(err)
 	}
 	advice := dialect.Advice(response.StatusCode, response.Header)
 	if !advice.IsZero() {
@@ -450,55 +453,3 @@
 	}
 	return a.newContext(limit, ErrDeadlinePassed)
 }
-
-// classify maps an error of the transport to an error of this package.
-func (a *attempt) classify(ctx context.Context, err error) error {
-	if errors.Is(err, ErrCallerGone) || !a.call.Record && a.call.Request.Context().Err() != nil {
-		return ErrCallerGone
-	}
-	if errors.Is(err, ErrWithdrawn) {
-		return ErrWithdrawn
-	}
-	if errors.Is(err, ErrUntrusted) {
-		return ErrUntrusted
-	}
-	if errors.Is(err, ErrStopping) {
-		return ErrStopping
-	}
-	if a.abortRefusal() != nil {
-		return ErrAborted
-	}
-	if contextCause := context.Cause(ctx); errors.IsAny(contextCause, ErrDeadlinePassed, ErrStalled) {
-		return contextCause
-	}
-	if excess := a.holding.excess(); excess != nil && !errors.Is(err, ErrOversized) {
-		// The transport reports the error of its reader in its own words.
-		err = oversized(excess)
-	}
-	if errors.Is(err, ErrOversized) {
-		// This process broke it off, so the upstream has not ended anything.
-		return err
-	}
-	a.recordDisconnect(err)
-	return errors.Mark(errors.Wrap(err, "upstream"), ErrTruncated)
-}
-
-// recordDisconnect records that the upstream ended a connection, or refused one.
-func (a *attempt) recordDisconnect(err error) {
-	a.relay.options.OnBreak(a.target.Address)
-	if a.disconnectedAt.IsZero() {
-		a.disconnectedAt = time.Now()
-		return
-	}
-	a.upstreamDown = a.upstreamDown || errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// abortRefusal returns the refusal with which Call.Context was cancelled, or nil.
-func (a *attempt) abortRefusal() *request.Refusal {
-	if a.call.Context == nil || a.call.Record {
-		return nil
-	}
-	var refusal *request.Refusal
-	errors.As(context.Cause(a.call.Context), &refusal)
-	return refusal
-}
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -189,6 +189,7 @@
 		"?" + upstream.QueryOffset + "=" + strconv.Itoa(s.eventsWritten))
 	s.holding.nextHead()
 	tracker := &upstream.SendTracker{OnHead: s.holding.readHead}
+	s.tracker = tracker
 	outgoing, err := http.NewRequestWithContext(tracker.Context(ctx), http.MethodGet, targetURL, nil)
 	if err != nil {
 		return errors.Wrap(err, "build resume request")
@@ -199,6 +200,7 @@
 		return s.classify(ctx, err)
 	}
 	defer response.Body.Close()
+	tracker.GuardEnd(response)
 	if err := s.checkResumed(response); err != nil {
 		return err
 	}
@@ -222,6 +224,9 @@
 	case http.StatusNotFound, http.StatusGone, http.StatusMethodNotAllowed, http.StatusNotImplemented:
 		return errCannotResume
 	}
+	if err := s.checkFrame(response); err != nil {
+		return err
+	}
 	if !isEventStream(response) {
 		return errors.Wrapf(ErrTruncated, "resume request returned status %d", response.StatusCode)
 	}
