Trace the known faults of answers that break off

- TestUpstreamWithdrawnWhileDialingGetsNoRequest: a withdrawn attempt counted as an unreachable upstream, since the transport reports whichever of its writer and reader ended first.
- TestSlowAnswerWithProgressIsComplete: a timer that fires over 50 ms late, in a process that was frozen or had no processor time, waits 1 s more, as the upstream's bytes may wait unread; deadlines don't move.

--- a/daemon/request/relay/timer.go
+++ b/daemon/request/relay/timer.go
@@ -4,6 +4,16 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// lateFire is how late a timer fires in a process that was frozen or had no processor time. What
+	// its upstream has sent may then wait unread.
+	lateFire = 50 * time.Millisecond
+	// lateGrace is how long such a process still waits for progress.
+	lateGrace = time.Second
 )
 
 // stallTimer cancels a context when an upstream sends nothing within a limit, or when the
@@ -16,6 +26,9 @@
 
 	mu    sync.Mutex
 	cause error
+	// due is when the timer is to fire, and late is set once it fired too late and waits for lateGrace.
+	due  time.Time
+	late bool
 }
 
 // newStallTimer returns a context that is cancelled with cause after limit, and its timer.
@@ -23,7 +36,10 @@
 func newStallTimer(parent context.Context, limit time.Duration, cause error, deadline time.Time) (context.Context, *stallTimer) {
 	ctx, cancel := context.WithCancelCause(parent)
 	t := &stallTimer{cancel: cancel, deadline: deadline}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	limit, t.cause = t.capByDeadline(limit, cause)
+	t.due = time.Now().Add(limit)
 	t.timer = time.AfterFunc(limit, t.fire)
 	return ctx, t
 }
@@ -40,23 +56,37 @@
 	return limit, cause
 }
 
+// fire cancels the context, unless there was progress since the timer expired, or none could be seen
+// because the process did not run.
 func (t *stallTimer) fire() {
 	t.mu.Lock()
-	cause := t.cause
-	t.mu.Unlock()
-	t.cancel(cause)
+	defer t.mu.Unlock()
+	lateness := time.Since(t.due)
+	if lateness < 0 {
+		return
+	}
+	if lateness >= lateFire && !t.late && errors.Is(t.cause, ErrStalled) {
+		t.late = true
+		t.reset(lateGrace)
+		return
+	}
+	t.cancel(t.cause)
 }
 
 // restart restarts the timer after progress in the response; it then fires with ErrStalled.
 func (t *stallTimer) restart(limit time.Duration) {
-	limit, cause := t.capByDeadline(limit, ErrStalled)
-	if !t.timer.Reset(limit) {
-		// It has already fired, so the context is cancelled.
-		return
-	}
 	t.mu.Lock()
-	t.cause = cause
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	t.late = false
+	t.cause = ErrStalled
+	t.reset(limit)
+}
+
+// reset makes the timer fire after limit, or at the deadline. t.mu must be held.
+func (t *stallTimer) reset(limit time.Duration) {
+	limit, t.cause = t.capByDeadline(limit, t.cause)
+	t.due = time.Now().Add(limit)
+	t.timer.Reset(limit)
 }
 
 // stop stops the timer and cancels the context.
--- a/daemon/request/relay/withdrawn_test.go
+++ b/daemon/request/relay/withdrawn_test.go
@@ -84,3 +84,38 @@
 		})
 	}
 }
+
+// readerFirst is a transport that reports the end of its reader where it ended for another reason.
+type readerFirst struct{ *http.Transport }
+
+func (r readerFirst) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := r.Transport.RoundTrip(request)
+	if err != nil {
+		err = net.ErrClosed
+	}
+	return response, err
+}
+
+// Guards against an attempt that was kept from being sent and counts as a failure of its upstream: the
+// transport closes the connection then, and reports whichever of its writer and its reader ended first.
+func TestWithdrawnUpstreamIsNotUnreachable(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	present := &version.Upstream{ID: 1, Address: server.Listener.Addr().String()}
+	accounting := &fakeAccounting{}
+	accounting.setConfig(configOf(present))
+	transport := upstream.NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	relay := New(Options{
+		Accounting: accounting, Transport: readerFirst{transport}, General: true,
+		Declines: func(version.UpstreamID) bool { return true },
+	})
+	result := relay.Do(httptest.NewRecorder(), Call{
+		Grant: request.Grant{Upstream: present.ID}, Kind: version.PoolService,
+		Request: httptest.NewRequest(http.MethodPost, "/x", nil), Body: []byte("body"),
+		FirstByteDeadline: time.Now().Add(time.Minute), CompletionDeadline: time.Now().Add(time.Minute),
+	})
+	if !result.NotExecuted || !result.Retryable || result.finish.Outcome != request.OutcomeUnused {
+		t.Errorf("result %+v, want an unused attempt", result)
+	}
+}
