--- a/lab/engine/faults.go
+++ b/lab/engine/faults.go
@@ -1,6 +1,14 @@
 package engine
 
-import "time"
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+)
 
 // Faults are the faults to inject. The counts are decremented with each fault
 // injected.
@@ -23,6 +31,11 @@
 	// Endless is how many streams have a first event that never ends: it comes at full speed until
 	// the client disconnects.
 	Endless int
+	// CutEarly is how many requests get a part of an answer without a length before their body is
+	// read, and then a reset of their connection.
+	CutEarly int
+	// BadStatus is how many answers have Status, which is no status of an answer.
+	BadStatus, Status int
 	// Delay is how many answers are delayed by DelayBy.
 	Delay   int
 	DelayBy time.Duration
@@ -79,3 +92,38 @@
 	}
 	return f
 }
+
+// partDelay is the time between a part of an answer and the reset of its connection.
+const partDelay = 20 * time.Millisecond
+
+// answersBeforeBody injects the faults of answers before the body is read, and reports whether there
+// was one.
+func (e *Engine) answersBeforeBody(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	cut := consume(&e.faults.CutEarly)
+	bad := !cut && consume(&e.faults.BadStatus)
+	status := e.faults.Status
+	e.mu.Unlock()
+	if !cut && !bad {
+		return false
+	}
+	if bad {
+		// The body has to be read, else the kernel resets the connection.
+		_, _ = io.Copy(io.Discard, r.Body)
+	} else {
+		status = http.StatusOK
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(buffered, "HTTP/1.1 %03d Odd\r\n%s: %s\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n{}",
+		status, upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	_ = buffered.Flush()
+	if tcp, ok := conn.(*net.TCPConn); ok && cut {
+		time.Sleep(partDelay)
+		_ = tcp.SetLinger(0)
+	}
+	return true
+}
--- a/lab/engine/handlers.go
+++ b/lab/engine/handlers.go
@@ -43,6 +43,9 @@
 
 // serveCompletion executes a completion request.
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	if e.answersBeforeBody(w, r) {
+		return
+	}
 	var body completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, "bad request", http.StatusBadRequest)
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -53,6 +53,11 @@
 	// AnswerEarly is how many requests are answered before their body is read. The
 	// connection stays open and the body is read after the answer.
 	AnswerEarly int
+	// CutEarly is how many requests get a part of an answer without a length before their body is
+	// read, and then a reset of their connection.
+	CutEarly int
+	// BadStatus is how many answers have Status, which is no status of an answer.
+	BadStatus, Status int
 	// Endless is how many streams have a first event that never ends, EndlessHeads how many answers
 	// have such a head, and EndlessBodies how many that are no streams have such a body: a megabyte
 	// comes at once, and a kilobyte each endlessPause after that, until the caller disconnects.
@@ -273,8 +278,7 @@
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platformtest.HeaderRequestID)
-	if u.consumeEarly() {
-		u.answerEarly(w, r, id)
+	if u.answersBeforeBody(w, r, id) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -356,36 +360,6 @@
 	}
 }
 
-// consumeEarly reports whether the next request is to be answered early.
-func (u *Upstream) consumeEarly() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return consume(&u.faults.AnswerEarly)
-}
-
-// earlyReadDelay is the time between an early answer and the reading of the body.
-const earlyReadDelay = 50 * time.Millisecond
-
-// answerEarly answers, waits for earlyReadDelay and then reads the body. The execution
-// is recorded with the bytes of the body that arrived.
-func (u *Upstream) answerEarly(w http.ResponseWriter, r *http.Request, id string) {
-	control := http.NewResponseController(w)
-	if err := control.EnableFullDuplex(); err != nil {
-		panic(err)
-	}
-	w.Header().Set(platformtest.HeaderRequestID, id)
-	w.Header().Set(platformtest.HeaderReceipt, Receipt(id))
-	w.Header().Set("Content-Length", strconv.Itoa(len(Answer(id))))
-	_, _ = io.WriteString(w, Answer(id))
-	_ = control.Flush()
-	time.Sleep(earlyReadDelay)
-	// If the connection is closed here, the body ends early, which is no error.
-	body, _ := io.ReadAll(r.Body)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.runs = append(u.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: string(body)})
-}
-
 // Answer returns the body of the answer to a request identifier.
 func Answer(id string) string { return "answer to " + id }
 
