Reset the connection of a broken stream to a caller of HTTP/1.0

A stream on the users' platform that broke off between two events looked complete to a caller of HTTP/1.0, who knows its end by that of the connection: the connection was closed in order. It is reset now, without TLS; callers of HTTP/1.1 see the missing last chunk as before.

--- a/daemon/connection/unread/conn.go
+++ b/daemon/connection/unread/conn.go
@@ -54,6 +54,8 @@
 	account atomic.Uint64
 	// givenUp is set once the answer was given up.
 	givenUp atomic.Bool
+	// aborted is set once the connection has to end with a reset.
+	aborted atomic.Bool
 
 	mu sync.Mutex
 	// changed is signalled when the buffer is empty, or the connection failed or is to be closed.
@@ -240,7 +242,7 @@
 	// A deadline would end a later write.
 	_ = c.tcpConn.SetWriteDeadline(time.Time{})
 	switch {
-	case c.err != nil:
+	case c.err != nil || c.closed && c.aborted.Load():
 		// What the caller has got must not look complete, and the request has to end.
 		c.reset()
 	case c.closed:
@@ -326,5 +328,9 @@
 		c.changed.Broadcast()
 		return nil
 	}
+	if c.aborted.Load() {
+		// A connection without it is closed all the same.
+		_ = c.tcpConn.SetLinger(0)
+	}
 	return c.tcpConn.Close()
 }
--- a/daemon/connection/unread/unread.go
+++ b/daemon/connection/unread/unread.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// Abort makes the connection of a request's context end with a reset. Callers of HTTP/1.0 take the end of
+// their connection for that of the answer.
+func Abort(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.aborted.Store(true)
+	}
+}
+
 // grow takes n more bytes for a connection's answer, which has paused for them for a time, and resets
 // the connections of those that are given up for that. It returns whether the answer has to pause.
 func (l *Limiter) grow(c *conn, n int64, paused time.Duration) (pause bool) {
--- a/daemon/request/serve/answer.go
+++ b/daemon/request/serve/answer.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/unread"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -167,3 +168,12 @@
 	// Writers in tests may not support deadlines.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 }
+
+// abort ends a request whose response broke off, so that the response does not look complete. It does not
+// return.
+func abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		unread.Abort(r.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/daemon/request/serve/call.go
+++ b/daemon/request/serve/call.go
@@ -217,7 +217,7 @@
 			c.handler.retryBudget.recordSuccess()
 		}
 		if err := result.Buffered.Write(); err != nil {
-			panic(http.ErrAbortHandler)
+			abort(c.r)
 		}
 		c.handler.options.Counter.Answered()
 	case relay.DeliveryComplete:
@@ -225,7 +225,7 @@
 		c.handler.options.Counter.Answered()
 	case relay.DeliveryTruncated, relay.DeliveryCallerGone:
 		// Abort the connection, so that the truncated response does not look complete.
-		panic(http.ErrAbortHandler)
+		abort(c.r)
 	}
 }
 
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -254,7 +254,7 @@
 	case relay.DeliveryBuffered:
 		if err := result.Buffered.Write(); err != nil {
 			c.logOutcome("caller gone", upstream)
-			panic(http.ErrAbortHandler)
+			abort(c.r)
 		}
 		c.handler.options.Counter.Answered()
 		c.handler.recordDuration(c, time.Now())
@@ -266,10 +266,10 @@
 	case relay.DeliveryTruncated:
 		c.logOutcome("broken off", upstream)
 		// Abort the connection, so that the truncated response does not look complete.
-		panic(http.ErrAbortHandler)
+		abort(c.r)
 	case relay.DeliveryCallerGone:
 		c.logOutcome("caller gone", upstream)
-		panic(http.ErrAbortHandler)
+		abort(c.r)
 	}
 }
 
@@ -277,11 +277,11 @@
 func (c *generalCall) respondWithoutUpstream(refusal *request.Refusal) {
 	if c.continuation != nil {
 		c.logOutcome("broken off", slog.String("reason", string(refusal.Reason)))
-		panic(http.ErrAbortHandler)
+		abort(c.r)
 	}
 	if c.r.Context().Err() != nil || refusal.Reason == request.ReasonCallerGone {
 		c.logOutcome("caller gone")
-		panic(http.ErrAbortHandler)
+		abort(c.r)
 	}
 	c.refuse(refusal)
 }
