Use the pace that upstreams report

Callers saw late answers from upstreams on machines that are slow for some 600 ms at a time, and an upstream that reports a fourth figure in X-Server-Load was treated as if it reported no load at all.

The first three fields are decoded as before. The fourth, how long work takes at this moment in percent, is read if it is a number, and later fields are ignored. It travels with its age in reports beside the load reports (wire.PaceReport); hubs pass on the newest figure of each upstream. It is a message of its own, so load reports do not change where nobody reports a pace, and a daemon that does not know it skips it. Placement multiplies its predictions by the figure relative to the typical one of the answers that make up the measured slowdown, so that no slowness counts twice, and less as it grows old: half after 250 ms, not at all after 1 s. Figures count within 80 and 300 %.

Evidence: TestReportedPaceChangesTheChoiceWhileItIsNew, TestSlownessIsCountedOnce, TestFalsePaceHasABoundedEffect, TestNewestPaceReachesEveryVM and TestReportedLoadWithPace pass with the race detector; with a typical pace that stays at 1, TestSlownessIsCountedOnce fails (3.84 instead of 2.5 times the usual time).

--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -93,13 +93,16 @@
 	}
 }
 
-// sendReports sends this process's load reports and returns the pause until the next call.
+// sendReports sends this process's load and pace reports and returns the pause until the next call.
 func (d *Daemon) sendReports(peers *peer.Manager) time.Duration {
 	outbox := d.placing.Outbox()
 	for _, message := range outbox {
 		// A process without a link gets the totals with a later report.
 		peers.Send(message.To, message.Work)
 	}
+	for _, message := range d.placing.PaceOutbox() {
+		peers.Send(message.To, message.Report)
+	}
 	if d.fleetSize.Load() > exchange.MaxMeshMembers {
 		return largeFleetReportInterval
 	}
@@ -254,6 +257,8 @@
 		switch m := message.(type) {
 		case wire.LoadReport:
 			h.placing.ReceiveReport(from.VM, m)
+		case wire.PaceReport:
+			h.placing.ReceivePaces(from.VM, m)
 		case wire.LimitReport:
 			h.placing.ReceiveLimits(from.VM, m)
 		case wire.StateRequest:
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -3,8 +3,10 @@
 package placing
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -239,6 +241,60 @@
 	}
 }
 
+// maxListedPaces is the number of upstreams whose paces the metrics list.
+const maxListedPaces = 32
+
+// Paces is what the metrics tell of the paces that upstreams report.
+type Paces struct {
+	// Upstreams is the number of upstreams with a pace that changes predictions at present.
+	Upstreams int `json:"upstreams"`
+	// Furthest are those whose pace changes them most.
+	Furthest []UpstreamPace `json:"furthest"`
+}
+
+// UpstreamPace is the pace of one upstream.
+type UpstreamPace struct {
+	Upstream string  `json:"upstream"`
+	Percent  int     `json:"percent"`
+	AgeMS    int64   `json:"age_ms"`
+	Factor   float64 `json:"factor"`
+}
+
+// Paces returns the paces that upstreams report.
+func (p *Placer) Paces() Paces {
+	p.mu.Lock()
+	list := p.placer.Paces(time.Now())
+	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b placement.PaceStatus) int {
+		return cmp.Or(cmp.Compare(math.Abs(b.Factor-1), math.Abs(a.Factor-1)), cmp.Compare(a.Name, b.Name))
+	})
+	paces := Paces{Upstreams: len(list), Furthest: []UpstreamPace{}}
+	for _, pace := range list[:min(len(list), maxListedPaces)] {
+		paces.Furthest = append(paces.Furthest, UpstreamPace{
+			Upstream: pace.Name, Percent: pace.Percent, AgeMS: pace.Age.Milliseconds(), Factor: pace.Factor,
+		})
+	}
+	return paces
+}
+
+// PaceOutbox returns the pace reports to send to other VMs; none while no upstream reports a pace.
+func (p *Placer) PaceOutbox() []exchange.PaceMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.reporter.PaceOutbox(now, p.placer.PaceReport(now))
+}
+
+// ReceivePaces records a pace report of another VM.
+func (p *Placer) ReceivePaces(from version.VMID, report wire.PaceReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.reporter.ReceivePaces(now, from, report) {
+		p.placer.ReceivePaces(now, report)
+	}
+}
+
 // UpstreamCount returns the number of upstreams that the placer keeps state of.
 func (p *Placer) UpstreamCount() int {
 	p.mu.Lock()
--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -96,6 +96,7 @@
 	ledgerDecoders,
 	loadReportDecoders,
 	limitReportDecoders,
+	paceReportDecoders,
 	stateDecoders,
 	promptDecoders,
 	resumeDecoders,
--- a/fleet/process/exchange/exchange.go
+++ b/fleet/process/exchange/exchange.go
@@ -78,6 +78,9 @@
 	// limits is the newest limit report, received at limitsAt.
 	limits   wire.LimitReport
 	limitsAt time.Time
+	// paces is the newest pace report, received at pacesAt.
+	paces   wire.PaceReport
+	pacesAt time.Time
 }
 
 // New returns the reporter of a VM that knows no other members.
--- a/fleet/process/exchange/exchange_test.go
+++ b/fleet/process/exchange/exchange_test.go
@@ -308,3 +308,54 @@
 		}
 	}
 }
+
+// Guards against hubs that add paces up or replace a new one by an old one, and against a pace that
+// travels in a circle and stays new: every VM knows the newest one, with its whole age.
+func TestNewestPaceReachesEveryVM(t *testing.T) {
+	for _, size := range []struct{ dataCentres, perDataCentre int }{{3, 2}, {3, 8}} {
+		n := newNet(t, size.dataCentres, size.perDataCentre)
+		for range 4 {
+			n.round()
+		}
+		type heard struct {
+			percent uint32
+			at      time.Time
+		}
+		newest := make(map[version.VMID]heard)
+		start := n.now
+		early, late := n.members[1].VM, n.members[len(n.members)-1].VM
+		for range 12 {
+			n.round()
+			for _, member := range n.members {
+				var own wire.PaceReport
+				switch age := n.now.Sub(start); {
+				case member.VM == early && age <= 300*time.Millisecond:
+					own.Upstreams = append(own.Upstreams, wire.NewUpstreamPace(upstream, 100, age))
+				case member.VM == late && age >= 200*time.Millisecond && age <= 500*time.Millisecond:
+					own.Upstreams = append(own.Upstreams, wire.NewUpstreamPace(upstream, 250, age-200*time.Millisecond))
+				}
+				for _, message := range n.reporters[member.VM].PaceOutbox(n.now, own) {
+					if !n.reporters[message.To].ReceivePaces(n.now, member.VM, message.Report) {
+						continue
+					}
+					for _, entry := range message.Report.Upstreams {
+						if at := n.now.Add(-entry.Age()); at.After(newest[message.To].at) {
+							newest[message.To] = heard{entry.Percent, at}
+						}
+					}
+				}
+			}
+		}
+		for _, member := range n.members {
+			want := heard{250, start.Add(200 * time.Millisecond)}
+			if member.VM != late && newest[member.VM] != want {
+				t.Errorf("fleet of %d VMs: %s knows %+v, want %+v", len(n.members), member.VM, newest[member.VM], want)
+			}
+		}
+		for _, member := range n.members {
+			if messages := n.reporters[member.VM].PaceOutbox(n.now, wire.PaceReport{}); len(messages) > 0 {
+				t.Errorf("%s still passes on a pace of a second ago", member.VM)
+			}
+		}
+	}
+}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -183,6 +183,8 @@
 		ticket:             ticket,
 		sentAt:             now,
 		predictedFirstByte: now.Add(best.ttfb),
+		pace:               u.pace.current(now),
+		paceFactor:         u.pace.factor(now),
 		uncachedTokens:     best.uncachedTokens,
 	}
 	u.addAttempt(a)
@@ -214,6 +216,10 @@
 func (p *Placer) RecordLoad(now time.Time, id version.UpstreamID, load request.Load) {
 	if u := p.upstreams[id]; u != nil {
 		u.reportedLoad, u.reportedAt = load, now
+		if load.PacePercent > 0 {
+			u.pace.heardPercent, u.pace.heardAt = load.PacePercent, now
+			u.recordPace(now, now, load.PacePercent)
+		}
 	}
 }
 
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -45,7 +45,7 @@
 func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, affinity bool) candidate {
 	c := candidate{upstream: u, affinity: affinity}
 	network := p.networkLatency(u)
-	slowdown := u.currentSlowdown(now)
+	slowdown := u.slowness(now)
 	if u.pool.Engine != nil {
 		c.uncachedTokens = u.countUncached(ticket, affinity && u.cacheTrusted(now))
 		prefillNanoseconds := float64(c.uncachedTokens) / p.prefillRate(u.pool) * float64(time.Second)
@@ -70,7 +70,7 @@
 		}
 		c.atCapacity = excess > u.slots()
 		// Among idle upstreams the least loaded one is preferred.
-		c.score += time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainServiceTime))
+		c.score += time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainServiceTime) * u.pace.factor(now))
 	}
 	c.score += c.ttfb + time.Duration(u.health.failureRate*float64(failurePenalty))
 	if u.region != p.region() {
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -35,6 +35,8 @@
 	sentAt time.Time
 	// predictedFirstByte is when the first byte is predicted.
 	predictedFirstByte time.Time
+	// pace is the estimated pace of the upstream, and paceFactor its factor in the prediction.
+	pace, paceFactor float64
 	// gotFirstByte is set once the first byte has been received.
 	gotFirstByte bool
 	// uncachedTokens is the number of prompt tokens that the engine has to prefill.
@@ -65,6 +67,8 @@
 	// reportedLoad is the newest load that the upstream reported itself.
 	reportedLoad request.Load
 	reportedAt   time.Time
+	// pace is what the upstream reports of the pace of its machine.
+	pace pace
 	// pendingPrefill is the number of prompt tokens to prefill for attempts without a first
 	// byte. kvTokens is the number of KV cache tokens that all attempts in flight may occupy.
 	pendingPrefill, kvTokens int
@@ -165,7 +169,10 @@
 	}
 	slowdown := u.currentSlowdown(now)
 	ratio := float64(measured-network) / max(float64(expected-network), float64(time.Millisecond))
-	ratio = clamp(ratio, minSlowdownSample, maxSlowdownSample)
+	// The slowdown averages over the paces of the upstream, so it follows from the prediction
+	// without its pace. The pace during the answer is taken to be the mean of those at its ends.
+	ratio = clamp(ratio*a.paceFactor, minSlowdownSample, maxSlowdownSample)
+	u.pace.recordSample(now, (a.pace+u.pace.current(now))/2)
 	// The prediction already contained the slowdown of that time, so the ratio applies on top
 	// of it.
 	u.slowdown = clamp(slowdown*(1-slowdownWeight)+slowdown*ratio*slowdownWeight, minSlowdown, maxSlowdown)
@@ -177,13 +184,19 @@
 	}
 }
 
-// unresponsive reports whether the first byte of an attempt is long overdue.
+// unresponsive reports whether the first byte of an attempt is long overdue, also at the pace that
+// the upstream has reported since.
 func (u *upstream) unresponsive(now time.Time) bool {
+	if len(u.inFlight) == 0 {
+		return false
+	}
+	patience := max(u.pace.factor(now), 1)
 	for _, a := range u.inFlight {
 		if a.gotFirstByte {
 			continue
 		}
-		if now.Sub(a.sentAt) > overdueFactor*a.predictedFirstByte.Sub(a.sentAt)+overdueSlack {
+		predicted := float64(a.predictedFirstByte.Sub(a.sentAt)) * max(patience/a.paceFactor, 1)
+		if now.Sub(a.sentAt) > overdueFactor*time.Duration(predicted)+overdueSlack {
 			return true
 		}
 	}
--- a/fleet/request/general.go
+++ b/fleet/request/general.go
@@ -71,4 +71,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	// PacePercent is how long work takes on the upstream's machine at this moment, in percent
+	// of the usual time; 0 if the upstream does not report it.
+	PacePercent int
 }
