Even out the load that old reports leave uneven

Many VMs decide at the same time by reports that are 0.1 to 0.4 s old in a large fleet.

The pure module fleet/process/balance holds two rules. A request to a plain service is drawn among the upstreams such that all requests together, those of other VMs included that nobody has reported yet, even out the load. A prompt that finds no admission at its affinity upstreams chooses among a random sample that shrinks, from 16 to 2, with the number of such prompts under way unseen. The sample starts at a random upstream: it walked in steps of 29, so of a pool of 29, 58 or 87 upstreams it saw one, two or three. A load that an upstream reports itself no longer makes it full: one that reported an impossible number got no requests from a VM that knew of no other work there.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -165,6 +165,7 @@
 		ShareWindow: settings.Bounds.ShareWindow,
 	}), exchange.New(settings.VM), d.lag.Lag, d.log)
 	d.metrics.vars.Set("store_era", expvar.Func(func() any { era, _ := d.mirror.Era(); return era }))
+	d.metrics.vars.Set("prompt_spread", expvar.Func(func() any { return d.placing.Spread() }))
 	d.metrics.vars.Set("upstream_paces", expvar.Func(func() any { return d.placing.Paces() }))
 	d.metrics.vars.Set("upstream_limits", expvar.Func(func() any { return d.placing.Limits() }))
 	d.lives = upstream.NewLives(clock.Boot, settings.HeartbeatInterval, func() bool { return d.mirror.Answers() })
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -277,6 +277,23 @@
 	return paces
 }
 
+// PoolSpread tells how the prompts of a pool spread over its engines.
+type PoolSpread struct {
+	Displaced float64 `json:"displaced"`
+	Sample    int     `json:"sample"`
+}
+
+// Spread returns how prompts spread over engines, by pool.
+func (p *Placer) Spread() map[string]PoolSpread {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pools := make(map[string]PoolSpread)
+	for _, pool := range p.placer.Spread() {
+		pools[pool.Pool] = PoolSpread{Displaced: pool.Displaced, Sample: pool.Sample}
+	}
+	return pools
+}
+
 // PaceOutbox returns the pace reports to send to other VMs; none while no upstream reports a pace.
 func (p *Placer) PaceOutbox() []exchange.PaceMessage {
 	p.mu.Lock()
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -65,6 +65,8 @@
 	best := slices.MinFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
 	})
+	p.recordDisplaced(ticket, best)
+	best = p.spread(now, candidates, best)
 	refusal := p.admit(ticket, best, usage.shareUsed)
 	if ticket.Attempt <= 1 && usage.shareUsed <= 1 {
 		longPrompts.record(long, refusal == nil)
@@ -124,13 +126,14 @@
 const noUpstreamRetryAfter = 500 * time.Millisecond
 
 // candidates returns the upstreams that may execute the ticket. Of a large pool it assesses
-// the affinity upstreams and a sample; all upstreams if none of these is usable.
+// the affinity upstreams and a random sample; all upstreams if none of these is usable.
 func (p *Placer) candidates(now time.Time, ticket request.Ticket) []candidate {
 	pool := p.upstreamsByPool[ticket.Pool]
 	affinity := p.affinityUpstreams(ticket)
 	list := p.scratch[:0]
 	defer func() { p.scratch = list }()
-	if len(pool) <= sampleSize {
+	size := p.sampleSize(now, pool, ticket)
+	if len(pool) <= size {
 		return p.assessAll(now, list, pool, ticket, affinity[0])
 	}
 	for _, u := range affinity {
@@ -138,10 +141,14 @@
 			list = append(list, p.assess(now, u, ticket, u == affinity[0]))
 		}
 	}
-	for range sampleSize {
-		p.sampleIndex = (p.sampleIndex + sampleStep) % len(pool)
-		if u := pool[p.sampleIndex]; !slices.Contains(affinity[:], u) && p.usable(now, u, ticket) {
-			list = append(list, p.assess(now, u, ticket, false))
+	first, step := p.rand().IntN(len(pool)), sampleStep(len(pool))
+	for i, found := 0, 0; i < min(maxSampleSize, len(pool)) && found < size; i++ {
+		if u := pool[(first+i*step)%len(pool)]; !slices.Contains(affinity[:], u) && p.usable(now, u, ticket) {
+			c := p.assess(now, u, ticket, false)
+			list = append(list, c)
+			if !c.atCapacity {
+				found++
+			}
 		}
 	}
 	if len(list) == 0 {
@@ -150,16 +157,6 @@
 	return list
 }
 
-const (
-	// sampleSize is how many upstreams of a large pool are assessed beside the affinity
-	// upstreams. All VMs see much the same loads; the sample keeps them from all choosing the
-	// same upstream.
-	sampleSize = 16
-	// sampleStep is the distance between sampled upstreams. It is a prime, so that the sample
-	// walks through the whole pool in an order other than by ID.
-	sampleStep = 29
-)
-
 // assessAll appends the usable upstreams of a pool to list.
 func (p *Placer) assessAll(now time.Time, list []candidate, pool []*upstream, ticket request.Ticket, affinity *upstream) []candidate {
 	for _, u := range pool {
--- a/fleet/process/placement/others.go
+++ b/fleet/process/placement/others.go
@@ -20,6 +20,8 @@
 	pendingPrefill int
 	kvTokens       int
 	receivedAt     time.Time
+	// observedAt is the time that the load describes; in a sum the mean by running requests.
+	observedAt time.Time
 }
 
 // Report returns the load report of this VM for the other VMs.
@@ -63,6 +65,7 @@
 		}
 		p.peerTotals[from], applyGrowth = totals, false
 	}
+	age := time.Duration(report.AgeMS) * time.Millisecond
 	for _, entry := range report.Upstreams {
 		growth := wire.CounterIncrease(totals.prefill[entry.Upstream], entry.UncachedPromptTokens)
 		totals.prefill[entry.Upstream] = entry.UncachedPromptTokens
@@ -72,10 +75,12 @@
 		}
 		u.setPeerLoad(from, peerLoad{
 			running: int(entry.Running), pendingPrefill: int(entry.PendingPromptTokens), kvTokens: int(entry.KVTokens), receivedAt: now,
+			observedAt: now.Add(-age),
 		})
 		if applyGrowth && u.pool.Engine != nil {
 			p.queuePrefill(now, u, growth)
-			u.peerPrefill.add(now, float64(growth), time.Duration(report.AgeMS)*time.Millisecond)
+			u.peerPrefill.add(now, float64(growth), age)
+			p.displacedOf(u.Pool).peerPrefill.add(now, float64(growth), age)
 		}
 	}
 	for _, entry := range report.Accounts {
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -7,9 +7,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/balance"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -67,8 +69,12 @@
 	// streamVersions are the software versions, by pool, at which streams may begin that callers may
 	// take up again; nil allows all.
 	streamVersions map[version.PoolID][]string
-	// sampleIndex is the index of the upstream of a large pool that was sampled last.
-	sampleIndex int
+	// choices is the list of choices among candidates, reused by each decision.
+	choices []balance.Choice
+	// displaced holds the state of prompts that leave their affinity upstreams, by pool.
+	displaced map[version.PoolID]*displaced
+	// random is created by rand.
+	random *rand.Rand
 }
 
 // New returns a placer without a configuration. It refuses every request until Configure is
@@ -83,6 +89,7 @@
 		advice:          make(map[version.UpstreamID]*adviceState),
 		demand:          make(map[version.PoolID]*demandMeter),
 		peerLimits:      make(map[string]peerLimits),
+		displaced:       make(map[version.PoolID]*displaced),
 		longPrompts:     make(map[version.PoolID]*longPromptState),
 	}
 }
--- a/fleet/process/placement/upstream.go
+++ b/fleet/process/placement/upstream.go
@@ -115,11 +115,20 @@
 	peers := u.peerLoad(now)
 	total += peers.running
 	if peers.running == 0 && now.Sub(u.reportedAt) <= loadReportTTL {
-		return max(total, u.reportedLoad.Running+u.reportedLoad.Waiting)
+		return max(total, min(u.reportedLoad.Running+u.reportedLoad.Waiting, u.maxReported()))
 	}
 	return total
 }
 
+// maxReported returns how many requests an upstream may report: what it says of itself alone does not
+// make it full.
+func (u *upstream) maxReported() int {
+	if u.pool.Engine != nil {
+		return int(maxBatchFraction*float64(u.pool.Engine.BatchSize)) - 1
+	}
+	return 2*u.slots() - 1
+}
+
 // setPeerLoad stores the load that another VM has reported for this upstream.
 func (u *upstream) setPeerLoad(from version.VMID, load peerLoad) {
 	if u.firstWorkAt.IsZero() && load.running > 0 {
@@ -135,7 +144,8 @@
 	if now.Before(u.peerLoadSumUntil) {
 		return u.peerLoadSum
 	}
-	u.peerLoadSum, u.peerLoadSumUntil = peerLoad{}, now.Add(peerLoadTTL)
+	u.peerLoadSum, u.peerLoadSumUntil = peerLoad{observedAt: now}, now.Add(peerLoadTTL)
+	var age float64
 	for vm, load := range u.peerLoads {
 		until := load.receivedAt.Add(peerLoadTTL)
 		if !until.After(now) {
@@ -146,6 +156,10 @@
 		u.peerLoadSum.running += load.running
 		u.peerLoadSum.pendingPrefill += load.pendingPrefill
 		u.peerLoadSum.kvTokens += load.kvTokens
+		age += float64(load.running) * float64(now.Sub(load.observedAt))
+	}
+	if running := u.peerLoadSum.running; running > 0 {
+		u.peerLoadSum.observedAt = now.Add(-time.Duration(age / float64(running)))
 	}
 	return u.peerLoadSum
 }
