--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -12,6 +12,8 @@
 // candidate is an upstream that could execute a request.
 type candidate struct {
 	*upstream
+	// slowness is how long the upstream takes relative to a usual one.
+	slowness float64
 	// ttfb is the predicted time to first byte at the upstream.
 	ttfb time.Duration
 	// queueTime is the time within ttfb in which the engine prefills the prompts before this
--- a/fleet/process/placement/others.go
+++ b/fleet/process/placement/others.go
@@ -104,6 +104,6 @@
 
 // queuePrefill adds prompt tokens to the backlog of an engine.
 func (p *Placer) queuePrefill(now time.Time, u *upstream, tokens uint64) {
-	prefillTime := float64(tokens) / p.prefillRate(u.pool) * float64(time.Second) * u.slowness(now)
+	prefillTime := float64(tokens) / p.prefillRate(u.pool) * float64(time.Second) * u.slownessAt(now)
 	u.prefillDoneAt = later(u.prefillDoneAt, now).Add(time.Duration(prefillTime))
 }
--- a/fleet/process/placement/pace.go
+++ b/fleet/process/placement/pace.go
@@ -85,9 +85,9 @@
 	c.typical, c.typicalAt = c.currentTypical(now)*(1-slowdownWeight)+sample*slowdownWeight, now
 }
 
-// slowness returns how long the upstream takes relative to the prediction for a usual one: its
+// slownessAt returns how long the upstream takes relative to the prediction for a usual one: its
 // measured slowdown, corrected by its reported pace.
-func (u *upstream) slowness(now time.Time) float64 {
+func (u *upstream) slownessAt(now time.Time) float64 {
 	if u.pace.reported == 0 {
 		return u.currentSlowdown(now)
 	}
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -45,7 +45,8 @@
 func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, affinity bool) candidate {
 	c := candidate{upstream: u, affinity: affinity}
 	network := p.networkLatency(u)
-	slowdown := u.slowness(now)
+	slowdown := u.slownessAt(now)
+	c.slowness = slowdown
 	if u.pool.Engine != nil {
 		c.uncachedTokens = u.countUncached(ticket, affinity && u.cacheTrusted(now))
 		prefillNanoseconds := float64(c.uncachedTokens) / p.prefillRate(u.pool) * float64(time.Second)
--- a/fleet/process/placement/spread.go
+++ b/fleet/process/placement/spread.go
@@ -93,11 +93,12 @@
 		return best
 	}
 	choices, unseen := p.choices[:0], 0.0
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if c.rank() > 0 {
 			continue
 		}
-		duration := float64(plainServiceTime) * c.slowness(now)
+		duration := float64(plainServiceTime) * c.slowness
 		if peers := c.peerLoad(now); peers.running > 0 {
 			unseen += float64(peers.running) * float64(now.Sub(peers.observedAt)) / duration
 		}
--- a/fleet/process/placement/stale_test.go
+++ b/fleet/process/placement/stale_test.go
@@ -405,3 +405,25 @@
 		}
 	}
 }
+
+// Guards against a sample that never reaches most upstreams of a pool: it walked in steps of 29, and
+// requests without a prompt saw one, two or three upstreams of pools of 29, 58 and 87.
+func TestSampleReachesEveryUpstream(t *testing.T) {
+	for _, size := range []int{17, 29, 31, 58, 87, 899} {
+		f, got := plainFixture(size), make(map[version.UpstreamID]int)
+		for range 40 * size {
+			// Without a prompt there are no affinity upstreams.
+			ticket := f.ticket(1, 0, 0, 0)
+			ticket.Prompt, ticket.BodyBytes = nil, 2000
+			grant, refusal := f.Place(f.now, ticket)
+			if refusal != nil {
+				t.Fatalf("%d upstreams: refused: %v", size, refusal)
+			}
+			f.RecordOutcome(f.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeCancelled})
+			got[grant.Upstream]++
+		}
+		if len(got) != size {
+			t.Errorf("%d of %d upstreams get requests", len(got), size)
+		}
+	}
+}
