--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -7,9 +7,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/balance"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -67,8 +69,12 @@
 	// streamVersions are the software versions, by pool, at which streams may begin that callers may
 	// take up again; nil allows all.
 	streamVersions map[version.PoolID][]string
-	// sampleIndex is the index of the upstream of a large pool that was sampled last.
-	sampleIndex int
+	// choices is the list of choices among candidates, reused by each decision.
+	choices []balance.Choice
+	// displaced holds the state of prompts that leave their affinity upstreams, by pool.
+	displaced map[version.PoolID]*displaced
+	// random is created by rand.
+	random *rand.Rand
 }
 
 // New returns a placer without a configuration. It refuses every request until Configure is
@@ -83,6 +89,7 @@
 		advice:          make(map[version.UpstreamID]*adviceState),
 		demand:          make(map[version.PoolID]*demandMeter),
 		peerLimits:      make(map[string]peerLimits),
+		displaced:       make(map[version.PoolID]*displaced),
 		longPrompts:     make(map[version.PoolID]*longPromptState),
 	}
 }
@@ -183,6 +190,8 @@
 		ticket:             ticket,
 		sentAt:             now,
 		predictedFirstByte: now.Add(best.ttfb),
+		pace:               u.pace.current(now),
+		paceFactor:         u.pace.factor(now),
 		uncachedTokens:     best.uncachedTokens,
 	}
 	u.addAttempt(a)
@@ -214,6 +223,10 @@
 func (p *Placer) RecordLoad(now time.Time, id version.UpstreamID, load request.Load) {
 	if u := p.upstreams[id]; u != nil {
 		u.reportedLoad, u.reportedAt = load, now
+		if load.PacePercent > 0 {
+			u.pace.heardPercent, u.pace.heardAt = load.PacePercent, now
+			u.recordPace(now, now, load.PacePercent)
+		}
 	}
 }
 
