Define the interface of rollouts

The two halves of rollouts, decisions and I/O, are built side by side. This is what passes between them: the package fleet/process/rollout with stubs, wire.RolloutReport, the exchange of reports and request.SoftwareRule, the field Rule of a ticket. Nothing calls it yet.

--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -96,6 +96,7 @@
 	ledgerDecoders,
 	loadReportDecoders,
 	limitReportDecoders,
+	rolloutDecoders,
 	stateDecoders,
 	promptDecoders,
 	resumeDecoders,
--- a/fleet/connection/wire/message.go
+++ b/fleet/connection/wire/message.go
@@ -13,7 +13,7 @@
 //
 // Kinds 1 to 19 are in dispatch.go, 20 to 29 in membership.go, 30 to 39 in service.go,
 // 40 to 49 in spill.go, 50 to 59 in config.go, 60 to 69 in ledger.go, 70 to 79 in
-// work.go and limit.go, 80 to 89 in state.go and 90 to 99 in prompt.go.
+// work.go, limit.go and rollout.go, 80 to 89 in state.go and 90 to 99 in prompt.go.
 type Kind uint8
 
 // Message is a message between two daemons.
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -73,6 +73,8 @@
 	// Software is the only software version at which the request may be served, because it began
 	// the stream that the request continues; "" allows any.
 	Software string
+	// Rule says which software versions may run the attempt while versions are rolled out.
+	Rule SoftwareRule
 	// Avoided lists further upstreams that failed this request.
 	Avoided []version.UpstreamID
 }
