--- a/lab/metastore/faults.go
+++ b/lab/metastore/faults.go
@@ -22,6 +22,9 @@
 	// LoseWriteAnswersFraction does so for a random fraction of the writes, 0 to 1.
 	LoseWriteAnswers         bool    `json:"lose_writes"`
 	LoseWriteAnswersFraction float64 `json:"lose_share"`
+	// StatusWritesLate drops the answers of writes of a status, which are executed this much later if
+	// their condition still holds then; 0 executes them at once.
+	StatusWritesLate time.Duration `json:"status_late_ns"`
 	// Delay is the time that every call is delayed by. A uniformly distributed
 	// time of up to Jitter is added to it.
 	Delay  time.Duration `json:"delay_ns"`
--- a/lab/metastore/metastore.go
+++ b/lab/metastore/metastore.go
@@ -329,6 +329,12 @@
 		body.Metadata.Revision = revision
 	}
 	s.mu.Lock()
+	late := s.faults.StatusWritesLate
+	if isStatusWrite(r.Method, name) && late > 0 {
+		s.mu.Unlock()
+		s.applyLate(late, kind, name, body)
+		panic(http.ErrAbortHandler)
+	}
 	status, result := s.apply(r.Method, kind, name, body)
 	loseAnswer := s.faults.LoseWriteAnswers || s.random.Float64() < s.faults.LoseWriteAnswersFraction
 	s.mu.Unlock()
@@ -345,6 +351,9 @@
 // apply executes a write if its precondition holds and returns the HTTP status
 // and, for http.StatusOK, the object as written or deleted. s.mu must be held.
 func (s *Store) apply(method, kind, name string, body object) (int, object) {
+	if isStatusWrite(method, name) {
+		return s.applyStatus(kind, strings.TrimSuffix(name, statusPath), body)
+	}
 	stored, present := s.kinds[kind][name]
 	switch {
 	case method == http.MethodPost && present:
