Mirror the orders for rollouts, with the time of their last read

Other processes must know whether an order still stands, and a watch that returns no change proves nothing.

The mirror follows the kind rollouts where Options.Rollouts is set, else it makes no further calls. While no order is carried out it is watched as the other kinds are. A version that appears is followed by a read at once. Lists that are older than what is known, and reads before the store has settled in a new era, count as no read. Store readers pass the orders on with status, creation and the age of the read; the messages have new kinds, since their form has changed.

--- a/daemon/version/mirror/kind.go
+++ b/daemon/version/mirror/kind.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
+	"github.com/trefoilwell/trefoilwell/fleet/process/rollout"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
@@ -68,6 +69,9 @@
 	// upstream is the decoded registration; nil if it is malformed or the object is of
 	// another kind.
 	upstream *version.Upstream
+	// order is the decoded order for a rollout; nil if it is malformed or the object is of
+	// another kind.
+	order *rollout.Order
 }
 
 func newKind(name string, hold, pause time.Duration) *kindCopy {
@@ -189,7 +193,7 @@
 	if current != nil && object.Revision <= current.object.Revision && !current.precedes(now, object) {
 		return false
 	}
-	if current != nil && current.object.Revision == 0 && (bytes.Equal(current.object.Spec, object.Spec) || current.follows(now, object)) {
+	if current != nil && current.object.Revision == 0 && (k.sameContent(current.object, object) || current.follows(now, object)) {
 		current.object.Revision = object.Revision
 		return false
 	}
@@ -197,6 +201,15 @@
 	return true
 }
 
+// sameContent reports whether two objects have the same content. Only the status of a rollout is part
+// of it: nobody uses that of other kinds.
+func (k *kindCopy) sameContent(a, b platform.Object) bool {
+	if k.name == platform.KindRollout && (!bytes.Equal(a.Status, b.Status) || a.Created != b.Created) {
+		return false
+	}
+	return bytes.Equal(a.Spec, b.Spec)
+}
+
 // precedes reports whether an object of the same revision is a later registration of the upstream:
 // another process knows it from before the store's return.
 func (e *entry) precedes(now time.Time, object platform.Object) bool {
@@ -251,9 +264,15 @@
 			continue
 		}
 		stored := wire.StoredObject{Name: name, Revision: entry.object.Revision, Spec: entry.object.Spec}
+		if k.name == platform.KindRollout {
+			stored.Created, stored.Status = entry.object.Created, entry.object.Status
+		}
 		if len(stored.Spec) > maxSharedSpecBytes {
 			stored.Spec = nil
 		}
+		if len(stored.Status) > maxSharedSpecBytes {
+			stored.Status = nil
+		}
 		if k.missing[name] {
 			state.Missing = append(state.Missing, stored)
 			continue
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -1,6 +1,6 @@
 // Package mirror keeps a local copy of the metadata store: the operators' configuration,
-// the registered upstreams, the evacuated data centres and the members, which are the
-// processes of the fleet.
+// the registered upstreams, the evacuated data centres, the members, which are the processes
+// of the fleet, and the orders for rollouts, where they are active.
 //
 // The configuration is polled, because a read that the store answers proves that no newer
 // version existed when the read was sent; a watch that returns no change proves nothing.
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/fleet/process/rollout"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
@@ -104,6 +104,10 @@
 	// FirstStart is set while the whole fleet starts for the first time: then the store cannot
 	// lack what a process before this one knew.
 	FirstStart bool
+	// Rollouts receives the orders for rollouts, in order with Apply, whenever they change or were
+	// read in full. readAt is a time of the clock at which they were all that the store had; zero if
+	// that is not known. Without it the kind is not read.
+	Rollouts func(orders []rollout.Order, readAt time.Time)
 	// UpstreamsRead is called, in order with Apply, with a time of the clock at which the registered
 	// upstreams that were passed to Apply were all that the store had; nil does nothing.
 	UpstreamsRead func(at time.Time)
@@ -151,6 +155,8 @@
 	upstreams   *kindCopy
 	evacuations *kindCopy
 	members     *kindCopy
+	// rollouts is nil without Options.Rollouts.
+	rollouts *rolloutsCopy
 }
 
 // New returns an empty mirror.
@@ -165,6 +171,9 @@
 	m.upstreams = newKind(platform.KindUpstream, upstreamsHold, batchPause)
 	m.evacuations = newKind(platform.KindEvacuation, evacuationsHold, batchPause)
 	m.members = newKind(platform.KindMember, membersHold, membersBatchPause)
+	if options.Rollouts != nil {
+		m.rollouts = newRolloutsCopy()
+	}
 	return m
 }
 
@@ -177,6 +186,10 @@
 // FollowMembers keeps the members of the fleet up to date until ctx ends.
 func (m *Mirror) FollowMembers(ctx context.Context) error { return m.follow(ctx, m.members) }
 
+// FollowRollouts keeps the orders for rollouts up to date until ctx ends. Options.Rollouts is
+// required.
+func (m *Mirror) FollowRollouts(ctx context.Context) error { return m.follow(ctx, m.rollouts.kindCopy) }
+
 // follow keeps a kind of objects up to date: it lists them, watches them from the revision
 // of the list, and lists them again when a watch fails.
 func (m *Mirror) follow(ctx context.Context, k *kindCopy) error {
@@ -190,7 +203,7 @@
 		if err := m.awaitReaders(ctx, k); err != nil {
 			return err
 		}
-		for m.readsDelegated() {
+		for m.kindDelegated(k) {
 			// The loss of the store reader's responses does not mean that the store was
 			// down, so an object which is missing from the next list has been removed.
 			outage = false
@@ -212,7 +225,12 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if errors.Is(err, errReadsDelegated) {
+		if errors.Is(err, errStale) {
+			if err := wait.Sleep(ctx, m.retryPause()); err != nil {
+				return err
+			}
+		}
+		if errors.IsAny(err, errReadsDelegated, errReadAgain, errStale) {
 			continue
 		}
 		// The store has discarded the history since that revision, or returned from an older
@@ -291,19 +309,29 @@
 func (m *Mirror) watch(ctx context.Context, k *kindCopy, list platform.Snapshot) error {
 	revision := list.Revision
 	for {
-		if m.readsDelegated() {
+		if m.kindDelegated(k) {
 			return errReadsDelegated
 		}
+		if pause, due := m.nextRolloutsRead(k); due {
+			if err := wait.Sleep(ctx, pause); err != nil {
+				return err
+			}
+			return errReadAgain
+		}
 		hold := m.nextHold(k)
 		call, cancel := context.WithTimeout(ctx, hold+watchSlack)
 		sentAt := m.options.Clock()
-		stop := m.cancelOnNewEra(list.Era, cancel)
+		stop, stopRead := m.cancelOnNewEra(list.Era, cancel), m.cancelOnRolloutsRead(k, cancel)
 		changes, err := m.options.Store.Watch(call, k.name, revision, hold)
 		stop()
+		stopRead()
 		cancel()
 		if changes.Era != list.Era && err == nil || ctx.Err() == nil && m.eraIsNewerThan(list.Era) {
 			return errEraChanged
 		}
+		if _, due := m.nextRolloutsRead(k); due && err != nil && ctx.Err() == nil {
+			return errReadAgain
+		}
 		if err != nil {
 			return err
 		}
@@ -349,6 +377,9 @@
 	now := m.options.Clock()
 	k.lastAnswer = now
 	advanced := m.enterEra(k, now, snapshot.Era)
+	if m.isStaleRollouts(k, snapshot) {
+		return errStale
+	}
 	missingBefore := len(k.missing)
 	keep, until := keepNone, now.Add(reregistrationTime)
 	switch {
@@ -364,6 +395,7 @@
 	}
 	m.finishUpdate(k, now, changed, sourceStore)
 	m.recordComplete(k, now, sentAt)
+	m.recordRolloutsRead(k, now, sentAt)
 	return nil
 }
 
@@ -394,6 +426,9 @@
 	case platform.KindMember:
 		m.publishMembers()
 		return
+	case platform.KindRollout:
+		m.decodeRollouts(source, removed)
+		m.publishRollouts()
 	case platform.KindUpstream:
 		for _, name := range removed {
 			m.options.Log.Info("upstream unregistered", "upstream", name[:min(len(name), maxLoggedName)], "source", source)
@@ -403,58 +438,6 @@
 	m.publish()
 }
 
-func (m *Mirror) publishMembers() {
-	members := make(map[version.VMID][]byte, len(m.members.entries))
-	for name, entry := range m.members.entries {
-		members[version.VMID(name)] = entry.object.Spec
-	}
-	m.options.Members(members)
-}
-
-// maxLoggedName limits the name of an object in the log, in bytes.
-const maxLoggedName = 128
-
-func (m *Mirror) decodeUpstreams(k *kindCopy, source string) {
-	for name, entry := range k.entries {
-		if entry.decoded {
-			continue
-		}
-		entry.decoded = true
-		upstream, err := platform.DecodeUpstream(name, entry.object.Spec, time.Now())
-		if err != nil {
-			m.options.Log.Warn("registration is malformed, the upstream gets no work",
-				"upstream", name[:min(len(name), maxLoggedName)], "revision", entry.object.Revision, "source", source, "error", err)
-			continue
-		}
-		entry.upstream = upstream
-		m.options.Log.Info("upstream registered", "upstream", name, "address", upstream.Address,
-			"data_centre", upstream.DataCentre, "draining", upstream.Draining, "software", upstream.Software,
-			"cold", !upstream.ColdUntil.IsZero(), "revision", entry.object.Revision, "source", source)
-	}
-}
-
-// publish passes the present state to Apply.
-func (m *Mirror) publish() {
-	if m.base == nil || !m.upstreams.listed || !m.evacuations.listed || !m.published && m.mayHaveMissedReturn(m.options.Clock()) {
-		// With a part of the state only, requests would be refused for lack of upstreams or
-		// sent to an evacuated data centre; with an older one, to upstreams that drain or
-		// are cold.
-		return
-	}
-	m.published = true
-	upstreams := make(map[version.UpstreamID]*version.Upstream)
-	for entry := range maps.Values(m.upstreams.entries) {
-		if entry.upstream != nil {
-			upstreams[entry.upstream.ID] = entry.upstream
-		}
-	}
-	var out version.OutOfService
-	for name := range m.evacuations.entries {
-		out.DataCentres = append(out.DataCentres, version.DataCentreID(name))
-	}
-	m.options.Apply(m.base.WithUpstreams(upstreams, out))
-}
-
 // storeAnswered records that the store answered a read of the configuration.
 func (m *Mirror) storeAnswered() {
 	m.mu.Lock()
--- a/daemon/version/mirror/rollouts.go
+++ b/daemon/version/mirror/rollouts.go
@@ -106,13 +106,19 @@
 // anyUnfinished reports whether an order is not carried out yet.
 func (r *rolloutsCopy) anyUnfinished() bool {
 	for entry := range maps.Values(r.entries) {
-		if entry.order != nil && !entry.order.Final() {
+		if entry.order != nil && !isCarriedOut(*entry.order) {
 			return true
 		}
 	}
 	return false
 }
 
+// isCarriedOut reports whether an order has a final status.
+func isCarriedOut(order rollout.Order) bool {
+	final := order.Status.State == rollout.StateDone || order.Status.State == rollout.StateRolledBack
+	return final && order.Status.Software == order.Software
+}
+
 // cancelOnRolloutsRead calls cancel once a read of the rollouts is due because a version has
 // appeared, unless stop is called before.
 func (m *Mirror) cancelOnRolloutsRead(k *kindCopy, cancel func()) (stop func()) {
--- a/daemon/version/mirror/share.go
+++ b/daemon/version/mirror/share.go
@@ -28,7 +28,13 @@
 func (k *kindCopy) maxAge() time.Duration { return k.batchPause + k.hold + watchSlack }
 
 // kinds returns the copies of the watched kinds.
-func (m *Mirror) kinds() []*kindCopy { return []*kindCopy{m.upstreams, m.evacuations, m.members} }
+func (m *Mirror) kinds() []*kindCopy {
+	kinds := []*kindCopy{m.upstreams, m.evacuations, m.members}
+	if m.rollouts != nil {
+		kinds = append(kinds, m.rollouts.kindCopy)
+	}
+	return kinds
+}
 
 // kindNamed returns the copy of the kind called name, or nil.
 func (m *Mirror) kindNamed(name string) *kindCopy {
@@ -79,6 +85,9 @@
 		if mark := requesterMarks[k.name]; mark.Mark != k.mark && mark.At.Position().Compare(k.at) <= 0 {
 			k.fillState(&state)
 		}
+		if m.isRollouts(k) && !m.rollouts.readAt.IsZero() {
+			state.Read, state.ReadAgeMS = true, ageMS(now.Sub(m.rollouts.readAt))
+		}
 		response.Kinds = append(response.Kinds, state)
 	}
 	return response, true
@@ -127,6 +136,7 @@
 			// The other process sent the call that was answered then up to a hold before.
 			m.recordComplete(k, now, sentAt.Add(-milliseconds(state.AgeMS)-k.hold-watchSlack))
 		}
+		m.recordSharedRollouts(k, now, state, sentAt)
 	}
 	m.responseApplied = now
 	m.publishFirst()
@@ -218,7 +228,9 @@
 func objectsOf(stored []wire.StoredObject) []platform.Object {
 	var objects []platform.Object
 	for _, object := range stored {
-		objects = append(objects, platform.Object{Name: object.Name, Revision: object.Revision, Spec: object.Spec})
+		objects = append(objects, platform.Object{
+			Name: object.Name, Revision: object.Revision, Spec: object.Spec, Status: object.Status, Created: object.Created,
+		})
 	}
 	return objects
 }
--- a/fleet/connection/wire/state.go
+++ b/fleet/connection/wire/state.go
@@ -3,10 +3,11 @@
 import "github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 
 const (
-	// KindStateRequest tags StateRequest. Kinds 80 and 81 were these messages without eras.
-	KindStateRequest Kind = 82
+	// KindStateRequest tags StateRequest. Kinds 80 and 81 were these messages without eras, 82 and 83
+	// without the status of objects.
+	KindStateRequest Kind = 84
 	// KindStateResponse tags StateResponse.
-	KindStateResponse Kind = 83
+	KindStateResponse Kind = 85
 )
 
 // StorePosition is a storeera.Position.
@@ -80,6 +81,10 @@
 	Mark uint64
 	// AgeMS is the time in milliseconds since the store last reported on the kind.
 	AgeMS uint32
+	// Read is set if ReadAgeMS is, the time in milliseconds since a read of the store was sent that
+	// showed the complete set of the kind. It is kept for rollouts only.
+	Read      bool
+	ReadAgeMS uint32
 	// At is the position of the store at which Objects is the complete set of the kind.
 	At StorePosition
 	// Changed is set if Objects and Missing are filled in. Otherwise the requester
@@ -98,6 +103,10 @@
 	Name     string
 	Revision uint64
 	Spec     []byte
+	// Status is the object's status, and Created the store's revision at its creation. They are
+	// filled in for rollouts only.
+	Status  []byte
+	Created uint64
 }
 
 // Kind implements Message.
