Tell of each attempt that is sent what became of it

Rollouts compare software versions by failures, first bytes and the pace of streams, and withdraw an upstream up to the first byte. Neither was known outside the relay.

relay.Observer is asked before the first byte and told of the end: a 5xx, a response that is broken or overdue, the time to first byte and the pace of events, without the time in which the caller took none. Rejections that say not-run, callers that leave and aborted requests are no failures. A grant has the time to first byte that an idle upstream would show.

--- a/daemon/request/relay/observe.go
+++ b/daemon/request/relay/observe.go
@@ -26,6 +26,11 @@
 	// Failed is set for a 5xx of the upstream, unless it says that the request has not run, and for a
 	// response that was broken, truncated or not complete by its deadline.
 	Failed bool
+	// Unfinished is set for a stream that its caller may take up again: it had begun, and has ended
+	// before its last event, whoever broke it off.
+	Unfinished bool
+	// SinceSent is the time since the first byte of the attempt was sent.
+	SinceSent time.Duration
 	// FirstByte is the time from the first byte of the attempt to the first event of a stream, or to
 	// the head of another response; 0 if none came. Without it and without Failed the attempt says
 	// nothing of its upstream: the caller went away, or the upstream refused.
@@ -48,9 +53,9 @@
 
 // observed is what is seen of an attempt for the Observer.
 type observed struct {
-	// sentAt is when the first byte was sent, in nanoseconds since the Unix epoch; 0 if none was.
-	// The transport sends in a goroutine of its own.
-	sentAt atomic.Int64
+	// sentAt is when the first byte was sent; nil if none was. The transport sends in a goroutine of
+	// its own.
+	sentAt atomic.Pointer[time.Time]
 	// firstAt and lastAt are when the first and the last event arrived, and written how long the
 	// caller took to accept events between them.
 	firstAt, lastAt time.Time
@@ -85,30 +90,33 @@
 
 // observeSend asks the observer before the first byte of the attempt is sent.
 func (a *attempt) observeSend(target *version.Upstream) error {
-	if a.observed.sentAt.Load() != 0 {
+	if a.observed.sentAt.Load() != nil {
 		// The transport took a second connection for the attempt.
 		return nil
 	}
 	if !a.relay.options.Observer.Send(a.call.Grant, a.call.Route, target) {
 		return ErrWithdrawn
 	}
-	a.observed.sentAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	a.observed.sentAt.Store(&now)
 	return nil
 }
 
 // reportEnd reports the end of an attempt that was sent to the observer.
 func (a *attempt) reportEnd(result Result) {
 	sentAt := a.observed.sentAt.Load()
-	if sentAt == 0 {
+	if sentAt == nil {
 		return
 	}
-	end := End{Failed: failed(result), EventPace: a.observed.pace()}
+	end := End{Failed: failed(result), SinceSent: time.Since(*sentAt), EventPace: a.observed.pace()}
+	broken := result.Delivery == DeliveryTruncated || result.Delivery == DeliveryCallerGone
+	end.Unfinished = broken && a.call.Resumable && (a.events > 0 || a.call.Outgoing.LastEvent != "")
 	first := a.begunAt
-	if first.IsZero() && a.ttfb > 0 && result.Status != 0 {
+	if first.IsZero() && result.Status != 0 {
 		first = a.started.Add(a.ttfb)
 	}
 	if !first.IsZero() {
-		end.FirstByte = max(time.Duration(first.UnixNano()-sentAt), time.Nanosecond)
+		end.FirstByte = max(first.Sub(*sentAt), time.Nanosecond)
 	}
 	a.relay.options.Observer.Ended(a.call.Grant, a.call.Route, end)
 }
--- a/daemon/request/relay/relay.go
+++ b/daemon/request/relay/relay.go
@@ -97,6 +97,8 @@
 	// Declines reports whether an upstream has advised that it accepts no requests now. The
 	// default returns false. It must not block.
 	Declines func(id version.UpstreamID) bool
+	// Observer learns of each attempt that is sent; the default permits and ignores all.
+	Observer Observer
 }
 
 const (
@@ -142,6 +144,9 @@
 	if options.Declines == nil {
 		options.Declines = func(version.UpstreamID) bool { return false }
 	}
+	if options.Observer == nil {
+		options.Observer = openObserver{}
+	}
 	return &Relay{options: options, answers: &answerBudget{core: answers.NewBudget(options.MaxAnswerBytes)}}
 }
 
@@ -153,6 +158,10 @@
 	Grant   request.Grant
 	Account version.AccountID
 	Kind    version.PoolKind
+	// Route is the name of the request's route; "" if routes have none.
+	Route string
+	// Resumable is set for a stream that its caller may take up again.
+	Resumable bool
 	// Request is the caller's request. Its body has already been read into Body.
 	Request *http.Request
 	Body    []byte
@@ -191,70 +200,6 @@
 	OnBegin func()
 }
 
-// Delivery says how much of the response the caller has received.
-type Delivery uint8
-
-const (
-	// DeliveryNone means that nothing was written; Result.Refusal holds the reason.
-	DeliveryNone Delivery = iota
-	// DeliveryBuffered means that the response is complete but not yet written; it is in
-	// Result.Buffered.
-	DeliveryBuffered
-	// DeliveryComplete means that a complete response was written.
-	DeliveryComplete
-	// DeliveryTruncated means that a part of the response was written. The caller's
-	// connection must be aborted.
-	DeliveryTruncated
-	// DeliveryCallerGone means that the caller disconnected.
-	DeliveryCallerGone
-)
-
-// Result is the outcome of an attempt. Each Result must be passed to Settle exactly once.
-type Result struct {
-	Delivery Delivery
-	// Refusal is set with DeliveryNone.
-	Refusal *request.Refusal
-	// Buffered is the complete response that is not written yet, with DeliveryBuffered.
-	Buffered *BufferedResponse
-	// NotExecuted guarantees that the upstream did not execute the attempt.
-	NotExecuted bool
-	// Retryable is set if nothing was written and another attempt may succeed.
-	Retryable bool
-	// Answer is the complete response if Call.Record was set.
-	Answer *claim.Answer
-	// Continuation holds what another upstream needs to continue the stream, with
-	// DeliveryTruncated; nil if the stream cannot be continued.
-	Continuation *Continuation
-	// Err is the cause of a failed attempt; nil if it did not fail.
-	Err error
-	// TTFB is the time to the first byte of the response; 0 if none arrived.
-	TTFB time.Duration
-	// Events is the number of complete events that were relayed.
-	Events int
-	// Status is the status of a complete response.
-	Status int
-	// SentAt is when the attempt was started, and BegunAt when its first event, or the header
-	// of a response that is not a stream, arrived; zero if none did.
-	SentAt, BegunAt time.Time
-	// DisconnectedAt is when the upstream ended the connection before the response was
-	// complete; zero if it did not. UpstreamDown is set if it refused a connection since.
-	DisconnectedAt time.Time
-	UpstreamDown   bool
-	// ConnectedAt is when the opening of the connection began that the upstream ended; zero if it
-	// is not known.
-	ConnectedAt time.Time
-
-	finish request.Finish
-	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
-	toCancel *attempt
-	// holding is what is held of the response; nil if the attempt was not started.
-	holding *holding
-}
-
-// Release gives back the memory of a response that is not needed any more. It must be called once
-// for each Result, and not before Buffered has been written.
-func (r Result) Release() { r.holding.release() }
-
 // Continuation is a stream that was relayed in part and may be continued.
 type Continuation struct {
 	writer *callerWriter
@@ -286,6 +231,7 @@
 	upstreamDown   bool
 	// connectedAt is when the opening of the attempt's connection began; zero if it is not known.
 	connectedAt time.Time
+	observed    observed
 }
 
 // Do sends the attempt and relays the response until it ends.
@@ -304,6 +250,7 @@
 	a.call.Outgoing.Instance = target.Instance
 	a.holding = r.newHolding(target.ID)
 	result := a.run()
+	a.reportEnd(result)
 	result.holding = a.holding
 	if result.Delivery != DeliveryBuffered {
 		a.holding.release()
@@ -390,9 +337,11 @@
 		return ErrWithdrawn
 	}
 	if a.call.OnSend != nil {
-		return a.call.OnSend(conn)
+		if err := a.call.OnSend(conn); err != nil {
+			return err
+		}
 	}
-	return nil
+	return a.observeSend(target)
 }
 
 // relayResponse checks the response and relays it, as an event stream or otherwise.
--- a/daemon/request/relay/result.go
+++ b/daemon/request/relay/result.go
@@ -7,9 +7,74 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/request/claim"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
+// Delivery says how much of the response the caller has received.
+type Delivery uint8
+
+const (
+	// DeliveryNone means that nothing was written; Result.Refusal holds the reason.
+	DeliveryNone Delivery = iota
+	// DeliveryBuffered means that the response is complete but not yet written; it is in
+	// Result.Buffered.
+	DeliveryBuffered
+	// DeliveryComplete means that a complete response was written.
+	DeliveryComplete
+	// DeliveryTruncated means that a part of the response was written. The caller's
+	// connection must be aborted.
+	DeliveryTruncated
+	// DeliveryCallerGone means that the caller disconnected.
+	DeliveryCallerGone
+)
+
+// Result is the outcome of an attempt. Each Result must be passed to Settle exactly once.
+type Result struct {
+	Delivery Delivery
+	// Refusal is set with DeliveryNone.
+	Refusal *request.Refusal
+	// Buffered is the complete response that is not written yet, with DeliveryBuffered.
+	Buffered *BufferedResponse
+	// NotExecuted guarantees that the upstream did not execute the attempt.
+	NotExecuted bool
+	// Retryable is set if nothing was written and another attempt may succeed.
+	Retryable bool
+	// Answer is the complete response if Call.Record was set.
+	Answer *claim.Answer
+	// Continuation holds what another upstream needs to continue the stream, with
+	// DeliveryTruncated; nil if the stream cannot be continued.
+	Continuation *Continuation
+	// Err is the cause of a failed attempt; nil if it did not fail.
+	Err error
+	// TTFB is the time to the first byte of the response; 0 if none arrived.
+	TTFB time.Duration
+	// Events is the number of complete events that were relayed.
+	Events int
+	// Status is the status of a complete response.
+	Status int
+	// SentAt is when the attempt was started, and BegunAt when its first event, or the header
+	// of a response that is not a stream, arrived; zero if none did.
+	SentAt, BegunAt time.Time
+	// DisconnectedAt is when the upstream ended the connection before the response was
+	// complete; zero if it did not. UpstreamDown is set if it refused a connection since.
+	DisconnectedAt time.Time
+	UpstreamDown   bool
+	// ConnectedAt is when the opening of the connection began that the upstream ended; zero if it
+	// is not known.
+	ConnectedAt time.Time
+
+	finish request.Finish
+	// toCancel is the attempt to cancel at its upstream; nil if there is nothing to cancel.
+	toCancel *attempt
+	// holding is what is held of the response; nil if the attempt was not started.
+	holding *holding
+}
+
+// Release gives back the memory of a response that is not needed any more. It must be called once
+// for each Result, and not before Buffered has been written.
+func (r Result) Release() { r.holding.release() }
+
 // defaultRetryAfter is the Retry-After of attempts that were not executed, unless the
 // upstream asked for another pause.
 const defaultRetryAfter = time.Second
--- a/daemon/request/relay/stream.go
+++ b/daemon/request/relay/stream.go
@@ -140,6 +140,7 @@
 		s.attempt.firstToken = time.Since(s.started)
 		s.writer.writeHeader(s.firstResponse.StatusCode, s.firstResponse.Header)
 	}
+	arrivedAt := time.Now()
 	if err := s.writer.write(next.raw); err != nil {
 		return err
 	}
@@ -148,6 +149,7 @@
 			return err
 		}
 	}
+	s.observed.event(arrivedAt, time.Now(), next.hasData)
 	if next.id != nil {
 		s.lastEvent = string(next.id)
 	}
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -118,6 +118,8 @@
 		Grant:              grant,
 		Account:            c.ticket.Account,
 		Kind:               c.poolKind(),
+		Route:              c.route.Name,
+		Resumable:          c.mayBeTakenUp(),
 		Request:            c.r,
 		Body:               c.body,
 		Outgoing:           c.outgoing(),
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -20,6 +20,8 @@
 	prefillTime time.Duration
 	// minTTFB is the ttfb at an idle engine that has cached all shared segments.
 	minTTFB time.Duration
+	// idleTTFB is the ttfb at an idle upstream that is not slowed down.
+	idleTTFB time.Duration
 	// uncachedTokens is the number of prompt tokens that the engine has to prefill.
 	uncachedTokens int
 	// score is ttfb plus penalties; the candidate with the lowest score is chosen.
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -202,6 +202,7 @@
 		Pool:                 ticket.Pool,
 		Upstream:             u.ID,
 		PredictedTTFB:        best.ttfb,
+		IdleTTFB:             best.idleTTFB,
 		UncachedPromptTokens: best.uncachedTokens,
 	}, nil
 }
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -53,6 +53,7 @@
 		c.queueTime = p.queueTime(now, u, slowdown)
 		overhead := time.Duration(float64(baseTTFB)*slowdown) + network
 		c.ttfb = c.queueTime + c.prefillTime + overhead
+		c.idleTTFB = time.Duration(prefillNanoseconds) + baseTTFB + network
 		ownNanoseconds := float64(promptTokens(ticket)-sharedTokens(ticket.Prompt)) / p.prefillRate(u.pool) * float64(time.Second)
 		c.minTTFB = time.Duration(ownNanoseconds*slowdown) + overhead
 		c.atCapacity = u.engineAtCapacity(now, ticket)
@@ -65,6 +66,7 @@
 	} else {
 		excess := u.running(now) + 1 - u.slots()
 		c.ttfb = time.Duration(float64(plainServiceTime)*slowdown) + network
+		c.idleTTFB = plainServiceTime + network
 		if excess > 0 {
 			c.ttfb += time.Duration(float64(excess) / float64(u.slots()) * float64(plainServiceTime) * slowdown)
 		}
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -91,6 +91,9 @@
 	// PredictedTTFB is the predicted time to first byte, counted from the grant; 0 if
 	// there is no prediction.
 	PredictedTTFB time.Duration
+	// IdleTTFB is the time to first byte that an idle upstream would show which is not slowed
+	// down; 0 if there is no prediction.
+	IdleTTFB time.Duration
 	// UncachedPromptTokens is the number of prompt tokens that the upstream is expected
 	// to process because it has not cached them.
 	UncachedPromptTokens int
