Carry out rollouts: rule, sends, reports between VMs, writes of the status

The controller of fleet/process/rollout decides; this connects it. placing asks for the rule before each placement and for permission before the first byte. A duty ticks ten times a second, sends reports and hands statuses to write to two others; a write whose answer was lost, and a conflict, are settled by reading the object. A status is not written if the store has entered another era, where revisions are given out again. A VM that stops stays a member while an order is carried out, so that others know what it has at old upstreams.

trefoilctl rollout status, the operators' call /v1/rollouts, the metric rollouts and log lines with the counts show it. Without bounds.exposure_share nothing of this runs.

--- a/daemon/cmd/trefoilctl/command/command.go
+++ b/daemon/cmd/trefoilctl/command/command.go
@@ -93,6 +93,8 @@
 	mustAdd(store.AddCommand("eras", "List the store's era and the version that each daemon follows", "", &storeEras{session: s}))
 	software := mustAdd(parser.AddCommand("software", "Show the software versions of upstreams", "", &struct{}{}))
 	mustAdd(software.AddCommand("versions", "List the versions that serve, and the streams that callers have taken up", "", &softwareVersions{session: s}))
+	rollouts := mustAdd(parser.AddCommand("rollout", "Show the rollouts of software versions", "", &struct{}{}))
+	mustAdd(rollouts.AddCommand("status", "List the orders and what each daemon knows of them", "", &rolloutStatus{session: s}))
 	prompt := mustAdd(parser.AddCommand("prompt", "Show and release prompt segments that crash upstreams", "", &struct{}{}))
 	mustAdd(prompt.AddCommand("held", "List the held prompt segments", "", &promptHeld{session: s}))
 	mustAdd(prompt.AddCommand("release", "Let requests with a held prompt segment be sent again", "", &promptRelease{session: s}))
--- a/daemon/process/edge/drain.go
+++ b/daemon/process/edge/drain.go
@@ -60,7 +60,12 @@
 	d.handler.Leave(grace.Stop{Cut: deadline})
 	d.placing.Leave()
 	d.log.Info("stopping", "requests", d.handler.HeldRequests())
-	d.deregister(groupCtx)
+	// Other processes must know what this one has at old upstreams while a rollout goes on. They
+	// drop the link to a process that is no member any more.
+	stayMember := d.rollouts.running()
+	if !stayMember {
+		d.deregister(groupCtx)
+	}
 	if err := wait.Sleep(groupCtx, noticeLeft(time.Since(start), period)); err != nil {
 		return err
 	}
@@ -71,6 +76,13 @@
 			return err
 		}
 	}
+	deregistered := make(chan struct{})
+	go func() {
+		defer close(deregistered)
+		if stayMember {
+			d.deregister(groupCtx)
+		}
+	}()
 	// Reject connections until the listener closes. Those already accepted reach the
 	// server within a poll interval, and Shutdown then waits for them.
 	d.callerListener.stop()
@@ -78,6 +90,7 @@
 		return err
 	}
 	d.shutDown(groupCtx)
+	<-deregistered
 	return errDrained
 }
 
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -83,6 +83,8 @@
 	placing        *placing.Placer
 	quarantine     *quarantine.Quarantine
 	software       *software
+	// rollouts is nil where the settings do not ask for rollouts.
+	rollouts       *rollouts
 	lives          *upstream.Lives
 	relay          *relay.Relay
 	heads          *heads.Limiter
@@ -171,12 +173,13 @@
 		VM: settings.VM, Config: d.placing.Config, OnCrash: d.recordCrash, Log: d.log,
 	})
 	d.software = newSoftware(d)
+	d.rollouts = newRollouts(d)
 	d.placing.SetStreamVersions(map[version.PoolID][]string{})
 	d.metrics.vars.Set("software", expvar.Func(func() any { return d.software.status() }))
 	d.metrics.vars.Set("prompt_quarantine", expvar.Func(func() any { return d.quarantine.Stats() }))
 	d.storeTransport = &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true}
 	d.store = platform.NewStore(platform.StoreOptions{URL: "http://" + settings.StoreAddress, Transport: d.storeTransport})
-	d.mirror = mirror.New(mirror.Options{
+	mirrorOptions := mirror.Options{
 		Store:            d.store,
 		Clock:            clock.Boot,
 		Apply:            d.applyConfig,
@@ -187,7 +190,12 @@
 		FirstStart:       settings.FirstStart,
 		OnCallFailure:    d.storeTransport.CloseIdleConnections,
 		Log:              d.log,
-	})
+	}
+	if d.rollouts != nil {
+		mirrorOptions.Rollouts = d.rollouts.setOrders
+		d.metrics.vars.Set("rollouts", expvar.Func(func() any { return d.rollouts.status() }))
+	}
+	d.mirror = mirror.New(mirrorOptions)
 	d.handler = d.newHandler(d.memory)
 	d.heads = heads.New(d.memory.maxHeadBytes, d.rejectHead)
 	d.metrics.vars.Set("heads", expvar.Func(func() any { return d.heads.Stats() }))
@@ -219,7 +227,7 @@
 	transport := upstream.NewTransport(nil)
 	transport.MaxIdleConns = plan.maxIdleUpstreamConns
 	d.lives.Follow(transport)
-	d.relay = relay.New(relay.Options{
+	options := relay.Options{
 		Accounting:     d.placing,
 		Transport:      transport,
 		Dialect:        platform.Dialect{},
@@ -230,7 +238,11 @@
 		OnAdvice:       d.placing.RecordAdvice,
 		OnBreak:        d.lives.BrokeOff,
 		Declines:       d.placing.UpstreamDeclines,
-	})
+	}
+	if d.rollouts != nil {
+		options.Observer = d.rollouts
+	}
+	d.relay = relay.New(options)
 	d.metrics.vars.Set("answers", expvar.Func(func() any { return d.relay.Answers() }))
 	return serve.NewGeneralHandler(serve.GeneralOptions{
 		Fleet:             d.placing,
@@ -325,6 +337,13 @@
 	duty.Add(&group, ctx, "crash checks", d.log, d.quarantine.Check)
 	duty.Add(&group, ctx, "stored holds", d.log, d.storeHeld)
 	duty.Add(&group, ctx, "software versions", d.log, d.software.run)
+	if d.rollouts != nil {
+		duty.Add(&group, ctx, "rollout orders", d.log, d.mirror.FollowRollouts)
+		duty.Add(&group, ctx, "rollouts", d.log, d.rollouts.run)
+		for range statusWriters {
+			duty.Add(&group, ctx, "rollout statuses", d.log, d.rollouts.write)
+		}
+	}
 	duty.Add(&group, ctx, "lag", d.log, func(ctx context.Context) error { return d.lag.Run(ctx, d.admission.observeLag) })
 	duty.Add(&group, ctx, "desk", d.log, d.rejecter.Run)
 	duty.Add(&group, ctx, "memory", d.log, d.logScarceMemory)
--- a/daemon/process/edge/peers.go
+++ b/daemon/process/edge/peers.go
@@ -256,6 +256,8 @@
 			h.placing.ReceiveReport(from.VM, m)
 		case wire.LimitReport:
 			h.placing.ReceiveLimits(from.VM, m)
+		case wire.RolloutReport:
+			h.placing.ReceiveRollout(from.VM, m)
 		case wire.StateRequest:
 			if peers := h.peers.Load(); peers != nil {
 				(*Daemon)(h).answerStateRequest(peers, from.VM, m)
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -10,10 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/operator"
 	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
 	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/placement"
+	"github.com/trefoilwell/trefoilwell/fleet/process/rollout"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
@@ -30,6 +32,10 @@
 	mu       sync.Mutex
 	placer   *placement.Placer
 	reporter *exchange.Reporter
+	// rollouts is nil where rollouts are not active. withdrawn counts the attempts that it did not
+	// permit any more when they were about to be sent.
+	rollouts  *rollout.Controller
+	withdrawn uint64
 }
 
 // New returns a Placer that owns placer and reporter: no other code may use them. lag
@@ -47,6 +53,9 @@
 		vms = append(vms, member.VM)
 	}
 	p.placer.SetMembers(time.Now(), vms)
+	if p.rollouts != nil {
+		p.rollouts.SetMembers(clock.Boot(), vms)
+	}
 	p.reporter.SetMembers(members)
 	return p.reporter.Peers()
 }
@@ -80,6 +89,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Configure(time.Now(), config)
+	if p.rollouts != nil {
+		p.rollouts.Configure(clock.Boot(), config)
+	}
 	p.config.Store(config)
 }
 
@@ -94,6 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.logNotices("")
+	p.rule(&ticket)
 	return p.placer.Place(time.Now(), ticket)
 }
 
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -4,7 +4,6 @@
 package generalupstream
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -133,6 +132,11 @@
 	crashed func()
 	crashes []Crash
 	deadly  Deadly
+	// bad is how the upstream's software is bad, and badDue the fraction of a bad response that is
+	// due. running counts the requests in progress.
+	bad     Bad
+	badDue  float64
+	running int
 }
 
 // New starts an upstream on a loopback port.
@@ -324,6 +328,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer u.endRun()
+	fails, slow := u.beginRun(r, now)
+	fail = fail || fails
+	if slow > 1 {
+		faults.Delay, faults.Pause = time.Duration(slow*float64(faults.Delay)), time.Duration(slow*float64(faults.Pause))
+	}
 	if !u.sleep(r, faults.Delay) {
 		return
 	}
@@ -386,36 +396,6 @@
 	u.runs = append(u.runs, Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: string(body)})
 }
 
-// Answer returns the body of the answer to a request identifier.
-func Answer(id string) string { return "answer to " + id }
-
-// Receipt returns the receipt of a request identifier.
-func Receipt(id string) string { return "seal-" + id }
-
-// Event returns one event of a stream, counted from 1.
-func Event(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
-
-// EventOf returns one event of a stream of an upstream with a software version.
-func EventOf(number int, software string) string {
-	if software == "" {
-		return Event(number)
-	}
-	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, software)
-}
-
-// CompleteStream returns the body of a stream from its first event on.
-func CompleteStream() string { return StreamOf("") }
-
-// StreamOf returns the body of a stream of an upstream with a software version, from its first
-// event on.
-func StreamOf(software string) string {
-	var text strings.Builder
-	for number := range Events {
-		text.WriteString(EventOf(number+1, software))
-	}
-	return text.String()
-}
-
 // stream sends the events after the one that the request names as its last one.
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
 	w.Header().Set("Content-Type", "text/event-stream")
