--- a/fleet/connection/wire/rollout.go
+++ b/fleet/connection/wire/rollout.go
@@ -10,10 +10,10 @@
 
 const (
 	// MaxRolloutOrders, MaxRolloutRoutes and MaxRolloutUpstreams bound a report: the orders in it,
-	// and the routes and upstreams of an order. A report of one order takes 2 KB at most.
+	// and the routes and upstreams of an order.
 	MaxRolloutOrders    = 16
 	MaxRolloutRoutes    = 32
-	MaxRolloutUpstreams = 32
+	MaxRolloutUpstreams = 128
 )
 
 // RolloutReport reports what one or several VMs observed of the versions that are rolled out. Its
@@ -34,13 +34,16 @@
 	Key uint64
 	// ElapsedMS is the time since the order, in milliseconds.
 	ElapsedMS uint32
+	// Progress is how far the order was when a VM last read its status: 0 not begun, 1 canary,
+	// 2 shifting, 3 rolled back, 4 done.
+	Progress uint8
 	// Condemned is why a VM has condemned the version; empty if none has.
 	Condemned string
 	// Drained is the number of VMs that send all requests to the new version and have nothing at
 	// old upstreams, OldRunning the number of attempts at old upstreams.
 	Drained    uint32
 	OldRunning uint32
-	// Requests counts the callers' requests that reached the service, and Sent those of its
+	// Requests counts the callers' requests for the service since the order, and Sent the
 	// attempts that were sent to the new version.
 	Requests  uint64
 	Sent      uint64
@@ -60,13 +63,13 @@
 type RolloutUpstream struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream version.UpstreamID
-	RolloutCounts
+	Counts   RolloutCounts
 }
 
 // RolloutCounts counts attempts that have ended.
 type RolloutCounts struct {
 	_ struct{} `cbor:",toarray"`
-	// Ended counts all attempts, and Failed those whose answer was a failure.
+	// Ended counts all attempts, and Failed those whose response was a failure.
 	Ended  uint32
 	Failed uint32
 	// Timed counts the attempts whose times can be compared, and Slow those of them that took
--- a/fleet/process/exchange/exchange.go
+++ b/fleet/process/exchange/exchange.go
@@ -61,6 +61,8 @@
 	// other data centres. Only a hub uses them.
 	local, remote totals
 	own           *source
+	// rollouts holds what was reported of rollouts, by scope.
+	rollouts map[string]*rolloutSource
 	// peers lists the VMs to keep links with, sorted by ID.
 	peers []version.VMID
 }
@@ -83,12 +85,13 @@
 // New returns the reporter of a VM that knows no other members.
 func New(self version.VMID) *Reporter {
 	return &Reporter{
-		self:    self,
-		members: make(map[version.VMID]Member),
-		sources: make(map[version.VMID]*source),
-		local:   newTotals(),
-		remote:  newTotals(),
-		own:     newSource(),
+		self:     self,
+		members:  make(map[version.VMID]Member),
+		sources:  make(map[version.VMID]*source),
+		local:    newTotals(),
+		remote:   newTotals(),
+		own:      newSource(),
+		rollouts: make(map[string]*rolloutSource),
 	}
 }
 
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -36,13 +36,26 @@
 	ttfbLimit time.Duration
 }
 
-// choose returns the best upstream for a ticket, or the refusal.
+// choose returns the best upstream for a ticket, or the refusal. A ticket for the canary of a
+// software version goes to another version if no canary takes it.
 func (p *Placer) choose(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
+	if fallback, present := ticket.Rule.Fallback(); present {
+		if best, refusal := p.chooseByRule(now, ticket); refusal == nil && !best.atCapacity {
+			return best, nil
+		}
+		ticket.Rule = fallback
+	}
+	return p.chooseByRule(now, ticket)
+}
+
+// chooseByRule returns the best upstream that the ticket's rule allows, or the refusal.
+func (p *Placer) chooseByRule(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
 	if p.config == nil {
 		return candidate{}, &request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotExecuted}
 	}
 	candidates := p.candidates(now, ticket)
-	if len(candidates) == 0 {
+	isCanary := ticket.Rule.Among != nil
+	if len(candidates) == 0 && !isCanary {
 		candidates = p.fallbackCandidates(now, ticket)
 	}
 	if len(candidates) == 0 {
@@ -66,7 +79,7 @@
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
 	})
 	refusal := p.admit(ticket, best, usage.shareUsed)
-	if ticket.Attempt <= 1 && usage.shareUsed <= 1 {
+	if ticket.Attempt <= 1 && usage.shareUsed <= 1 && (refusal == nil || !isCanary) {
 		longPrompts.record(long, refusal == nil)
 	}
 	if refusal != nil {
@@ -126,7 +139,7 @@
 // candidates returns the upstreams that may execute the ticket. Of a large pool it assesses
 // the affinity upstreams and a sample; all upstreams if none of these is usable.
 func (p *Placer) candidates(now time.Time, ticket request.Ticket) []candidate {
-	pool := p.upstreamsByPool[ticket.Pool]
+	pool := p.ruledPool(ticket)
 	affinity := p.affinityUpstreams(ticket)
 	list := p.scratch[:0]
 	defer func() { p.scratch = list }()
@@ -150,6 +163,30 @@
 	return list
 }
 
+// ruledPool returns the upstreams of the ticket's pool that its rule allows. The list is valid until
+// the next call.
+func (p *Placer) ruledPool(ticket request.Ticket) []*upstream {
+	pool := p.upstreamsByPool[ticket.Pool]
+	if ticket.Rule.IsZero() {
+		delete(p.ruledEngines, ticket.Pool)
+		return pool
+	}
+	// The fleet's token rate is that of the upstreams of a version, not of its canaries.
+	whole, engines := ticket.Rule, 0
+	whole.Among = nil
+	p.ruled = p.ruled[:0]
+	for _, u := range pool {
+		if whole.Permits(u.Software, u.ID) {
+			engines++
+		}
+		if ticket.Rule.Permits(u.Software, u.ID) {
+			p.ruled = append(p.ruled, u)
+		}
+	}
+	p.ruledEngines[ticket.Pool] = engines
+	return p.ruled
+}
+
 const (
 	// sampleSize is how many upstreams of a large pool are assessed beside the affinity
 	// upstreams. All VMs see much the same loads; the sample keeps them from all choosing the
@@ -206,6 +243,8 @@
 		return false
 	case ticket.Regions != nil && !slices.Contains(ticket.Regions, u.region):
 		return false
+	case !ticket.Rule.Permits(u.Software, u.ID):
+		return false
 	case ticket.Software != "":
 		return u.Software == ticket.Software
 	case ticket.Resumable && p.streamVersions != nil:
--- a/fleet/process/placement/homes.go
+++ b/fleet/process/placement/homes.go
@@ -29,7 +29,7 @@
 	}
 	shared := ticket.Prompt.Segments[len(ticket.Prompt.Segments)-2].ID
 	for _, u := range p.upstreamsByPool[ticket.Pool] {
-		if u.Draining || p.config.UpstreamOut(u.Upstream) || u.advice != nil && u.advice.leaving {
+		if !ticket.Rule.Permits(u.Software, u.ID) || u.Draining || p.config.UpstreamOut(u.Upstream) || u.advice != nil && u.advice.leaving {
 			continue
 		}
 		score := rendezvous(shared, u.ID)
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -67,6 +67,10 @@
 	// streamVersions are the software versions, by pool, at which streams may begin that callers may
 	// take up again; nil allows all.
 	streamVersions map[version.PoolID][]string
+	// ruledEngines is the number of upstreams of a pool that software rules leave to the requests;
+	// a pool without a rule has none. ruled is scratch space for the list of them.
+	ruledEngines map[version.PoolID]int
+	ruled        []*upstream
 	// sampleIndex is the index of the upstream of a large pool that was sampled last.
 	sampleIndex int
 }
@@ -84,6 +88,7 @@
 		demand:          make(map[version.PoolID]*demandMeter),
 		peerLimits:      make(map[string]peerLimits),
 		longPrompts:     make(map[version.PoolID]*longPromptState),
+		ruledEngines:    make(map[version.PoolID]int),
 	}
 }
 
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -115,7 +116,7 @@
 
 // prefillRate returns the prompt tokens per second that an engine of the pool prefills.
 func (p *Placer) prefillRate(pool *version.Pool) float64 {
-	engines := len(p.upstreamsByPool[pool.ID])
+	engines := cmp.Or(p.ruledEngines[pool.ID], len(p.upstreamsByPool[pool.ID]))
 	if p.config.Limits.TokensPerSecond <= 0 || engines == 0 {
 		return defaultPrefillRate
 	}
--- a/fleet/process/placement/software_test.go
+++ b/fleet/process/placement/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -55,3 +56,52 @@
 		t.Errorf("a request that nobody takes up is refused: %+v", refusal)
 	}
 }
+
+// Guards against requests that reach a version which a rollout keeps them from, also in a large pool
+// of which only a sample is assessed, and against requests that are refused because no canary takes
+// them.
+func TestSoftwareRuleIsKept(t *testing.T) {
+	for _, upstreams := range []int{8, 120} {
+		f := skewed(t, upstreams)
+		var canary []version.UpstreamID
+		for id, u := range f.config.Upstreams {
+			if u.Software == "v1.1" && len(canary) < 2 {
+				canary = append(canary, id)
+			}
+		}
+		toCanary := request.SoftwareRule{Only: "v1.1", Among: canary}
+		place := func(rule request.SoftwareRule) *version.Upstream {
+			t.Helper()
+			ticket := f.ticket(1, 7, 1000, 10)
+			ticket.Rule = rule
+			grant, refusal := f.Place(f.now, ticket)
+			if refusal != nil {
+				t.Fatalf("%d upstreams: rule %+v: refused: %+v", upstreams, rule, refusal)
+			}
+			f.RecordOutcome(f.now, request.Finish{ID: grant.ID, Upstream: grant.Upstream, Outcome: request.OutcomeDone})
+			return f.config.Upstreams[grant.Upstream]
+		}
+		for range 40 {
+			if u := place(request.SoftwareRule{Except: []string{"v1.1"}}); u.Software != "v1" {
+				t.Fatalf("%d upstreams: placed at the excluded version", upstreams)
+			}
+			if got, want := f.prefillRate(f.config.Pools[f.pool]), prefillRateFactor*testTokensPerSecond*2; got != want {
+				t.Fatalf("%d upstreams: prefill rate %v while a version is excluded, want %v", upstreams, got, want)
+			}
+			if u := place(toCanary); !slices.Contains(canary, u.ID) {
+				t.Fatalf("%d upstreams: a request for the canary is placed at %s", upstreams, u.Name)
+			}
+		}
+		for _, id := range canary {
+			f.RecordCrash(f.now, id)
+		}
+		if u := place(toCanary); u.Software != "v1" {
+			t.Errorf("%d upstreams: a request that no canary takes is placed at version %s", upstreams, u.Software)
+		}
+		ticket := f.ticket(1, 7, 1000, 10)
+		ticket.Rule = request.SoftwareRule{Only: "v1.1", Except: []string{"v1.1"}}
+		if _, refusal := f.Place(f.now, ticket); refusal == nil || refusal.RetryAfter <= 0 {
+			t.Errorf("%d upstreams: a request that no version may run gets %+v, want a refusal", upstreams, refusal)
+		}
+	}
+}
--- a/fleet/process/rollout/rollout.go
+++ b/fleet/process/rollout/rollout.go
@@ -9,8 +9,6 @@
 import (
 	"time"
 
-	"github.com/trefoilwell/trefoilwell/fleet/connection/wire"
-	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
@@ -167,52 +165,63 @@
 // Controller decides for one VM. It is not safe for concurrent use.
 type Controller struct {
 	options Options
+	// versions are the software versions that are registered or were lately; upstreams are the
+	// upstreams of these.
+	versions  map[poolVersion]*versionState
+	upstreams map[version.UpstreamID]*upstream
+	// configured is set once there was a configuration.
+	configured bool
+	// excluded are the versions of a pool that get no request whatever its order says.
+	excluded map[version.PoolID][]string
+	// routeNames are the names of the routes by their hashes.
+	routeNames map[uint32]string
+	// orders are the orders in force, by pool. former are those that are no longer in the store,
+	// for the case that it has lost them.
+	orders, former map[version.PoolID]*order
+	// readAt is when the read was sent that the orders come from; zero before the first one.
+	readAt time.Time
+	// members are the VMs of the fleet, sorted; membersChangedAt is when one was added or removed.
+	members          []version.VMID
+	membersChangedAt time.Time
+	// othersVMs and othersAt are the number of other VMs heard, and when they were heard.
+	othersVMs int
+	othersAt  time.Time
+	// levels are the times that sound responses take, by pool and route.
+	levels  map[levelKey]*level
+	notices []Notice
 }
 
 // New returns a controller that knows nothing.
-func New(options Options) *Controller { return &Controller{options: options} }
-
-// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt.
-func (c *Controller) SetOrders(now time.Time, orders []Order, readAt time.Time) {}
-
-// Configure applies a configuration with its upstreams.
-func (c *Controller) Configure(now time.Time, config *version.Config) {}
-
-// SetMembers sets the VMs of the fleet, including this one.
-func (c *Controller) SetMembers(now time.Time, members []version.VMID) {}
-
-// Rule returns which versions may run an attempt. It is called once for each attempt, before it is
-// placed.
-func (c *Controller) Rule(now time.Time, ticket request.Ticket) request.SoftwareRule {
-	return request.SoftwareRule{}
-}
-
-// Permits reports whether an attempt may be sent to an upstream now. It is asked right before the
-// first byte. If it permits, Sent follows before any other call.
-func (c *Controller) Permits(now time.Time, upstream *version.Upstream) bool { return true }
-
-// Sent records that an attempt is sent to an upstream.
-func (c *Controller) Sent(now time.Time, pool version.PoolID, route string, upstream version.UpstreamID) {
+func New(options Options) *Controller {
+	return &Controller{
+		options:    options,
+		versions:   make(map[poolVersion]*versionState),
+		upstreams:  make(map[version.UpstreamID]*upstream),
+		excluded:   make(map[version.PoolID][]string),
+		routeNames: make(map[uint32]string),
+		orders:     make(map[version.PoolID]*order),
+		former:     make(map[version.PoolID]*order),
+		levels:     make(map[levelKey]*level),
+	}
 }
 
-// Ended records the end of an attempt that was sent.
-func (c *Controller) Ended(now time.Time, sample Sample) {}
-
-// Report returns this VM's report for the other VMs.
-func (c *Controller) Report(now time.Time) wire.RolloutReport { return wire.RolloutReport{} }
-
-// Receive takes in the sum of the reports of all other VMs, as exchange.Reporter.ReceiveRollout
-// returns it after a report of another VM.
-func (c *Controller) Receive(now time.Time, from version.VMID, sum wire.RolloutReport) {}
+// enabled reports whether rollouts are on.
+func (c *Controller) enabled() bool { return c.options.ExposureShare > 0 }
 
-// Tick returns the statuses to write. It has to be called several times a second.
-func (c *Controller) Tick(now time.Time) []StatusWrite { return nil }
+// maxNotices bounds the notices that wait for the log.
+const maxNotices = 64
 
-// Written records what came of a write.
-func (c *Controller) Written(now time.Time, write StatusWrite, result WriteResult) {}
+func (c *Controller) notice(now time.Time, o *order, event, reason string) {
+	if len(c.notices) < maxNotices {
+		c.notices = append(c.notices, Notice{
+			Service: o.Service, Software: o.Software, Event: event, Reason: reason, Elapsed: o.elapsed(now),
+		})
+	}
+}
 
 // Notices returns the notices since the last call.
-func (c *Controller) Notices() []Notice { return nil }
-
-// Overview describes the orders, sorted by service.
-func (c *Controller) Overview(now time.Time) []Overview { return nil }
+func (c *Controller) Notices() []Notice {
+	notices := c.notices
+	c.notices = nil
+	return notices
+}
--- /dev/null
+++ b/fleet/process/rollout/rule.go
@@ -0,0 +1,174 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+)
+
+// mode is which versions run the requests of a service under an order.
+type mode uint8
+
+const (
+	// modeOld sends all requests to the old version.
+	modeOld mode = iota
+	// modeCanary sends a share of them to the new version.
+	modeCanary
+	// modeNew sends all to the new version, but for streams that the old one began.
+	modeNew
+	// modeHold sends none: the order may be done, but its version is bad.
+	modeHold
+	// modeDone sends all to the new version.
+	modeDone
+)
+
+// holdTime is how long a VM that learns in the shift that the version is bad sends nothing if the
+// order may have been done at that moment: until the write of either has an outcome.
+const holdTime = 1500 * time.Millisecond
+
+// mode returns which versions run the requests now.
+func (c *Controller) mode(now time.Time, o *order) mode {
+	switch {
+	case o.progress == progressDone:
+		return modeDone
+	case o.progress == progressRolledBack:
+		return modeOld
+	case o.condemned != "":
+		if o.held && now.Sub(o.condemnedAt) < holdTime {
+			return modeHold
+		}
+		return modeOld
+	case !c.isFresh(now, freshFor) || o.sides.news == 0:
+		return modeOld
+	case o.progress == progressShifting:
+		return modeNew
+	case o.elapsed(now) >= o.Duration:
+		return modeOld
+	}
+	return modeCanary
+}
+
+// Rule returns which versions may run an attempt. It is called once for each attempt, before it is
+// placed.
+func (c *Controller) Rule(now time.Time, ticket request.Ticket) request.SoftwareRule {
+	if !c.enabled() {
+		return request.SoftwareRule{}
+	}
+	except := c.excluded[ticket.Pool]
+	o := c.orders[ticket.Pool]
+	if o == nil {
+		return request.SoftwareRule{Except: except}
+	}
+	if ticket.Attempt <= 1 {
+		o.own.Requests++
+	}
+	withoutNew := request.SoftwareRule{Except: append(slices.Clip(except), o.Software)}
+	switch c.mode(now, o) {
+	case modeDone:
+		return request.SoftwareRule{Except: except}
+	case modeHold:
+		return request.SoftwareRule{Only: o.Software, Except: []string{o.Software}}
+	case modeNew:
+		if ticket.Software == "" || ticket.Software == o.Software {
+			return request.SoftwareRule{Only: o.Software}
+		}
+		if c.mayBeDone(now, o) {
+			return request.SoftwareRule{Only: o.Software}
+		}
+		o.neededOldAt = now
+		return withoutNew
+	case modeCanary:
+		switch {
+		case ticket.Software == o.Software:
+			if c.mayContinue(o) {
+				return request.SoftwareRule{Only: o.Software}
+			}
+		case ticket.Software == "" && ticket.Attempt <= 1 && c.take(now, o):
+			return request.SoftwareRule{Only: o.Software, Except: except, Among: o.activeCanaries(now)}
+		}
+	}
+	return withoutNew
+}
+
+// takeUpSlack is the number of streams of the new version that a VM continues in a canary beyond
+// its share.
+const takeUpSlack = 2
+
+// mayContinue reports whether a stream that the new version began may be continued there in the
+// canary. The continuations of streams that a bad version breaks off, again and again, stay within
+// the whole exposure share.
+func (c *Controller) mayContinue(o *order) bool {
+	return float64(o.own.Sent) < c.options.ExposureShare*float64(o.own.Requests)+takeUpSlack
+}
+
+// Permits reports whether an attempt may be sent to an upstream now. It is asked right before the
+// first byte. If it permits, Sent follows before any other call.
+func (c *Controller) Permits(now time.Time, u *version.Upstream) bool {
+	if !c.enabled() {
+		return true
+	}
+	if slices.Contains(c.excluded[u.Pool], u.Software) || c.versions[poolVersion{u.Pool, u.Software}] == nil {
+		return false
+	}
+	o := c.orders[u.Pool]
+	if o == nil {
+		return true
+	}
+	isNew := u.Software == o.Software
+	switch c.mode(now, o) {
+	case modeDone:
+		return true
+	case modeHold:
+		return false
+	case modeNew:
+		return isNew || !c.mayBeDone(now, o)
+	case modeCanary:
+		return true
+	}
+	return !isNew
+}
+
+// Sent records that an attempt is sent to an upstream.
+func (c *Controller) Sent(now time.Time, pool version.PoolID, route string, id version.UpstreamID) {
+	u := c.upstreams[id]
+	if !c.enabled() || u == nil {
+		return
+	}
+	u.running++
+	if o := c.orders[pool]; o != nil && u.software == o.Software {
+		o.own.Sent++
+		if len(o.budget.reserved) > 0 {
+			o.budget.reserved = o.budget.reserved[1:]
+		}
+	}
+}
+
+// Ended records the end of an attempt that was sent.
+func (c *Controller) Ended(now time.Time, sample Sample) {
+	u := c.upstreams[sample.Upstream]
+	if !c.enabled() || u == nil {
+		return
+	}
+	u.running = max(u.running-1, 0)
+	o := c.orders[sample.Pool]
+	if o != nil && sample.Unfinished && u.software != o.Software {
+		o.neededOldAt = now
+	}
+	c.record(now, o, u, sample)
+	if !u.registered && u.running == 0 {
+		delete(c.upstreams, sample.Upstream)
+	}
+}
+
+// oldRunning returns the number of attempts that this VM has at old upstreams of the order.
+func (c *Controller) oldRunning(o *order) int {
+	running := 0
+	for _, u := range c.upstreams {
+		if u.pool == o.Pool && u.software != o.Software {
+			running += u.running
+		}
+	}
+	return running
+}
--- a/fleet/request/software.go
+++ b/fleet/request/software.go
@@ -18,6 +18,9 @@
 	Among []version.UpstreamID
 }
 
+// IsZero reports whether the rule allows all.
+func (r SoftwareRule) IsZero() bool { return r.Only == "" && len(r.Except) == 0 && r.Among == nil }
+
 // Permits reports whether an upstream with the given software version may run the attempt.
 func (r SoftwareRule) Permits(software string, id version.UpstreamID) bool {
 	switch {
