Decide rollouts of software versions

An order in the store asks that a service's requests be moved to another software version. fleet/process/rollout decides for each VM which version runs a request: a share of them in the canary, all in the shift, none once the fleet's evidence condemns the version. Evidence is compared per route with the old version at the same time and has to come from several upstreams. Steps are statuses written on condition of the object's revision.

--- a/fleet/process/exchange/rollouts.go
+++ b/fleet/process/exchange/rollouts.go
@@ -160,13 +160,13 @@
 		s.vm = from
 	}
 	s.receive(now, report)
-	r.expireRollouts(now)
 }
 
 // RolloutSum returns the sum of what all other VMs have reported, and the age of the last report; at
 // least rolloutRetention if there is none. It is to be computed as often as reports are sent, not for
 // each that comes.
 func (r *Reporter) RolloutSum(now time.Time) (sum wire.RolloutReport, age time.Duration) {
+	r.expireRollouts(now)
 	age = rolloutRetention
 	for _, s := range r.rollouts {
 		if r.rolloutCounts(s) {
--- /dev/null
+++ b/fleet/process/rollout/failure_test.go
@@ -0,0 +1,316 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/trefoilwell/trefoilwell/fleet/request"
+	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
+)
+
+// disturbances are the failures of VMs, links and the store, each begun and ended.
+var disturbances = map[string]struct{ begin, end func(*world) }{
+	"the first VMs die and start again": {
+		func(w *world) {
+			for _, v := range w.vms[:len(w.vms)/3] {
+				w.kill(v)
+			}
+		},
+		func(w *world) {
+			for _, v := range w.vms[:len(w.vms)/3] {
+				w.boot(v)
+			}
+		},
+	},
+	"the first VMs freeze": {
+		func(w *world) { w.each(func(v *vm) { v.frozen = true }) },
+		func(w *world) { w.each(func(v *vm) { v.frozen = false; v.Configure(w.now, w.config) }) },
+	},
+	"the first VMs are cut off from the others": {
+		func(w *world) { w.each(func(v *vm) { v.cut = true }) },
+		func(w *world) { w.each(func(v *vm) { v.cut = false }) },
+	},
+	"the first VMs are cut off from the store": {
+		func(w *world) { w.each(func(v *vm) { v.refused = true }) },
+		func(w *world) { w.each(func(v *vm) { v.refused = false }) },
+	},
+	"the first VMs are cut off from all": {
+		func(w *world) { w.each(func(v *vm) { v.refused, v.cut = true, true }) },
+		func(w *world) { w.each(func(v *vm) { v.refused, v.cut = false, false }) },
+	},
+	"the store is silent": {
+		func(w *world) { w.silent = true },
+		func(w *world) { w.silent = false },
+	},
+	"the answers to writes are lost": {
+		func(w *world) { w.loseAll = true },
+		func(w *world) { w.loseAll = false },
+	},
+	"the store returns from an older copy": {
+		func(w *world) { w.restore(Status{}) },
+		func(*world) {},
+	},
+}
+
+// each does something to a third of the VMs, the first ones, of which one makes the steps.
+func (w *world) each(do func(*vm)) {
+	for _, v := range w.vms[:len(w.vms)/3] {
+		do(v)
+	}
+}
+
+// restore lets the store return from a copy in which the order has an earlier status.
+func (w *world) restore(status Status) {
+	w.order.At = storeera.Position{Era: w.order.At.Era + 1, Revision: 100}
+	w.order.Status = status
+}
+
+// Guards against a bad version that gets too many requests, or is not rolled back, and against a good
+// one that is done while old upstreams are in use, when VMs, links or the store fail at any phase.
+func TestFailuresAtEachPhase(t *testing.T) {
+	for name, disturbance := range disturbances {
+		for _, at := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 6 * time.Second, 8500 * time.Millisecond} {
+			for _, f := range []fault{{}, {failing: 0.3, from: at}} {
+				w := newWorld(t, 6, 6, uint64(at))
+				w.perStep *= 4
+				w.fault = f
+				w.give()
+				w.run(at)
+				w.inDisturbance = true
+				disturbance.begin(w)
+				w.run(2500 * time.Millisecond)
+				disturbance.end(w)
+				w.run(testDuration)
+				what := fmt.Sprintf("%s after %v, fault %+v", name, at, f)
+				switch {
+				case w.state() != StateDone && w.state() != StateRolledBack:
+					t.Errorf("%s: %+v, want a final state; steps %+v", what, w.order.Status, w.steps)
+				case f.failing > 0 && at < 6*time.Second && w.state() != StateRolledBack:
+					t.Errorf("%s: %+v, want rolled back", what, w.order.Status)
+				case f.failing == 0 && at > 6*time.Second && w.state() != StateDone:
+					t.Errorf("%s: %+v, want done", what, w.order.Status)
+				}
+				if f.failing > 0 && at < 6*time.Second {
+					w.checkBound()
+				}
+				if t.Failed() {
+					t.Fatal(what)
+				}
+			}
+		}
+	}
+}
+
+// Guards against steps that are not made because the first member is dead, at each step.
+func TestAnotherVMMakesTheStep(t *testing.T) {
+	w := newWorld(t, 81, 20, 3)
+	w.kill(w.vms[0])
+	w.give()
+	w.run(testDuration)
+	if w.state() != StateDone {
+		t.Errorf("%+v without the first member, want done", w.order.Status)
+	}
+	if len(w.steps) > 6 {
+		t.Errorf("%d writes, want one for each step: %+v", len(w.steps), w.steps)
+	}
+}
+
+// Guards against a final state that is undone by the return of the store from an older copy, and
+// against requests to a version that was rolled back.
+func TestFinalStateOutlivesTheReturnOfTheStore(t *testing.T) {
+	canary := Status{State: StateRunning, Software: "v2", Phase: PhaseCanary, Elapsed: time.Second}
+	for _, f := range []fault{{}, {failing: 0.5}} {
+		w := newWorld(t, 6, 6, 5)
+		w.perStep *= 4
+		w.fault = f
+		w.give()
+		w.run(testDuration)
+		want := w.state()
+		if want != StateDone && want != StateRolledBack {
+			t.Fatalf("%+v, want a final state", w.order.Status)
+		}
+		sent := w.sentNew
+		w.restore(canary)
+		w.run(3 * time.Second)
+		if w.state() != want {
+			t.Errorf("%+v after the return of the store, want %s", w.order.Status, want)
+		}
+		if want == StateRolledBack && w.sentNew != sent {
+			t.Errorf("%d requests reach the version that was rolled back", w.sentNew-sent)
+		}
+		// The order is lost as a whole, and written again by its operator.
+		lost := *w.order
+		w.order = nil
+		w.run(time.Second)
+		w.order = &lost
+		w.order.Created, w.order.Status = 300, Status{}
+		w.order.At = storeera.Position{Era: lost.At.Era + 1, Revision: 300}
+		w.run(2 * time.Second)
+		if w.state() != want {
+			t.Errorf("%+v after the order was lost, want %s", w.order.Status, want)
+		}
+	}
+}
+
+// Guards against rollouts that go on although the order was removed, replaced or written anew, and
+// against requests to a version of an order that has ended.
+func TestChangeOfTheOrderEndsTheRollout(t *testing.T) {
+	w := newWorld(t, 6, 6, 9)
+	w.give()
+	w.run(2 * time.Second)
+	c := w.vms[1].Controller
+	old := w.order
+	w.order = nil
+	w.run(time.Second)
+	ticket := request.Ticket{Pool: testPool, Attempt: 1}
+	if rule := c.Rule(w.now, ticket); rule.Permits("v2", 0) || !rule.Permits("v1", 0) {
+		t.Errorf("rule %+v after the order was removed, want the old version only", rule)
+	}
+	next := *old
+	next.Created, next.At.Revision, next.Status = 500, 500, Status{}
+	w.order = &next
+	w.run(500 * time.Millisecond)
+	if view := c.Overview(w.now); len(view) != 1 || view[0].Elapsed > 600*time.Millisecond || view[0].State != StateRunning {
+		t.Errorf("%+v after the order was written anew, want a new rollout", view)
+	}
+	other := next
+	other.Software, other.At.Revision = "v3", 600
+	w.order = &other
+	w.run(500 * time.Millisecond)
+	for range 200 {
+		if rule := c.Rule(w.now, ticket); rule.Permits("v2", 0) || rule.Only == "v2" {
+			t.Fatalf("rule %+v after the order names another version", rule)
+		}
+	}
+	w.run(testDuration)
+	if w.state() != StateRolledBack {
+		t.Errorf("%+v of a version without upstreams, want rolled back", w.order.Status)
+	}
+}
+
+// Guards against an order whose time had run out when it was first seen and that is begun, as after
+// a power loss of all VMs, and against a shift that had begun and is not completed.
+func TestOrderIsTakenUpAfterAPowerLoss(t *testing.T) {
+	for _, c := range []struct {
+		phase Phase
+		want  State
+	}{{PhaseCanary, StateRolledBack}, {PhaseShifting, StateDone}} {
+		w := newWorld(t, 6, 6, 11)
+		w.give()
+		w.order.Status = Status{State: StateRunning, Software: "v2", Phase: c.phase, Elapsed: testDuration}
+		w.run(8 * time.Second)
+		if w.state() != c.want {
+			t.Errorf("phase %s: %+v, want %s", c.phase, w.order.Status, c.want)
+		}
+		if c.want == StateRolledBack && w.sentNew > 0 {
+			t.Errorf("%d requests reach a version whose time had run out", w.sentNew)
+		}
+	}
+}
+
+// software returns an upstream of a version.
+func software(name, software string) *version.Upstream {
+	return &version.Upstream{ID: version.NewUpstreamID(name), Name: name, Pool: testPool, Software: software}
+}
+
+// configOf returns a configuration of upstreams.
+func configOf(upstreams ...*version.Upstream) *version.Config {
+	config := &version.Config{
+		Pools:     map[version.PoolID]*version.Pool{testPool: {ID: testPool, Name: "svc"}},
+		Upstreams: make(map[version.UpstreamID]*version.Upstream),
+	}
+	for _, u := range upstreams {
+		config.Upstreams[u.ID] = u
+	}
+	return config
+}
+
+// Guards against a request to a version whose order this VM has not read yet, and against versions
+// without an order that are not served.
+func TestNewVersionWaitsForAReadThatWasSentAfterIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{VM: "vm-0", Incarnation: 1, ExposureShare: testShare, RollbackTime: testRollback})
+	v1, v2 := software("u1", "v1"), software("u2", "v2")
+	ticket := request.Ticket{Pool: testPool, Attempt: 1}
+	permits := func(u *version.Upstream) bool {
+		return c.Permits(now, u) && c.Rule(now, ticket).Permits(u.Software, u.ID)
+	}
+	c.Configure(now, configOf(v1))
+	if !permits(v1) {
+		t.Error("the only version of a service gets nothing before the first read")
+	}
+	sentBefore := now
+	now = now.Add(100 * time.Millisecond)
+	c.Configure(now, configOf(v1, v2))
+	if permits(v2) {
+		t.Error("a version that has just appeared gets requests before a read")
+	}
+	c.SetOrders(now.Add(50*time.Millisecond), nil, sentBefore)
+	if permits(v2) {
+		t.Error("a version gets requests after a read that was sent before its registration was seen")
+	}
+	c.SetOrders(now.Add(60*time.Millisecond), nil, now)
+	if !permits(v2) || !permits(v1) {
+		t.Error("a version that no order names gets no requests after a read")
+	}
+	off := New(Options{VM: "vm-0"})
+	off.Configure(now, configOf(v1, v2))
+	if rule := off.Rule(now, ticket); !rule.IsZero() || !off.Permits(now, v2) || off.Report(now).VMs != 0 {
+		t.Errorf("rule %+v while rollouts are off", rule)
+	}
+}
+
+// Guards against requests to the new version by a VM that no longer knows whether the order stands,
+// and against streams that are taken up at a version which must not run them.
+func TestRuleFollowsKnowledgeAndStreams(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	v1, v2 := software("u1", "v1"), software("u2", "v2")
+	order := Order{Pool: testPool, Service: "svc", Software: "v2", Duration: testDuration, Created: 5, At: storeera.Position{Revision: 5}}
+	c := New(Options{VM: "vm-0", Incarnation: 1, ExposureShare: testShare, RollbackTime: testRollback})
+	c.SetMembers(now, []version.VMID{"vm-0", "vm-1"})
+	c.Configure(now, configOf(v1))
+	c.SetOrders(now, []Order{order}, now)
+	c.Configure(now, configOf(v1, v2))
+	check := func(what, stream string, v1Runs, v2Runs bool) {
+		t.Helper()
+		rule := c.Rule(now, request.Ticket{Pool: testPool, Attempt: 2, Software: stream})
+		if rule.Permits("v1", v1.ID) != v1Runs || rule.Permits("v2", v2.ID) != v2Runs {
+			t.Errorf("%s: rule %+v, want v1 %v, v2 %v", what, rule, v1Runs, v2Runs)
+		}
+	}
+	set := func(status Status) {
+		order.At.Revision++
+		order.Status = status
+		c.SetOrders(now, []Order{order}, now)
+	}
+	set(Status{State: StateRunning, Software: "v2", Phase: PhaseCanary})
+	check("a retry in the canary", "", true, false)
+	check("a stream of the new version", "v2", false, true)
+	check("a stream of the old version", "v1", true, false)
+	now = now.Add(freshFor)
+	check("a stream of the new version without fresh knowledge", "v2", true, false)
+	if c.Permits(now, v2) || !c.Permits(now, v1) {
+		t.Error("a VM without fresh knowledge sends to the new version")
+	}
+	set(Status{State: StateRunning, Software: "v2", Phase: PhaseShifting})
+	check("a request in the shift", "", false, true)
+	check("a stream of the old version in the shift", "v1", true, false)
+	now = now.Add(freshFor)
+	check("a request in the shift without fresh knowledge", "", true, false)
+	set(Status{State: StateDone, Software: "v2"})
+	now = now.Add(time.Minute)
+	check("a request after the order is done", "", false, true)
+	check("a stream of the old version after that", "v1", false, true)
+	if c.Permits(now, v1) || !c.Permits(now, v2) {
+		t.Error("an old upstream gets requests after the order is done")
+	}
+	order.Software = "v3"
+	set(Status{State: StateRolledBack, Software: "v3", Reason: "bad"})
+	check("a stream of a version that was rolled back", "v3", false, true)
+	if c.Permits(now, software("u3", "v3")) {
+		t.Error("a version that was rolled back gets requests")
+	}
+}
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -179,7 +179,8 @@
 	}
 	delete(c.former, next.Pool)
 	c.orders[next.Pool] = o
-	c.versionOf(now, next.Pool, next.Software).blocked = false
+	state := c.versionOf(now, next.Pool, next.Software)
+	state.blocked, state.retired = false, false
 	c.updateSides(now, o)
 	c.notice(now, o, "order is in force", "")
 	return o
--- a/fleet/process/rollout/rollout.go
+++ b/fleet/process/rollout/rollout.go
@@ -175,6 +175,9 @@
 	excluded map[version.PoolID][]string
 	// routeNames are the names of the routes by their hashes.
 	routeNames map[uint32]string
+	// running and runningAt count the attempts of this VM by pool, and by software version.
+	running   map[version.PoolID]int
+	runningAt map[poolVersion]int
 	// orders are the orders in force, by pool. former are those that are no longer in the store,
 	// for the case that it has lost them.
 	orders, former map[version.PoolID]*order
@@ -199,6 +202,8 @@
 		upstreams:  make(map[version.UpstreamID]*upstream),
 		excluded:   make(map[version.PoolID][]string),
 		routeNames: make(map[uint32]string),
+		running:    make(map[version.PoolID]int),
+		runningAt:  make(map[poolVersion]int),
 		orders:     make(map[version.PoolID]*order),
 		former:     make(map[version.PoolID]*order),
 		levels:     make(map[levelKey]*level),
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -136,7 +136,7 @@
 	if !c.enabled() || u == nil {
 		return
 	}
-	u.running++
+	c.addRunning(u, 1)
 	if o := c.orders[pool]; o != nil && u.software == o.Software {
 		o.own.Sent++
 		if len(o.budget.reserved) > 0 {
@@ -151,7 +151,9 @@
 	if !c.enabled() || u == nil {
 		return
 	}
-	u.running = max(u.running-1, 0)
+	if u.running > 0 {
+		c.addRunning(u, -1)
+	}
 	o := c.orders[sample.Pool]
 	if o != nil && sample.Unfinished && u.software != o.Software {
 		o.neededOldAt = now
@@ -164,11 +166,15 @@
 
 // oldRunning returns the number of attempts that this VM has at old upstreams of the order.
 func (c *Controller) oldRunning(o *order) int {
-	running := 0
-	for _, u := range c.upstreams {
-		if u.pool == o.Pool && u.software != o.Software {
-			running += u.running
-		}
+	return c.running[o.Pool] - c.runningAt[poolVersion{o.Pool, o.Software}]
+}
+
+// addRunning adds to the attempts that this VM has at an upstream.
+func (c *Controller) addRunning(u *upstream, change int) {
+	u.running += change
+	c.running[u.pool] += change
+	key := poolVersion{u.pool, u.software}
+	if c.runningAt[key] += change; c.runningAt[key] == 0 {
+		delete(c.runningAt, key)
 	}
-	return running
 }
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -15,7 +15,7 @@
 	// judgeFraction is the part of the duration after which a canary that shows no fault is good,
 	// and latestJudgeFraction the part up to which one that is cold or doubtful is watched. The
 	// rest is for requests in flight: most streams take 1 to 3 s.
-	judgeFraction       = 0.45
+	judgeFraction       = 0.5
 	latestJudgeFraction = 0.6
 	// giveUpFraction is the part of the duration up to which a canary may collect the responses
 	// that a judgement needs.
--- a/fleet/process/rollout/verdict.go
+++ b/fleet/process/rollout/verdict.go
@@ -36,7 +36,7 @@
 		bad:  func(c tally.Counts) float64 { return float64(c.Failed) },
 		of:   func(c tally.Counts) float64 { return float64(c.Ended) },
 
-		minExcess: 4, minDifference: 0.02, minRatio: 1.5, minZ: 4.5, prior: 0.1,
+		minExcess: 4, minDifference: 0.02, minRatio: 1.5, minZ: 4, prior: 0.1,
 	}
 	// slowness needs more: machines that others load are slow for 600 ms at a time, so that slow
 	// responses come in clusters.
@@ -57,9 +57,9 @@
 	// soloExcess is the number of bad responses beyond the expected ones that condemn a version
 	// with one upstream, which cannot be compared with others.
 	soloExcess = 10
-	// spreadFraction is the fraction of the upstreams that share the bad responses, relative to how
-	// many would if these were spread evenly. Crashes of a few upstreams, or of a data centre, stay
-	// below it.
+	// spreadFraction is the number of upstreams with bad responses beyond those that the expected
+	// ones explain, relative to how many there would be if all were spread evenly. Crashes of a few
+	// upstreams, or of a data centre, stay below it.
 	spreadFraction = 0.6
 	// minRestExcess is the number of bad responses beyond the expected ones without those of the
 	// worst upstream.
@@ -169,6 +169,7 @@
 		return all.excess() >= soloExcess
 	}
 	rest := bad - worst - all.expected*(1-worstEnded/max(all.ended, 1))
-	n := float64(upstreams)
-	return rest >= minRestExcess && distinct >= spreadFraction*n*(1-math.Exp(-bad/n))
+	touched := func(bad float64) float64 { return float64(upstreams) * (1 - math.Exp(-bad/float64(upstreams))) }
+	explained := touched(all.expected)
+	return rest >= minRestExcess && distinct-explained >= spreadFraction*(touched(bad)-explained)
 }
--- a/fleet/process/rollout/versions.go
+++ b/fleet/process/rollout/versions.go
@@ -40,7 +40,8 @@
 	confirmed bool
 	// blocked is set once an order for it has ended other than done; another order resets it.
 	blocked bool
-	// retired is set once the order that replaces the version is done.
+	// retired is set once the order that replaces the version is done; an order for the version
+	// resets it.
 	retired bool
 }
 
@@ -128,23 +129,35 @@
 func routeHash(name string) uint32 { return max(uint32(xxhash.Sum64String(name)), 1) }
 
 // updateExcluded updates the versions that get no request whatever an order says: those that an
-// order has ended, and those that may be named by an order which this VM has not read yet.
+// order has ended or replaced, and those that may be named by an order which this VM has not read
+// yet.
 func (c *Controller) updateExcluded(now time.Time) {
 	clear(c.excluded)
-	count := make(map[version.PoolID]int)
+	// present counts the versions that are registered, and lasting those of them that were not
+	// replaced or rolled back.
+	present, lasting := make(map[version.PoolID]int), make(map[version.PoolID]int)
 	for key, state := range c.versions {
+		o := c.orders[key.pool]
+		if o != nil && o.progress == progressDone && o.Software != key.software &&
+			!state.seenAt.IsZero() && !state.seenAt.After(o.finalAt.Add(retireWindow)) {
+			state.retired = true
+		}
 		if !state.seenAt.IsZero() {
-			count[key.pool]++
+			present[key.pool]++
+			if !state.retired && !state.blocked {
+				lasting[key.pool]++
+			}
 		}
 	}
 	for key, state := range c.versions {
-		// The only version of a service is the one that served it before.
-		unread := !state.confirmed && count[key.pool] > 1
 		o := c.orders[key.pool]
 		if o != nil && o.Software == key.software {
 			continue
 		}
-		if unread || state.blocked || c.isRetired(now, o, state) {
+		// The only version of a service is the one that served it before.
+		unread := !state.confirmed && present[key.pool] > 1
+		replaced := state.retired && (lasting[key.pool] > 0 || o != nil && now.Sub(o.finalAt) < retireTime)
+		if unread || state.blocked || replaced {
 			c.excluded[key.pool] = append(c.excluded[key.pool], key.software)
 		}
 	}
@@ -153,19 +166,6 @@
 	}
 }
 
-// isRetired reports whether a version gets nothing because the order for another one is done. The
-// versions that appear later are not touched by the order.
-func (c *Controller) isRetired(now time.Time, o *order, state *versionState) bool {
-	if o == nil || o.progress != progressDone {
-		state.retired = false
-		return false
-	}
-	if !state.seenAt.IsZero() && !state.seenAt.After(o.finalAt.Add(retireWindow)) {
-		state.retired = true
-	}
-	return state.retired && (o.sides.news > 0 || now.Sub(o.finalAt) < retireTime)
-}
-
 // confirmVersions records that a read sent at readAt has shown the orders.
 func (c *Controller) confirmVersions(readAt time.Time) {
 	for _, state := range c.versions {
