--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -101,7 +101,8 @@
 
 // judge condemns the version if the evidence of all VMs shows it to be bad.
 func (c *Controller) judge(now time.Time, o *order, total *tally.Order) {
-	if o.condemned != "" {
+	o.doubtful = false
+	if o.condemned != "" || !total.HasBad() {
 		return
 	}
 	upstreams := len(o.sides.canaries)
@@ -109,7 +110,6 @@
 		upstreams = o.sides.news
 	}
 	name := func(hash uint32) string { return "route " + cmp.Or(c.routeNames[hash], "unknown") }
-	o.doubtful = false
 	window := c.options.RollbackTime / 5
 	// The whole time shows faults that were there from the start, the windows those that begin.
 	for i, age := range []time.Duration{0, window, 2 * window, 4 * window} {
--- a/fleet/process/rollout/tally/tally.go
+++ b/fleet/process/rollout/tally/tally.go
@@ -159,6 +159,16 @@
 	o.Condemned = cmp.Or(o.Condemned, other.Condemned)
 }
 
+// HasBad reports whether a response of the new version failed or was slow.
+func (o *Order) HasBad() bool {
+	for _, route := range o.Routes {
+		if route.New.Failed > 0 || route.New.Slow > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Clone returns a copy.
 func (o *Order) Clone() *Order {
 	clone := *o
