Fit the daemon to the reports of rollouts

The sum of the reports is computed with each look at the steps that are due, by the clock of the other reports. A status that is read to settle a write is compared as it was encoded, since milliseconds are cut.

--- a/daemon/process/edge/rollouts.go
+++ b/daemon/process/edge/rollouts.go
@@ -163,12 +163,12 @@
 	}
 	// The answer was lost, the store has returned from an older copy, or the object has changed,
 	// perhaps by an earlier write of this status whose answer was lost.
-	return r.settle(ctx, write, err)
+	return r.settle(ctx, write, text, err)
 }
 
-// settle reads an object again to find out what came of a write of its status. cause is the error
-// of the write.
-func (r *rollouts) settle(ctx context.Context, write rollout.StatusWrite, cause error) (rollout.WriteResult, storeAnswer) {
+// settle reads an object again to find out what came of a write of its status. text is the status as
+// written, and cause the error of the write.
+func (r *rollouts) settle(ctx context.Context, write rollout.StatusWrite, text []byte, cause error) (rollout.WriteResult, storeAnswer) {
 	call, cancel := context.WithTimeout(ctx, statusReadTimeout)
 	defer cancel()
 	object, err := r.daemon.store.Get(call, platform.KindRollout, write.Service)
@@ -183,7 +183,7 @@
 		answer.err = errors.CombineErrors(cause, err)
 		return rollout.WriteUnknown, answer
 	}
-	if order, err := platform.DecodeRollout(write.Service, object); err == nil && order.Status == write.Status && object.Era == write.At.Era {
+	if object.Era == write.At.Era && platform.SameStatus(object.Status, text) {
 		return rollout.WriteApplied, answer
 	}
 	if conflict || object.Era != write.At.Era || object.Revision != write.At.Revision {
--- a/daemon/process/placing/rollout.go
+++ b/daemon/process/placing/rollout.go
@@ -11,7 +11,8 @@
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 )
 
-// The times of rollouts are those of clock.Boot, which runs while the VM is suspended.
+// The times of rollouts are those of clock.Boot, which runs while the VM is suspended. Those of the
+// reports between VMs are of time.Now, as for the other reports.
 
 // SetRollouts sets the controller of the rollouts, which the Placer owns from then on. Without it
 // every software version may serve. It must be called before any other method.
@@ -65,8 +66,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := clock.Boot()
-	return p.reporter.RolloutOutbox(now, p.rollouts.Report(now))
+	return p.reporter.RolloutOutbox(time.Now(), p.rollouts.Report(clock.Boot()))
 }
 
 // ReceiveRollout records a rollout report of another VM.
@@ -76,15 +76,18 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := clock.Boot()
-	p.rollouts.Receive(now, from, p.reporter.ReceiveRollout(now, from, report))
+	p.reporter.ReceiveRollout(time.Now(), from, report)
 }
 
-// TickRollouts returns the statuses to write to the store, and what has happened since the last call.
+// TickRollouts takes in what other VMs have reported. It returns the statuses to write to the store,
+// and what has happened since the last call.
 func (p *Placer) TickRollouts() ([]rollout.StatusWrite, []rollout.Notice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	writes := p.rollouts.Tick(clock.Boot())
+	now := clock.Boot()
+	sum, age := p.reporter.RolloutSum(time.Now())
+	p.rollouts.Receive(now, sum, age)
+	writes := p.rollouts.Tick(now)
 	return writes, p.rollouts.Notices()
 }
 
