Play rollouts with real daemons

A notice is now told to the other VMs at once: requests arrived 48 ms after a version was rolled back in the shift.

--- a/daemon/process/edge/rollouts.go
+++ b/daemon/process/edge/rollouts.go
@@ -98,7 +98,8 @@
 				r.finish(write, rollout.WriteFailed, storeAnswer{err: errTooManyWrites})
 			}
 		}
-		if tick%ticksPerRolloutReport == 0 {
+		if tick%ticksPerRolloutReport == 0 || len(notices) > 0 {
+			// A verdict is told at once.
 			r.report()
 		}
 	}
--- a/lab/edge/crash_test.go
+++ b/lab/edge/crash_test.go
@@ -55,6 +55,8 @@
 	storeURL string
 	// isStarting is set while the fleet starts for the first time.
 	isStarting bool
+	// bounds replace those of the daemons' settings.
+	bounds platformtest.Fields
 	// round numbers the rounds of take-ups, so that identifiers are unique.
 	round int
 
@@ -128,22 +130,22 @@
 // startCrashingFleet starts daemons and upstreams and waits until all daemons are ready.
 func startCrashingFleet(t *testing.T, vms, upstreams int, deadly generalupstream.Deadly, faults generalupstream.Faults) *crashingFleet {
 	t.Helper()
-	f := &crashingFleet{t: t, store: metastore.New(), client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}}
+	return startFleet(t, vms, upstreams, deadly, faults, nil)
+}
+
+// startFleet is startCrashingFleet with bounds in the daemons' settings.
+func startFleet(t *testing.T, vms, upstreams int, deadly generalupstream.Deadly, faults generalupstream.Faults, bounds platformtest.Fields) *crashingFleet {
+	t.Helper()
+	f := &crashingFleet{t: t, store: metastore.New(), bounds: bounds, client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}}}
 	storeHTTP := httptest.NewServer(f.store)
 	f.storeURL = storeHTTP.URL
 	t.Cleanup(func() { f.store.Close(); storeHTTP.CloseClientConnections(); storeHTTP.Close() })
-	for i := range upstreams {
-		u := &crashingUpstream{Upstream: generalupstream.New(fmt.Sprintf("i-%d", i)), store: f.store, software: "v1", service: "calls"}
-		var err error
-		if u.proxy, err = proxy.New(u.Address()); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { u.proxy.Close(); u.Close() })
+	for range upstreams {
+		u := f.newUpstream("v1")
 		u.OnCrash(u.crash)
 		u.SetFaults(faults)
 		u.SetDeadly(deadly)
 		u.register()
-		f.upstreams = append(f.upstreams, u)
 	}
 	f.store.Put(platform.KindConfig, platform.ConfigName, platformtest.Config(1, []any{
 		platformtest.Route("stream", host, "/stream/", platformtest.KindStreaming, "calls", nil),
@@ -159,6 +161,21 @@
 	return f
 }
 
+// newUpstream starts one more upstream, which is not registered yet.
+func (f *crashingFleet) newUpstream(software string) *crashingUpstream {
+	f.t.Helper()
+	u := &crashingUpstream{
+		Upstream: generalupstream.New(fmt.Sprintf("i-%d", len(f.upstreams))), store: f.store, software: software, service: "calls",
+	}
+	var err error
+	if u.proxy, err = proxy.New(u.Address()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { u.proxy.Close(); u.Close() })
+	f.upstreams = append(f.upstreams, u)
+	return u
+}
+
 // startDaemon starts the daemon of one more VM and waits until it is ready.
 func (f *crashingFleet) startDaemon(name, storeAddress string) {
 	f.t.Helper()
@@ -170,7 +187,7 @@
 	for try := 1; daemon == nil; try++ {
 		settings = platformtest.Settings{
 			VM: name, CallerAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t),
-			StoreAddress: storeAddress, MemoryMB: 512, FirstStart: f.isStarting, Bounds: platformtest.Bounds(nil),
+			StoreAddress: storeAddress, MemoryMB: 512, FirstStart: f.isStarting, Bounds: platformtest.Bounds(f.bounds),
 		}
 		if err := settings.Write(path); err != nil {
 			f.t.Fatal(err)
