Let the soak move a service from version to version

The soak had no rollouts. A service of its own is moved by orders in turn good and bad: at once, later, under load, on one route, failing or slow. At done nothing may be in flight at old upstreams, which stop at once, and a version that gave 50 bad responses must not be done; a bad version may get twice its exposure, since VMs that are cut off from the store are not told apart.

--- a/lab/cmd/soak/main.go
+++ b/lab/cmd/soak/main.go
@@ -37,6 +37,7 @@
 	NoRestore bool    `long:"no-restores" description:"leave out returns of the store from older copies"`
 	NoLimits  bool    `long:"no-limits" description:"leave out upstreams that name rate limits"`
 	NoOdd     bool    `long:"no-odd" description:"leave out answers without end, versions without accounts and upstreams that start again unseen"`
+	NoRollout bool    `long:"no-rollouts" description:"leave out rollouts of software versions"`
 	Verbose   bool    `long:"verbose" description:"log each disturbance"`
 }
 
@@ -76,14 +77,14 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Seed: seed, Length: time.Duration(opts.Minutes * float64(time.Minute)),
 			VMs: opts.VMs, Upstreams: opts.Upstreams, Callers: opts.Callers,
-			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly, NoLimits: opts.NoLimits, NoRestores: opts.NoRestore, NoOdd: opts.NoOdd,
+			Binary: opts.Binary, Dir: folder, CheckTiming: !opts.NoTiming, NoDeadly: opts.NoDeadly, NoLimits: opts.NoLimits, NoRestores: opts.NoRestore, NoOdd: opts.NoOdd, NoRollouts: opts.NoRollout,
 			Log: slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level})),
 		})
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d executions, %d disturbances, %d crashes, %d limits, %d returns of the store, %d odd faults, peak of %d MB, %d violations\n",
-			seed, report.Requests, report.Served, report.Executions, report.Disturbances, report.Crashes, report.Limits, report.Restores, report.Odd, report.PeakMemory>>20, len(report.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, %d executions, %d disturbances, %d crashes, %d limits, %d returns of the store, %d odd faults, %d rollouts with %d rolled back, peak of %d MB, %d violations\n",
+			seed, report.Requests, report.Served, report.Executions, report.Disturbances, report.Crashes, report.Limits, report.Restores, report.Odd, report.Rollouts, report.RolledBack, report.PeakMemory>>20, len(report.Violations))
 		for _, violation := range report.Violations[:min(len(report.Violations), 5)] {
 			fmt.Println("  ", violation)
 		}
--- a/lab/generalupstream/bad.go
+++ b/lab/generalupstream/bad.go
@@ -41,6 +41,7 @@
 		return false, 0
 	}
 	u.badDue--
+	u.badRuns++
 	return u.bad.Slow == 0, u.bad.Slow
 }
 
@@ -51,6 +52,13 @@
 	u.running--
 }
 
+// BadRuns returns the number of responses that were bad.
+func (u *Upstream) BadRuns() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.badRuns
+}
+
 // Running returns the number of requests in progress.
 func (u *Upstream) Running() int {
 	u.mu.Lock()
--- a/lab/generalupstream/generalupstream.go
+++ b/lab/generalupstream/generalupstream.go
@@ -132,10 +132,11 @@
 	crashed func()
 	crashes []Crash
 	deadly  Deadly
-	// bad is how the upstream's software is bad, and badDue the fraction of a bad response that is
-	// due. running counts the requests in progress.
+	// bad is how the upstream's software is bad, badDue the fraction of a bad response that is due,
+	// and badRuns counts those that were. running counts the requests in progress.
 	bad     Bad
 	badDue  float64
+	badRuns int
 	running int
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -38,7 +38,9 @@
 	// NoOdd leaves out streams without end, versions without accounts and upstreams that start
 	// again unseen.
 	NoOdd bool
-	Log   *slog.Logger
+	// NoRollouts leaves out rollouts of software versions.
+	NoRollouts bool
+	Log        *slog.Logger
 }
 
 // Report is the result of a run. Requests counts the ended calls, Served those with a
@@ -52,7 +54,10 @@
 	// Odd counts the odd faults, and PeakMemory is the highest memory of a process, in bytes.
 	Odd        int
 	PeakMemory int64
-	Violations []Violation
+	// Rollouts counts the orders that were carried out, and RolledBack those of them that were
+	// rolled back.
+	Rollouts, RolledBack int
+	Violations           []Violation
 }
 
 const (
@@ -105,6 +110,12 @@
 		random := rand.New(rand.NewPCG(options.Seed, oddStream))
 		background.Go(func() { s.runOdd(ctx, random) })
 	}
+	var moves *moves
+	if !options.NoRollouts {
+		moves = newMoves(f, options)
+		defer moves.close()
+		background.Go(func() { moves.run(ctx) })
+	}
 	background.Go(func() { f.watchMemory(ctx) })
 	var report Report
 	ticker := time.NewTicker(checkInterval)
@@ -117,6 +128,7 @@
 		case <-ticker.C:
 		}
 		report = examine(f, s, calls.all(), options.CheckTiming)
+		moves.report(&report)
 		if len(report.Violations) > 0 {
 			cancel()
 			background.Wait()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -39,7 +39,7 @@
 	}
 	for _, seed := range seeds {
 		report, err := Run(t.Context(), Options{
-			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, NoRestores: true, NoOdd: true, Log: slog.New(slog.DiscardHandler),
+			Seed: seed, Length: 14 * time.Second, Binary: path, Dir: t.TempDir(), NoLimits: true, NoRestores: true, NoOdd: true, NoRollouts: true, Log: slog.New(slog.DiscardHandler),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -313,7 +313,7 @@
 // A short run with upstreams that name rate limits and a store that returns from older copies.
 func TestPromisesHoldUnderLimitsAndReturnsOfTheStore(t *testing.T) {
 	report, err := Run(t.Context(), Options{
-		Seed: 61001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, NoOdd: true, Log: slog.New(slog.DiscardHandler),
+		Seed: 61001, Length: 32 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, NoOdd: true, NoRollouts: true, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -61,6 +62,8 @@
 	// times at which versions were written to the store, by number.
 	version      int
 	publishTimes map[int]time.Time
+	// rollouts is set if the daemons' settings ask for rollouts.
+	rollouts bool
 	// emptied are the numbers of the versions without accounts.
 	emptied []int
 	// deadly is what crashes upstreams now: prompt segments, and bodies of requests.
@@ -107,7 +110,7 @@
 
 // newFleet starts the store, the upstreams and the daemons.
 func newFleet(options Options) (*fleet, error) {
-	f := &fleet{dir: options.Dir, binary: options.Binary, store: metastore.New(), publishTimes: make(map[int]time.Time), written: make(map[writtenObject]any), ports: newPorts()}
+	f := &fleet{dir: options.Dir, binary: options.Binary, store: metastore.New(), publishTimes: make(map[int]time.Time), rollouts: !options.NoRollouts, written: make(map[writtenObject]any), ports: newPorts()}
 	f.storeServer = httptest.NewServer(f.store)
 	for i := range options.Upstreams {
 		u := generalupstream.New("i-" + strconv.Itoa(i))
@@ -193,6 +196,9 @@
 	}, platformtest.Service(service, platformtest.Fields{
 		"cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond,
 	}), "account-1", apiKeyOf(f.version), apiKeyOf(f.version-1))
+	if f.rollouts {
+		addMovedService(config)
+	}
 	if change != nil {
 		change(config)
 	}
@@ -274,15 +280,18 @@
 	if d.log, err = os.Create(filepath.Join(f.dir, name+".log")); err != nil {
 		return nil, errors.Wrap(err, "create log file")
 	}
+	bounds := platformtest.Bounds(platformtest.Fields{
+		"drain_ms": drainBound.Milliseconds(), "config_apply_ms": configBound.Milliseconds(),
+		"revoke_ms": revokeBound.Milliseconds(), "grace_s": grace.Seconds(), "retry_budget_ratio": retryRatio,
+		"budget_window_s": retryWindow.Seconds(), "budget_slack": retrySlack, "cold_overage": coldOverage,
+		"cold_slack": coldSlack,
+	})
+	if f.rollouts {
+		maps.Copy(bounds, platformtest.RolloutBounds())
+	}
 	return d, platformtest.Settings{
 		VM: name, CallerAddress: addresses[0], ReadinessAddress: addresses[1], PeerAddress: addresses[2],
-		StoreAddress: d.storeProxy.Address(), MemoryMB: memoryMB,
-		Bounds: platformtest.Bounds(platformtest.Fields{
-			"drain_ms": drainBound.Milliseconds(), "config_apply_ms": configBound.Milliseconds(),
-			"revoke_ms": revokeBound.Milliseconds(), "grace_s": grace.Seconds(), "retry_budget_ratio": retryRatio,
-			"budget_window_s": retryWindow.Seconds(), "budget_slack": retrySlack, "cold_overage": coldOverage,
-			"cold_slack": coldSlack,
-		}),
+		StoreAddress: d.storeProxy.Address(), MemoryMB: memoryMB, Bounds: bounds,
 	}.Write(d.settings)
 }
 
