Count the bad responses of an upstream at a time as one event

What one upstream fails within half a second is one event now; five beyond the expected ones are needed, spread over the upstreams.

An order is not done while its version is doubtful, since the old upstreams stop then: it is watched up to 0.95 of its duration and judged by 3.5 standard deviations then.

--- a/fleet/process/rollout/evidence.go
+++ b/fleet/process/rollout/evidence.go
@@ -134,20 +134,21 @@
 	if o.progress != progressShifting || o.canaryElapsed <= 0 || o.sides.news == 0 {
 		return true
 	}
-	recent, over := o.history.since(now, time.Second)
+	recent := o.history.since(now, time.Second)
+	over := now.Sub(recent.at)
 	if over <= 0 {
 		return true
 	}
 	total := o.own.Requests + o.others.Requests
-	rate := float64(total-min(recent.Requests, total)) / over.Seconds() / float64(o.sides.news)
+	rate := float64(total-min(recent.total.Requests, total)) / over.Seconds() / float64(o.sides.news)
 	before := float64(o.canaryRequests) / o.canaryElapsed.Seconds() / float64(max(o.canaryOlds, 1))
 	return rate <= comparableLoad*before
 }
 
 const (
 	// historyStep is the time between two snapshots of the evidence, and historySteps their number.
-	historyStep  = 250 * time.Millisecond
-	historySteps = 17
+	historyStep  = 500 * time.Millisecond
+	historySteps = 9
 )
 
 // history holds snapshots of the evidence of all VMs, the oldest first.
@@ -156,28 +157,45 @@
 type snapshot struct {
 	at    time.Time
 	total *tally.Order
+	// events counts the steps in which each upstream had bad responses. An upstream that crashes
+	// breaks off all that it has at once, which says no more than one of them.
+	events map[version.UpstreamID]tally.Counts
+}
+
+// next returns the snapshot of the evidence at a time.
+func (h *history) next(now time.Time, total *tally.Order) snapshot {
+	last := snapshot{total: tally.New()}
+	if n := len(h.snapshots); n > 0 {
+		last = h.snapshots[n-1]
+	}
+	s := snapshot{now, total, make(map[version.UpstreamID]tally.Counts, len(total.Upstreams))}
+	for id, counts := range total.Upstreams {
+		more := counts.Minus(last.total.Upstreams[id])
+		s.events[id] = last.events[id].Plus(tally.Counts{Failed: min(more.Failed, 1), Slow: min(more.Slow, 1)})
+	}
+	return s
 }
 
 // add keeps a snapshot if one is due.
-func (h *history) add(now time.Time, total *tally.Order) {
-	if n := len(h.snapshots); n > 0 && now.Sub(h.snapshots[n-1].at) < historyStep {
+func (h *history) add(s snapshot) {
+	if n := len(h.snapshots); n > 0 && s.at.Sub(h.snapshots[n-1].at) < historyStep {
 		return
 	}
 	if len(h.snapshots) == historySteps {
 		h.snapshots = append(h.snapshots[:0], h.snapshots[1:]...)
 	}
-	h.snapshots = append(h.snapshots, snapshot{now, total})
+	h.snapshots = append(h.snapshots, s)
 }
 
-// since returns the newest snapshot that is at least age old, or the oldest one, and its age. It is
-// empty if there is none.
-func (h *history) since(now time.Time, age time.Duration) (*tally.Order, time.Duration) {
+// since returns the newest snapshot that is at least age old, or the oldest one. It is empty if
+// there is none.
+func (h *history) since(now time.Time, age time.Duration) snapshot {
 	for i := len(h.snapshots) - 1; i >= 0; i-- {
 		if s := h.snapshots[i]; now.Sub(s.at) >= age || i == 0 {
-			return s.total, now.Sub(s.at)
+			return s
 		}
 	}
-	return tally.New(), 0
+	return snapshot{at: now, total: tally.New()}
 }
 
 // total returns the evidence of all VMs.
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -79,8 +79,10 @@
 	// neededOldAt is when a stream was last in need of an old upstream.
 	neededOldAt time.Time
 	history     history
-	// doubtful is set while the canary may be bad.
+	// doubtful is set while the version may be bad. judged is what it was judged by last: it is
+	// judged again when there is another bad response.
 	doubtful bool
+	judged   judged
 	writes   writeState
 	// drainedSince is since when the order could be done; zero if it cannot.
 	drainedSince time.Time
@@ -88,6 +90,13 @@
 	lackingSince time.Time
 }
 
+// judged says when a version was judged.
+type judged struct {
+	bad      int
+	progress progress
+	lastLook bool
+}
+
 // key identifies the order in reports.
 func (o *order) key() uint64 {
 	var digest xxhash.Digest
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -21,12 +21,15 @@
 	// that a judgement needs.
 	giveUpFraction = 0.75
 	// warmTime is how long a canary has to be observed after its upstreams are warm.
-	warmTime = 1500 * time.Millisecond
+	warmTime = 2500 * time.Millisecond
 	// neededResponses is the number of responses of the canary that a judgement needs, and
 	// neededFraction the fraction of the canary's share that is enough for a service with few
 	// requests.
 	neededResponses = 20
 	neededFraction  = 0.25
+	// doubtFraction is the part of the duration up to which an order with a doubtful version is not
+	// done, although it could be: the old upstreams stop then.
+	doubtFraction = 0.95
 	// lackingTime is how long a version may have no upstream in the shift.
 	lackingTime = time.Second
 	// drainedFresh is the highest age of the knowledge with which a VM reports that it has nothing
@@ -89,8 +92,9 @@
 		o := c.orders[pool]
 		total := o.total()
 		if !o.isFinal() {
-			c.judge(now, o, total)
-			o.history.add(now, total)
+			present := o.history.next(now, total)
+			c.judge(now, o, present)
+			o.history.add(present)
 		}
 		if write, due := c.step(now, o, total); due {
 			writes = append(writes, write)
@@ -100,11 +104,12 @@
 }
 
 // judge condemns the version if the evidence of all VMs shows it to be bad.
-func (c *Controller) judge(now time.Time, o *order, total *tally.Order) {
-	o.doubtful = false
-	if o.condemned != "" || !total.HasBad() {
+func (c *Controller) judge(now time.Time, o *order, present snapshot) {
+	by := judged{present.total.Bad(), o.progress, !o.drainedSince.IsZero()}
+	if o.condemned != "" || by == o.judged {
 		return
 	}
+	o.doubtful, o.judged = false, by
 	upstreams := len(o.sides.canaries)
 	if o.progress == progressShifting {
 		upstreams = o.sides.news
@@ -113,16 +118,19 @@
 	window := c.options.RollbackTime / 5
 	// The whole time shows faults that were there from the start, the windows those that begin.
 	for i, age := range []time.Duration{0, window, 2 * window, 4 * window} {
-		before := tally.New()
+		before := snapshot{total: tally.New()}
 		if age > 0 {
-			before, _ = o.history.since(now, age)
+			before = o.history.since(now, age)
 		}
 		for _, k := range []criterion{failures, slowness} {
+			if by.lastLook {
+				k.minZ = lastLookZ
+			}
 			if k.name == slowness.name && i == 1 {
 				// A machine is slow for most of the shortest window whatever its version.
 				continue
 			}
-			result := k.test(before, total, upstreams, name)
+			result := k.test(before, present, upstreams, name)
 			o.doubtful = o.doubtful || result.doubtful && i == 0
 			if result.reason != "" {
 				c.condemn(now, o, result.reason)
@@ -185,6 +193,8 @@
 		return Status{}, 0, false
 	case o.condemned != "":
 		return final(StateRolledBack, o.condemned), 0, true
+	case o.progress == progressShifting && drained && o.doubtful && elapsed < fractionOf(o.Duration, doubtFraction):
+		return Status{}, 0, false
 	case o.progress == progressShifting && drained:
 		return final(StateDone, "all requests are served by the new version"), 0, true
 	case o.progress == progressShifting && !o.lackingSince.IsZero() && now.Sub(o.lackingSince) >= lackingTime && c.isFresh(now, freshFor):
--- a/fleet/process/rollout/tally/tally.go
+++ b/fleet/process/rollout/tally/tally.go
@@ -159,14 +159,13 @@
 	o.Condemned = cmp.Or(o.Condemned, other.Condemned)
 }
 
-// HasBad reports whether a response of the new version failed or was slow.
-func (o *Order) HasBad() bool {
+// Bad returns how many responses of the new version have failed or were slow.
+func (o *Order) Bad() int {
+	bad := 0
 	for _, route := range o.Routes {
-		if route.New.Failed > 0 || route.New.Slow > 0 {
-			return true
-		}
+		bad += int(route.New.Failed) + int(route.New.Slow)
 	}
-	return false
+	return bad
 }
 
 // Clone returns a copy.
--- a/fleet/process/rollout/verdict.go
+++ b/fleet/process/rollout/verdict.go
@@ -9,16 +9,18 @@
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout/tally"
 )
 
+// An event is what the bad responses of one upstream within a historyStep count as: one.
+
 // criterion says when the new version is worse than the old one in one respect. Both versions are
 // compared by the fraction of bad responses.
 type criterion struct {
 	name string
 	// bad and of are the counts that are compared.
 	bad, of func(tally.Counts) float64
-	// minExcess is the number of bad responses beyond those that the old version would have, and
-	// minDifference by how much the fraction is higher. minRatio is how many times the expected
-	// number the bad ones are at least.
-	minExcess, minDifference, minRatio float64
+	// minEvents is the number of events beyond those that the old version would have, and
+	// minDifference by how much the fraction of bad responses is higher. minRatio is how many times
+	// the expected number the bad ones are at least.
+	minEvents, minDifference, minRatio float64
 	// minZ is the number of standard deviations by which bad responses exceed the expected number.
 	minZ float64
 	// prior is the fraction that is assumed of the old version before it is known.
@@ -29,14 +31,14 @@
 const priorWeight = 10
 
 var (
-	// failures condemn early: four beyond the expected number, on several upstreams, are not
+	// failures condemn early: five events beyond the expected ones, on several upstreams, are not
 	// chance. A route may fail up to 14 % of its requests in ordinary operation.
 	failures = criterion{
 		name: "failed",
 		bad:  func(c tally.Counts) float64 { return float64(c.Failed) },
 		of:   func(c tally.Counts) float64 { return float64(c.Ended) },
 
-		minExcess: 4, minDifference: 0.02, minRatio: 1.5, minZ: 4, prior: 0.1,
+		minEvents: 5, minDifference: 0.02, minRatio: 1.5, minZ: 4.5, prior: 0.1,
 	}
 	// slowness needs more: machines that others load are slow for 600 ms at a time, so that slow
 	// responses come in clusters.
@@ -45,25 +47,27 @@
 		bad:  func(c tally.Counts) float64 { return float64(c.Slow) },
 		of:   func(c tally.Counts) float64 { return float64(c.Timed) },
 
-		minExcess: 8, minDifference: 0.2, minRatio: 2.5, minZ: 5, prior: 0.05,
+		minEvents: 6, minDifference: 0.2, minRatio: 2.5, minZ: 5, prior: 0.05,
 	}
 )
 
 const (
-	// suspectZ and suspectExcess make a canary that is not condemned doubtful, so that it is
+	// suspectZ and suspectEvents make a canary that is not condemned doubtful, so that it is
 	// watched for longer.
 	suspectZ      = 2.5
-	suspectExcess = 2
-	// soloExcess is the number of bad responses beyond the expected ones that condemn a version
-	// with one upstream, which cannot be compared with others.
-	soloExcess = 10
-	// spreadFraction is the number of upstreams with bad responses beyond those that the expected
-	// ones explain, relative to how many there would be if all were spread evenly. Crashes of a few
+	suspectEvents = 2
+	// lastLookZ replaces minZ before the order is done.
+	lastLookZ = 3.5
+	// soloEvents is the number of events beyond the expected ones that condemn a version with one
+	// upstream, which cannot be compared with others.
+	soloEvents = 8
+	// spreadFraction is the number of upstreams with events beyond those that the expected ones
+	// explain, relative to how many there would be if all were spread evenly. Crashes of a few
 	// upstreams, or of a data centre, stay below it.
 	spreadFraction = 0.6
-	// minRestExcess is the number of bad responses beyond the expected ones without those of the
-	// worst upstream.
-	minRestExcess = 2
+	// minRestEvents is the number of events beyond the expected ones without those of the worst
+	// upstream.
+	minRestEvents = 2
 	// minWindowOlds is the number of responses of the old version within a window from which its
 	// fraction is used.
 	minWindowOlds = 30
@@ -75,13 +79,19 @@
 	ended, bad, oldEnded, oldBad float64
 	// expected is the number of bad responses that the old version would have had.
 	expected, variance float64
+	// burst is the number of bad responses in an event, of which the responses of an event are not
+	// independent.
+	burst float64
 }
 
 func (a comparison) excess() float64 { return a.bad - a.expected }
 
+// events returns the number of events beyond the expected ones.
+func (a comparison) events() float64 { return a.excess() / a.burst }
+
 // z returns by how many standard deviations the bad responses exceed the expected number. The
 // quarter stands for counts being whole.
-func (a comparison) z() float64 { return a.excess() / math.Sqrt(a.variance+0.25) }
+func (a comparison) z() float64 { return a.excess() / math.Sqrt(a.variance*a.burst+0.25) }
 
 // compare compares the versions on one route. window holds what has ended in the window and whole
 // what has ended since the order.
@@ -102,13 +112,13 @@
 func (a comparison) plus(b comparison) comparison {
 	return comparison{
 		a.ended + b.ended, a.bad + b.bad, a.oldEnded + b.oldEnded, a.oldBad + b.oldBad,
-		a.expected + b.expected, a.variance + b.variance,
+		a.expected + b.expected, a.variance + b.variance, 1,
 	}
 }
 
 // meets reports whether a comparison meets the criterion.
 func (k criterion) meets(a comparison) bool {
-	return a.excess() >= k.minExcess && a.z() >= k.minZ && a.bad >= k.minRatio*a.expected &&
+	return a.events() >= k.minEvents && a.z() >= k.minZ && a.bad >= k.minRatio*a.expected &&
 		a.excess() >= k.minDifference*a.ended
 }
 
@@ -122,54 +132,67 @@
 
 // test tests the new version by one criterion, per route and over all routes. upstreams is the
 // number of upstreams that the requests were spread over.
-func (k criterion) test(before, total *tally.Order, upstreams int, name func(uint32) string) finding {
+func (k criterion) test(before, present snapshot, upstreams int, name func(uint32) string) finding {
 	var all comparison
 	var result finding
 	reason := ""
-	for _, hash := range slices.Sorted(maps.Keys(total.Routes)) {
-		whole := total.Routes[hash]
-		window := tally.Route{New: whole.New.Minus(before.Routes[hash].New), Old: whole.Old.Minus(before.Routes[hash].Old)}
-		a := k.compare(window, whole)
-		all = all.plus(a)
-		result.doubtful = result.doubtful || a.excess() >= suspectExcess && a.z() >= suspectZ
+	bad, events := k.events(before, present)
+	check := func(route string, a comparison) {
+		// It is not known on which routes the responses of an event were: at worst, on this one.
+		a.burst = max(a.bad, 1) / max(a.bad-(bad-events), 1)
+		result.doubtful = result.doubtful || a.events() >= suspectEvents && a.z() >= suspectZ
 		if reason == "" && k.meets(a) {
-			reason = k.reason(name(hash), a)
+			reason = k.reason(route, a)
 		}
 	}
-	if reason == "" && k.meets(all) {
-		reason = k.reason("all routes", all)
+	for _, hash := range slices.Sorted(maps.Keys(present.total.Routes)) {
+		whole, earlier := present.total.Routes[hash], before.total.Routes[hash]
+		a := k.compare(tally.Route{New: whole.New.Minus(earlier.New), Old: whole.Old.Minus(earlier.Old)}, whole)
+		all = all.plus(a)
+		check(name(hash), a)
 	}
-	result.doubtful = result.doubtful || all.excess() >= suspectExcess && all.z() >= suspectZ
-	if reason != "" && k.isSpread(before, total, all, upstreams) {
+	check("all routes", all)
+	all.burst = max(bad, 1) / max(events, 1)
+	if reason != "" && k.isSpread(before, present, all, upstreams) {
 		result.reason = reason
 	}
 	return result
 }
 
+// events returns the numbers of bad responses and of events in a window.
+func (k criterion) events(before, present snapshot) (bad, events float64) {
+	for id, counts := range present.total.Upstreams {
+		bad += k.bad(counts.Minus(before.total.Upstreams[id]))
+		events += k.bad(present.events[id].Minus(before.events[id]))
+	}
+	return bad, events
+}
+
 func (k criterion) reason(route string, a comparison) string {
 	return fmt.Sprintf("%s: %.0f of %.0f responses %s, %.0f of %.0f at other versions", route, a.bad, a.ended, k.name, a.oldBad, a.oldEnded)
 }
 
-// isSpread reports whether the bad responses come from several upstreams, as those of a bad version
+// isSpread reports whether the events come from several upstreams, as those of a bad version
 // do, and not from one or a few that are bad or have crashed.
-func (k criterion) isSpread(before, total *tally.Order, all comparison, upstreams int) bool {
-	var bad, worst, worstEnded, distinct float64
-	for id, counts := range total.Upstreams {
-		counts = counts.Minus(before.Upstreams[id])
-		b := k.bad(counts)
-		bad += b
-		if b > 0 {
+func (k criterion) isSpread(before, present snapshot, all comparison, upstreams int) bool {
+	var events, worst, worstEnded, distinct float64
+	for id, counts := range present.events {
+		n := k.bad(counts.Minus(before.events[id]))
+		events += n
+		if n > 0 {
 			distinct++
 		}
-		if b > worst {
-			worst, worstEnded = b, k.of(counts)
+		if n > worst {
+			worst, worstEnded = n, k.of(present.total.Upstreams[id].Minus(before.total.Upstreams[id]))
 		}
 	}
+	expected := all.expected / all.burst
 	if upstreams <= 1 {
-		return all.excess() >= soloExcess
+		return events-expected >= soloEvents
+	}
+	rest := events - worst - expected*(1-worstEnded/max(all.ended, 1))
+	touched := func(events float64) float64 {
+		return float64(upstreams) * (1 - math.Exp(-events/float64(upstreams)))
 	}
-	rest := bad - worst - all.expected*(1-worstEnded/max(all.ended, 1))
-	touched := func(bad float64) float64 { return float64(upstreams) * (1 - math.Exp(-bad/float64(upstreams))) }
-	explained := touched(all.expected)
-	return rest >= minRestExcess && distinct-explained >= spreadFraction*(touched(bad)-explained)
+	return rest >= minRestEvents && distinct-touched(expected) >= spreadFraction*(touched(events)-touched(expected))
 }
