--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -132,8 +132,9 @@
 	return o.Created == read.Created
 }
 
-// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. A
-// list whose read was sent before that of the last one is ignored.
+// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. It is
+// called after each read, also if nothing has changed: that keeps the knowledge of the orders fresh.
+// A list whose read was sent before that of the last one is ignored.
 func (c *Controller) SetOrders(now time.Time, orders []Order, readAt time.Time) {
 	if !c.enabled() || readAt.Before(c.readAt) {
 		return
--- a/fleet/process/rollout/verdict.go
+++ b/fleet/process/rollout/verdict.go
@@ -57,7 +57,7 @@
 	suspectZ      = 2.5
 	suspectEvents = 2
 	// lastLookZ replaces minZ before the order is done.
-	lastLookZ = 3.5
+	lastLookZ = 4
 	// soloEvents is the number of events beyond the expected ones that condemn a version with one
 	// upstream, which cannot be compared with others.
 	soloEvents = 8
--- a/fleet/process/rollout/versions.go
+++ b/fleet/process/rollout/versions.go
@@ -59,7 +59,8 @@
 	running int
 }
 
-// Configure applies a configuration with its upstreams.
+// Configure applies a configuration with its upstreams. It has to be called before requests are
+// placed by the configuration: no upstream is permitted that the controller does not know.
 func (c *Controller) Configure(now time.Time, config *version.Config) {
 	if !c.enabled() {
 		return
