Do not flood canaries that start late; addition to the interface: Sample.Overdue

Upstreams that are registered seconds after the order got all that the VMs had saved up for them in a moment, a quarter of a second's requests of the whole service for each three seconds. A VM catches up by a fifth of the pace now. Where a pool limits the requests to cold upstreams, the shift waits until enough of them are warm; before, requests would have been refused. A response of a cold upstream that is only late is no failure of its version, if the sample says so.

TestLateUpstreamsAreNotFlooded, TestRolloutOverHubs (reports through the hubs of 30 VMs, also without one of them). go test -race ./fleet/process/rollout: ok, 24 s of processor time at a load average above 30.

--- a/fleet/process/rollout/canary.go
+++ b/fleet/process/rollout/canary.go
@@ -23,6 +23,10 @@
 	maxCanaries = 64
 	// canarySlice is how long the same upstreams of a small canary get its requests.
 	canarySlice = 500 * time.Millisecond
+	// catchUp is how much more than its share of the requests that come a VM sends to the canary while
+	// it has sent less before, as when the upstreams start after the order: the canaries are not to
+	// get in a moment what was meant for seconds.
+	catchUp = 1.2
 	// reservationTime is how long after the choice of the version an attempt is sent at the latest.
 	// A reservation that is older is taken back: the attempt went elsewhere.
 	reservationTime = time.Second
@@ -38,8 +42,9 @@
 	// them; active is how many of them get requests at a time.
 	canaries []version.UpstreamID
 	active   int
-	// warmAt is when the last canary is warm.
-	warmAt time.Time
+	// warmAt is when the last canary is warm, and readyAt when as many upstreams of the version as
+	// serve the old one are, if the pool limits the requests to cold ones.
+	warmAt, readyAt time.Time
 }
 
 // updateSides determines the upstreams of both versions and the canaries. All VMs choose the same
@@ -51,17 +56,23 @@
 		rank uint64
 	}
 	var news []ranked
+	var warm []time.Time
 	key := o.key()
 	for id, u := range c.upstreams {
 		switch {
 		case u.pool != o.Pool || !u.inService:
 		case u.software == o.Software:
 			news = append(news, ranked{id, canaryRank(key, u.name)})
+			warm = append(warm, u.coldUntil)
 		default:
 			s.olds++
 		}
 	}
 	s.news = len(news)
+	if c.limitsCold[o.Pool] && s.news > 0 {
+		slices.SortFunc(warm, time.Time.Compare)
+		s.readyAt = warm[max(min(s.news, s.olds)-1, 0)]
+	}
 	slices.SortFunc(news, func(a, b ranked) int {
 		if a.rank < b.rank {
 			return -1
@@ -77,6 +88,9 @@
 		}
 	}
 	o.sides = s
+	if o.budget.tokens == 0 {
+		o.budget.tokens = c.rounding(o)
+	}
 	switch {
 	case s.news > 0:
 		o.lackingSince = time.Time{}
@@ -112,6 +126,8 @@
 
 // budget bounds the requests that a VM sends to the canary by its own share of the requests.
 type budget struct {
+	// tokens is what the present pace allows, 1 at most.
+	tokens float64
 	// reserved are the times of the choices for the new version that were not sent yet.
 	reserved []time.Time
 }
@@ -121,12 +137,14 @@
 // The bound of each VM is rounded at another count, by hashing, so that the bounds of hundreds of
 // VMs with few requests each add up to the share of all requests.
 func (c *Controller) take(now time.Time, o *order) bool {
+	o.budget.tokens = min(o.budget.tokens+catchUp*shareUsed*c.options.ExposureShare, 1)
 	o.budget.reserved = slices.DeleteFunc(o.budget.reserved, func(at time.Time) bool { return now.Sub(at) > reservationTime })
 	spent := float64(o.own.Sent) + float64(len(o.budget.reserved))
 	allowed := shareUsed*c.options.ExposureShare*float64(o.own.Requests) + c.rounding(o)
-	if spent+1 > allowed || len(o.budget.reserved) >= maxReservations {
+	if o.budget.tokens < 1 || spent+1 > allowed || len(o.budget.reserved) >= maxReservations {
 		return false
 	}
+	o.budget.tokens--
 	o.budget.reserved = append(o.budget.reserved, now)
 	return true
 }
--- a/fleet/process/rollout/evidence.go
+++ b/fleet/process/rollout/evidence.go
@@ -83,11 +83,12 @@
 		sentAt = now
 	}
 	// A cold upstream is slow whatever its version.
-	timed := !sample.Failed && sample.FirstByte > 0 && !sentAt.Before(u.coldUntil)
+	isCold := sentAt.Before(u.coldUntil)
+	timed := !sample.Failed && sample.FirstByte > 0 && !isCold
 	isNew := o != nil && u.software == o.Software
 	if o != nil && !o.isFinal() {
 		counts := tally.Counts{Ended: 1}
-		if sample.Failed {
+		if sample.Failed && !(sample.Overdue && isCold) {
 			counts.Failed = 1
 		}
 		if timed && known.firstByte.samples >= minLevelSamples && (!isNew || c.loadIsComparable(now, o)) {
--- a/fleet/process/rollout/failure_test.go
+++ b/fleet/process/rollout/failure_test.go
@@ -408,3 +408,60 @@
 		t.Errorf("rule %+v of a bad version, want the old one", rule)
 	}
 }
+
+// Guards against canaries that get at once what was meant for the seconds before they were registered,
+// against a version that is condemned because cold upstreams are late, and against a shift to
+// upstreams that are still cold.
+func TestLateUpstreamsAreNotFlooded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1, v2 := software("u1", "v1"), software("u2", "v2")
+	c := New(Options{VM: "vm-0", Incarnation: 1, ExposureShare: testShare, RollbackTime: testRollback})
+	c.SetMembers(now, []version.VMID{"vm-0"})
+	config := func(upstreams ...*version.Upstream) *version.Config {
+		config := configOf(upstreams...)
+		config.Pools[testPool].SlowStart = version.SlowStart{ColdTime: 6 * time.Second, RequestsPerSecond: 5}
+		return config
+	}
+	c.Configure(now, config(v1))
+	order := Order{Pool: testPool, Service: "svc", Software: "v2", Duration: testDuration, At: storeera.Position{Revision: 5}}
+	var registered time.Time
+	send := func(requests int) (canary int) {
+		for range requests {
+			c.SetOrders(now, []Order{order}, now)
+			rule := c.Rule(now, request.Ticket{Pool: testPool, Attempt: 1})
+			upstream := v1
+			if rule.Among != nil {
+				upstream = v2
+				canary++
+			}
+			c.Sent(now, testPool, "a", upstream.ID)
+			now = now.Add(3 * time.Millisecond)
+			late := upstream == v2 && now.Sub(registered) < 5*time.Second
+			c.Ended(now, Sample{Pool: testPool, Route: "a", Upstream: upstream.ID, FirstByte: 3 * time.Millisecond, Failed: late, Overdue: late})
+		}
+		return canary
+	}
+	if canary := send(1000); canary > 0 {
+		t.Errorf("%d requests for a version without upstreams", canary)
+	}
+	registered = now
+	c.Configure(now, config(v1, v2))
+	if canary := send(200); canary > 20 || canary < 15 {
+		t.Errorf("%d of 200 requests go to a version that has just appeared, want about 19", canary)
+	}
+	for now.Sub(registered) < 10*time.Second {
+		send(10)
+		for _, write := range c.Tick(now) {
+			order.At.Revision++
+			order.Status = write.Status
+			c.Written(now, write, WriteApplied)
+			if write.Status.Phase == PhaseShifting {
+				if age := now.Sub(registered); age < 6*time.Second {
+					t.Errorf("shift %v after the upstreams appeared, want 6 s at least", age)
+				}
+				return
+			}
+		}
+	}
+	t.Error("no shift although the version is sound")
+}
--- a/fleet/process/rollout/rollout.go
+++ b/fleet/process/rollout/rollout.go
@@ -85,6 +85,9 @@
 	// Failed is set for a 5xx of the upstream other than a rejection that says that the request has
 	// not run, and for a broken, truncated or overdue response. It is not set if the caller left.
 	Failed bool
+	// Overdue is set beside Failed if the response was only late: a cold upstream is not blamed for
+	// that.
+	Overdue bool
 	// Unfinished is set for a stream that its caller may take up again, because it ended before its
 	// last event, whoever broke it off.
 	Unfinished bool
@@ -169,6 +172,8 @@
 	// upstreams of these.
 	versions  map[poolVersion]*versionState
 	upstreams map[version.UpstreamID]*upstream
+	// limitsCold are the pools that limit the requests to cold upstreams.
+	limitsCold map[version.PoolID]bool
 	// configured is set once there was a configuration.
 	configured bool
 	// excluded are the versions of a pool that get no request whatever its order says.
@@ -202,6 +207,7 @@
 		upstreams:  make(map[version.UpstreamID]*upstream),
 		excluded:   make(map[version.PoolID][]string),
 		routeNames: make(map[uint32]string),
+		limitsCold: make(map[version.PoolID]bool),
 		running:    make(map[version.PoolID]int),
 		runningAt:  make(map[poolVersion]int),
 		orders:     make(map[version.PoolID]*order),
--- a/fleet/process/rollout/rollout_test.go
+++ b/fleet/process/rollout/rollout_test.go
@@ -71,3 +71,34 @@
 		}
 	}
 }
+
+// Guards against reports that lose or delay evidence, or who is drained, on their way through the hubs
+// of a large fleet, also when a hub dies or is cut off.
+func TestRolloutOverHubs(t *testing.T) {
+	for _, c := range []struct {
+		fault fault
+		lose  func(*world)
+		want  State
+	}{
+		{want: StateDone},
+		{fault: fault{failing: 0.4, from: 2 * time.Second}, want: StateRolledBack},
+		{want: StateDone, lose: func(w *world) { w.hub().cut = true }},
+		{fault: fault{failing: 0.4, from: 2 * time.Second}, want: StateRolledBack, lose: func(w *world) { w.kill(w.hub()) }},
+	} {
+		w := newWorld(t, 30, 20, 21)
+		w.useHubs()
+		w.fault = c.fault
+		w.give()
+		w.run(2 * time.Second)
+		if c.lose != nil {
+			c.lose(w)
+		}
+		w.runToEnd()
+		if w.state() != c.want || w.finalAt > testDuration {
+			t.Errorf("%+v after %v, want %s; steps %+v", w.order.Status, w.finalAt, c.want, w.steps)
+		}
+		if c.want == StateRolledBack {
+			w.checkBound()
+		}
+	}
+}
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -235,7 +235,7 @@
 
 // isGood reports whether the canary has been observed for long enough and shows no fault.
 func (c *Controller) isGood(now time.Time, o *order, elapsed time.Duration, total *tally.Order) bool {
-	if o.sides.news == 0 || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
+	if o.sides.news == 0 || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
 		return false
 	}
 	if elapsed >= fractionOf(o.Duration, latestJudgeFraction) {
--- a/fleet/process/rollout/versions.go
+++ b/fleet/process/rollout/versions.go
@@ -103,6 +103,9 @@
 			delete(c.versions, key)
 		}
 	}
+	for id, pool := range config.Pools {
+		c.limitsCold[id] = pool.SlowStart.RequestsPerSecond > 0
+	}
 	clear(c.routeNames)
 	for _, route := range config.Routes.All() {
 		c.routeNames[routeHash(route.Name)] = route.Name
