Serve on where an order names the version that serves already

All requests but the share of the canary would have been refused: the rule excludes the version that the order names, and there is no other. TestOrderForTheServingVersionLosesNoRequest loses requests without the change.

go test -race ./fleet/process/rollout: ok.

--- a/fleet/process/rollout/canary.go
+++ b/fleet/process/rollout/canary.go
@@ -88,6 +88,9 @@
 		}
 	}
 	o.sides = s
+	if !o.sidesKnown && s.news+s.olds > 0 {
+		o.sidesKnown, o.sole = true, s.olds == 0
+	}
 	if o.budget.tokens == 0 {
 		o.budget.tokens = c.rounding(o)
 	}
@@ -99,6 +102,9 @@
 	}
 }
 
+// isSole reports whether the version of the order is the one that served already.
+func (o *order) isSole() bool { return o.sole && o.sides.olds == 0 }
+
 // canaryRank returns the rank of an upstream among the canaries of an order.
 func canaryRank(key uint64, name string) uint64 {
 	var number [8]byte
--- a/fleet/process/rollout/failure_test.go
+++ b/fleet/process/rollout/failure_test.go
@@ -465,3 +465,25 @@
 	}
 	t.Error("no shift although the version is sound")
 }
+
+// Guards against an order for the version that serves already, which would leave no upstream to the
+// requests.
+func TestOrderForTheServingVersionLosesNoRequest(t *testing.T) {
+	w := newWorld(t, 6, 6, 23)
+	for _, s := range w.servers {
+		s.Software = "v2"
+	}
+	for _, v := range w.vms {
+		w.boot(v)
+	}
+	w.done = true
+	w.order = &Order{Pool: testPool, Service: "svc", Software: "v2", Duration: testDuration, Created: 100, At: storeera.Position{Era: 1, Revision: 100}}
+	w.run(3 * time.Second)
+	w.silent = true
+	w.run(3 * time.Second)
+	w.silent = false
+	w.run(8 * time.Second)
+	if w.lost > 0 || w.state() != StateDone {
+		t.Errorf("%d requests are lost, %+v; want none, done", w.lost, w.order.Status)
+	}
+}
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -76,6 +76,9 @@
 	budget      budget
 	// sides are the upstreams of both versions.
 	sides sides
+	// sidesKnown is set once upstreams of the pool were known beside the order, and sole if the order's
+	// version was then the only one: there is no other that could serve meanwhile.
+	sidesKnown, sole bool
 	// neededOldAt is when a stream was last in need of an old upstream.
 	neededOldAt time.Time
 	history     history
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -40,7 +40,12 @@
 			return modeHold
 		}
 		return modeOld
+	case o.isSole() && o.progress != progressShifting:
+		return modeDone
 	case !c.isFresh(now, freshFor) || o.sides.news == 0:
+		if o.isSole() {
+			return modeDone
+		}
 		return modeOld
 	case o.progress == progressShifting:
 		return modeNew
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -106,7 +106,7 @@
 // judge condemns the version if the evidence of all VMs shows it to be bad.
 func (c *Controller) judge(now time.Time, o *order, present snapshot) {
 	by := judged{present.total.Bad(), o.progress, !o.drainedSince.IsZero()}
-	if o.condemned != "" || by == o.judged {
+	if o.condemned != "" || o.isSole() || by == o.judged {
 		return
 	}
 	o.doubtful, o.judged = false, by
