--- a/daemon/process/edge/rollouts.go
+++ b/daemon/process/edge/rollouts.go
@@ -75,6 +75,7 @@
 		Route:      route,
 		Upstream:   grant.Upstream,
 		Failed:     end.Failed,
+		Overdue:    end.Overdue,
 		Unfinished: end.Unfinished,
 		SentAt:     clock.Boot().Add(-end.SinceSent),
 		FirstByte:  end.FirstByte,
--- a/daemon/request/relay/observe.go
+++ b/daemon/request/relay/observe.go
@@ -26,6 +26,8 @@
 	// Failed is set for a 5xx of the upstream, unless it says that the request has not run, and for a
 	// response that was broken, truncated or not complete by its deadline.
 	Failed bool
+	// Overdue is set beside Failed if the response was only late.
+	Overdue bool
 	// Unfinished is set for a stream that its caller may take up again: it had begun, and has ended
 	// before its last event, whoever broke it off.
 	Unfinished bool
@@ -109,6 +111,7 @@
 		return
 	}
 	end := End{Failed: failed(result), SinceSent: time.Since(*sentAt), EventPace: a.observed.pace()}
+	end.Overdue = end.Failed && errors.IsAny(result.Err, ErrDeadlinePassed, ErrStalled)
 	broken := result.Delivery == DeliveryTruncated || result.Delivery == DeliveryCallerGone
 	end.Unfinished = broken && a.call.Resumable && (a.events > 0 || a.call.Outgoing.LastEvent != "")
 	first := a.begunAt
--- a/daemon/request/relay/observe_test.go
+++ b/daemon/request/relay/observe_test.go
@@ -85,7 +85,7 @@
 		"failure":          {handler: answer(500, ""), want: End{Failed: true}, timed: true},
 		"not run":          {handler: answer(503, "X-Not-Executed")},
 		"no answer":        {handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: End{Failed: true}},
-		"overdue":          {handler: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, want: End{Failed: true}},
+		"overdue":          {handler: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, want: End{Failed: true, Overdue: true}},
 		"stream":           {handler: stream(4, false), stream: true, timed: true, paced: true},
 		"short stream":     {handler: stream(2, false), stream: true, timed: true},
 		"broken stream":    {handler: stream(4, true), stream: true, want: End{Failed: true, Unfinished: true}, timed: true, paced: true},
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -76,6 +76,9 @@
 	budget      budget
 	// sides are the upstreams of both versions.
 	sides sides
+	// sidesKnown is set once upstreams of the pool were known beside the order, and sole if the order's
+	// version was then the only one: there is no other that could serve meanwhile.
+	sidesKnown, sole bool
 	// neededOldAt is when a stream was last in need of an old upstream.
 	neededOldAt time.Time
 	history     history
@@ -132,8 +135,9 @@
 	return o.Created == read.Created
 }
 
-// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. A
-// list whose read was sent before that of the last one is ignored.
+// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. It is
+// called after each read, also if nothing has changed: that keeps the knowledge of the orders fresh.
+// A list whose read was sent before that of the last one is ignored.
 func (c *Controller) SetOrders(now time.Time, orders []Order, readAt time.Time) {
 	if !c.enabled() || readAt.Before(c.readAt) {
 		return
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -106,7 +106,7 @@
 // judge condemns the version if the evidence of all VMs shows it to be bad.
 func (c *Controller) judge(now time.Time, o *order, present snapshot) {
 	by := judged{present.total.Bad(), o.progress, !o.drainedSince.IsZero()}
-	if o.condemned != "" || by == o.judged {
+	if o.condemned != "" || o.isSole() || by == o.judged {
 		return
 	}
 	o.doubtful, o.judged = false, by
@@ -235,7 +235,7 @@
 
 // isGood reports whether the canary has been observed for long enough and shows no fault.
 func (c *Controller) isGood(now time.Time, o *order, elapsed time.Duration, total *tally.Order) bool {
-	if o.sides.news == 0 || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
+	if o.sides.news == 0 || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
 		return false
 	}
 	if elapsed >= fractionOf(o.Duration, latestJudgeFraction) {
--- a/fleet/process/rollout/versions.go
+++ b/fleet/process/rollout/versions.go
@@ -59,7 +59,8 @@
 	running int
 }
 
-// Configure applies a configuration with its upstreams.
+// Configure applies a configuration with its upstreams. It has to be called before requests are
+// placed by the configuration: no upstream is permitted that the controller does not know.
 func (c *Controller) Configure(now time.Time, config *version.Config) {
 	if !c.enabled() {
 		return
@@ -102,6 +103,9 @@
 			delete(c.versions, key)
 		}
 	}
+	for id, pool := range config.Pools {
+		c.limitsCold[id] = pool.SlowStart.RequestsPerSecond > 0
+	}
 	clear(c.routeNames)
 	for _, route := range config.Routes.All() {
 		c.routeNames[routeHash(route.Name)] = route.Name
