Read rollouts where the store reader need not

A VM that starts while several versions serve without an order got no read that was sent after it had seen their registrations: its store reader had known them for long and watched only. Every version stayed without requests at that VM. Now a VM reads the rollouts itself, once, if a version has appeared here for over a second without a read.

--- a/daemon/version/mirror/rollouts.go
+++ b/daemon/version/mirror/rollouts.go
@@ -25,6 +25,9 @@
 	// versionReadTime is how long the rollouts are read after a software version has appeared in a
 	// service. Processes that leave their reads to this one may see the registration later.
 	versionReadTime = 3 * time.Second
+	// ownReadDelay is how long after a version has appeared a process leaves the read to its store
+	// reader. A reader that has known the version for longer reads nothing.
+	ownReadDelay = time.Second
 )
 
 var (
@@ -71,7 +74,8 @@
 func (m *Mirror) rolloutsKnown() bool { return m.rollouts == nil || m.rollouts.listed }
 
 // kindDelegated reports whether a store reader reads a kind instead of this process. One that is set
-// up without rollouts does not read them.
+// up without rollouts does not read them, and one that has long known a version that has only just
+// appeared here need not.
 func (m *Mirror) kindDelegated(k *kindCopy) bool {
 	if !m.isRollouts(k) {
 		return m.readsDelegated()
@@ -81,12 +85,19 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.rollouts.sharedAt.IsZero() && m.options.Clock().Sub(m.rollouts.sharedAt) <= delegationTimeout
+	now := m.options.Clock()
+	if m.rollouts.isUnread() && now.Sub(m.rollouts.versionAt) > ownReadDelay {
+		return false
+	}
+	return !m.rollouts.sharedAt.IsZero() && now.Sub(m.rollouts.sharedAt) <= delegationTimeout
 }
 
+// isUnread reports whether a version has appeared since the last read.
+func (r *rolloutsCopy) isUnread() bool { return r.readAt.Before(r.versionAt) }
+
 // nextRolloutsRead returns the pause until the next read of the rollouts, and whether k is their copy
-// and they are read rather than watched: while an order is carried out, and for a while after a
-// version has appeared.
+// and they are read rather than watched: while an order is carried out, and after a version has
+// appeared until it is read, and for a while.
 func (m *Mirror) nextRolloutsRead(k *kindCopy) (time.Duration, bool) {
 	if !m.isRollouts(k) {
 		return 0, false
@@ -94,7 +105,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock()
-	if !m.rollouts.anyUnfinished() && (m.rollouts.versionAt.IsZero() || now.Sub(m.rollouts.versionAt) > versionReadTime) {
+	appeared := !m.rollouts.versionAt.IsZero() && now.Sub(m.rollouts.versionAt) <= versionReadTime
+	if !appeared && !m.rollouts.isUnread() && !m.rollouts.anyUnfinished() {
 		return 0, false
 	}
 	if m.rollouts.sentAt.Before(m.rollouts.versionAt) {
--- a/daemon/version/mirror/rollouts_test.go
+++ b/daemon/version/mirror/rollouts_test.go
@@ -213,3 +213,52 @@
 		})
 	}
 }
+
+// Guards against a VM that starts while several versions serve without an order, and whose store
+// reader has known them for long: no read was sent after their registrations were seen here, so that
+// no version but a single one could ever serve.
+func TestVMReadsRolloutsItselfIfItsReaderNeedNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hub := newRolloutFixture()
+		hub.store.config = configObject(1, 1)
+		hub.readConfig(t.Context())
+		hub.listEmpty()
+		hub.list(t, hub.upstreams, 0, 10, registration("a", 2))
+		if err := hub.listRollouts(t, 0, 10); err != nil {
+			t.Fatal(err)
+		}
+		hub.clock.now = hub.clock.now.Add(time.Hour)
+		hub.readConfig(t.Context())
+		for _, k := range hub.kinds() {
+			hub.Mirror.applyChanges(k, platform.Snapshot{Revision: 11}, hub.clock.now)
+		}
+		store := &rolloutStore{storeClient: storeClient{state: &storeState{}}, counts: make(map[string]int)}
+		var readAt time.Time
+		leaf := New(Options{
+			Store: store, Clock: time.Now, Apply: func(*version.Config) {}, HasStoreReaders: always,
+			Members: func(map[version.VMID][]byte) {}, OnCallFailure: func() {}, Log: slog.New(slog.DiscardHandler),
+			Rollouts: func(_ []rollout.Order, at time.Time) { readAt = at },
+		})
+		ask := func() {
+			response, ok := hub.AnswerStateRequest(leaf.StateRequest())
+			if !ok {
+				t.Fatal("the store reader does not answer")
+			}
+			leaf.ApplyStateResponse("hub", response, time.Now())
+		}
+		started := time.Now()
+		ask()
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		tasks.Go(func() { _ = leaf.FollowRollouts(ctx) })
+		for range 30 {
+			time.Sleep(300 * time.Millisecond)
+			ask()
+		}
+		cancel()
+		tasks.Wait()
+		if reads := store.count("list rollouts"); reads != 1 || !readAt.After(started) {
+			t.Errorf("%d reads of this VM, the last known %v after its start; want one", reads, readAt.Sub(started))
+		}
+	})
+}
