--- a/fleet/process/rollout/canary.go
+++ b/fleet/process/rollout/canary.go
@@ -144,7 +144,9 @@
 // VMs with few requests each add up to the share of all requests.
 func (c *Controller) take(now time.Time, o *order) bool {
 	o.budget.tokens = min(o.budget.tokens+catchUp*shareUsed*c.options.ExposureShare, 1)
-	o.budget.reserved = slices.DeleteFunc(o.budget.reserved, func(at time.Time) bool { return now.Sub(at) > reservationTime })
+	for len(o.budget.reserved) > 0 && now.Sub(o.budget.reserved[0]) > reservationTime {
+		o.budget.reserved = o.budget.reserved[1:]
+	}
 	spent := float64(o.own.Sent) + float64(len(o.budget.reserved))
 	allowed := shareUsed*c.options.ExposureShare*float64(o.own.Requests) + c.rounding(o)
 	if o.budget.tokens < 1 || spent+1 > allowed || len(o.budget.reserved) >= maxReservations {
