Be ready only once the rollouts were read after the start

Of 1378 requests 7 were refused with no-upstream by VMs that had just started: two versions served, and no read had been sent after their registrations were seen, so that both were excluded. A process is not ready now before such a read, for 3 s at most.

go test -race ./lab/edge -run 'GoodVersionIsDone|ReplacedAnd|SurvivesLost|RolloutsAreOff': passes; ReplacedAnd failed before.

--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -439,14 +439,15 @@
 }
 
 // serveReadiness answers the readiness probes of the load balancer: status 200 while the
-// daemon has a fresh configuration and is not draining, else 503.
+// daemon has a fresh configuration, knows which software versions may serve and is not draining, else
+// 503.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadinessPath {
 		http.NotFound(w, r)
 		return
 	}
 	fresh, _ := d.configFresh()
-	if d.leaving.Load() || d.placing.Config() == nil || !fresh || d.software.awaitsRecord() {
+	if d.leaving.Load() || d.placing.Config() == nil || !fresh || d.software.awaitsRecord() || d.mirror.AwaitsRollouts() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/daemon/version/mirror/rollouts.go
+++ b/daemon/version/mirror/rollouts.go
@@ -92,6 +92,17 @@
 	return !m.rollouts.sharedAt.IsZero() && now.Sub(m.rollouts.sharedAt) <= delegationTimeout
 }
 
+// startReadTime is how long after its start a process is not ready for want of a read of the rollouts.
+const startReadTime = 3 * time.Second
+
+// AwaitsRollouts reports whether this process has only just started and has not read the rollouts since
+// it saw the versions that serve: it could not tell which of them may.
+func (m *Mirror) AwaitsRollouts() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rollouts != nil && (m.rollouts.versionAt.IsZero() || m.rollouts.isUnread()) && m.options.Clock().Sub(m.started) < startReadTime
+}
+
 // isUnread reports whether a version has appeared since the last read.
 func (r *rolloutsCopy) isUnread() bool { return r.readAt.Before(r.versionAt) }
 
--- a/daemon/version/mirror/rollouts_test.go
+++ b/daemon/version/mirror/rollouts_test.go
@@ -186,7 +186,14 @@
 				for _, task := range []func(context.Context) error{mirror.FollowConfig, mirror.FollowUpstreams, mirror.FollowEvacuations, mirror.FollowMembers, mirror.FollowRollouts} {
 					tasks.Go(func() { _ = task(ctx) })
 				}
-				time.Sleep(5 * time.Second)
+				if !mirror.AwaitsRollouts() {
+					t.Error("ready before the rollouts were read")
+				}
+				time.Sleep(time.Second)
+				if mirror.AwaitsRollouts() {
+					t.Error("not ready though the rollouts were read")
+				}
+				time.Sleep(4 * time.Second)
 				before := store.count("list rollouts")
 				store.mu.Lock()
 				store.second, oldest = "v2", time.Now()
--- a/lab/edge/rollout_test.go
+++ b/lab/edge/rollout_test.go
@@ -59,7 +59,7 @@
 
 // call lets callers send requests of all routes to all VMs until the fleet ends.
 func (f *rolloutFleet) call() {
-	paths := []string{"/safe/x", "/unsafe/x", "/stream/x", "/safe/x"}
+	paths := []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume-stream/x"}
 	f.running.Go(func() {
 		for n := 0; ; n++ {
 			select {
