--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -53,6 +53,24 @@
 	}
 }
 
+// Guards against a rollout that leaves requests at old upstreams, or that puts a bad version in force,
+// while processes, links and the store are disturbed.
+func TestRolloutsUnderDisturbances(t *testing.T) {
+	report, err := Run(t.Context(), Options{
+		Seed: 11, Length: 36 * time.Second, Binary: binary(t), Dir: t.TempDir(), NoDeadly: true, NoLimits: true, NoOdd: true, NoRestores: true,
+		Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Rollouts < 2 {
+		t.Errorf("%d rollouts ended, want two at least", report.Rollouts)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+}
+
 // evidenceOf returns the evidence of one call whose request one upstream executed
 // the given number of times.
 func evidenceOf(c call, executions int) evidence {
