Let versions become bad in the shift by its status, at a steady pace of requests

In a race run of all of lab/edge at a load average above 20, two of the bad versions failed their checks: a slow one got 115 of 483 requests (bound 98), and one that became slow 5 s after the order was done before. The pace of the callers had fallen to a third with the load, and the shift ends after 5.3 s. Requests are sent on a schedule now, a version that is bad in the shift becomes so when the status says shifting, and sound responses take 40 ms.

go test -race -count 2 -parallel 2 ./lab/edge -run BadVersions at a load average of 29: passes.

--- a/lab/edge/rollout_test.go
+++ b/lab/edge/rollout_test.go
@@ -25,16 +25,14 @@
 	// rolloutVMs and rolloutUpstreams are the VMs, and the upstreams of each version.
 	rolloutVMs       = 3
 	rolloutUpstreams = 4
-	// laterTime and shiftTime are when a version becomes bad that does so in the canary, and in the
-	// shift, when every request goes there.
+	// laterTime is when a version becomes bad that does so in the canary.
 	laterTime = 2 * time.Second
-	shiftTime = 5 * time.Second
 	// tellTime is how long a verdict may take to reach every VM: two reports and two looks at them.
 	tellTime = 600 * time.Millisecond
 )
 
 // rolloutFaults are those of sound upstreams.
-var rolloutFaults = generalupstream.Faults{Delay: 20 * time.Millisecond, Pause: 10 * time.Millisecond}
+var rolloutFaults = generalupstream.Faults{Delay: 40 * time.Millisecond, Pause: 10 * time.Millisecond}
 
 // rolloutFleet is a fleet whose callers send requests without a pause.
 type rolloutFleet struct {
@@ -61,11 +59,12 @@
 func (f *rolloutFleet) call() {
 	paths := []string{"/safe/x", "/unsafe/x", "/stream/x", "/resume-stream/x"}
 	f.running.Go(func() {
-		for n := 0; ; n++ {
+		// The pace does not depend on how busy the machine is.
+		for n, start := 0, time.Now(); ; n++ {
 			select {
 			case <-f.stop:
 				return
-			case <-time.After(rolloutPace):
+			case <-time.After(time.Until(start.Add(time.Duration(n) * rolloutPace))):
 			}
 			f.running.Go(func() {
 				reply := f.send(n%rolloutVMs, paths[n/rolloutVMs%len(paths)], fmt.Sprintf("call-%d", n))
@@ -205,12 +204,14 @@
 	for name, c := range map[string]struct {
 		bad   generalupstream.Bad
 		later time.Duration
+		// inShift makes it bad only in the shift, when every request goes there.
+		inShift bool
 	}{
 		"fails":              {bad: generalupstream.Bad{Share: 0.5}},
 		"is slow":            {bad: generalupstream.Bad{Share: 0.7, Slow: 8}},
 		"fails later":        {bad: generalupstream.Bad{Share: 0.5}, later: laterTime},
-		"is slow in shift":   {bad: generalupstream.Bad{Share: 0.7, Slow: 8}, later: shiftTime},
-		"fails in the shift": {bad: generalupstream.Bad{Share: 0.5}, later: shiftTime},
+		"is slow in shift":   {bad: generalupstream.Bad{Share: 0.7, Slow: 8}, inShift: true},
+		"fails in the shift": {bad: generalupstream.Bad{Share: 0.5}, inShift: true},
 		"fails under load":   {bad: generalupstream.Bad{Share: 0.7, MinRunning: 2}},
 		"fails on one route": {bad: generalupstream.Bad{Share: 0.8, Path: "/unsafe/"}},
 	} {
@@ -220,7 +221,15 @@
 			f.call()
 			time.Sleep(500 * time.Millisecond)
 			c.bad.From = time.Now().Add(c.later)
-			f.order("v2", c.bad)
+			if c.inShift {
+				f.order("v2", generalupstream.Bad{})
+				f.await("v2", "shifting")
+				for _, u := range f.upstreams[rolloutUpstreams:] {
+					u.SetBad(c.bad)
+				}
+			} else {
+				f.order("v2", c.bad)
+			}
 			status := f.await("v2", "rolled_back")
 			rolledBackAt := time.Now()
 			if status.Reason == "" {
@@ -229,7 +238,7 @@
 			time.Sleep(1500 * time.Millisecond)
 			f.end()
 			arrivals := f.arrivals("v2")
-			if bound := 0.1*float64(f.requests) + 50; float64(len(arrivals)) > bound && c.later < shiftTime {
+			if bound := 0.1*float64(f.requests) + 50; float64(len(arrivals)) > bound && !c.inShift {
 				t.Errorf("the bad version got %d of %d requests, the bound is %.0f", len(arrivals), f.requests, bound)
 			}
 			for _, at := range arrivals {
