--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -97,6 +97,7 @@
 	loadReportDecoders,
 	limitReportDecoders,
 	paceReportDecoders,
+	rolloutDecoders,
 	stateDecoders,
 	promptDecoders,
 	resumeDecoders,
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -22,6 +22,8 @@
 	prefillTime time.Duration
 	// minTTFB is the ttfb at an idle engine that has cached all shared segments.
 	minTTFB time.Duration
+	// idleTTFB is the ttfb at an idle upstream that is not slowed down.
+	idleTTFB time.Duration
 	// uncachedTokens is the number of prompt tokens that the engine has to prefill.
 	uncachedTokens int
 	// score is ttfb plus penalties; the candidate with the lowest score is chosen.
@@ -38,13 +40,26 @@
 	ttfbLimit time.Duration
 }
 
-// choose returns the best upstream for a ticket, or the refusal.
+// choose returns the best upstream for a ticket, or the refusal. A ticket for the canary of a
+// software version goes to another version if no canary takes it.
 func (p *Placer) choose(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
+	if fallback, present := ticket.Rule.Fallback(); present {
+		if best, refusal := p.chooseByRule(now, ticket); refusal == nil && !best.atCapacity {
+			return best, nil
+		}
+		ticket.Rule = fallback
+	}
+	return p.chooseByRule(now, ticket)
+}
+
+// chooseByRule returns the best upstream that the ticket's rule allows, or the refusal.
+func (p *Placer) chooseByRule(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
 	if p.config == nil {
 		return candidate{}, &request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotExecuted}
 	}
 	candidates := p.candidates(now, ticket)
-	if len(candidates) == 0 {
+	isCanary := ticket.Rule.Among != nil
+	if len(candidates) == 0 && !isCanary {
 		candidates = p.fallbackCandidates(now, ticket)
 	}
 	if len(candidates) == 0 {
@@ -70,7 +85,7 @@
 	p.recordDisplaced(ticket, best)
 	best = p.spread(now, candidates, best)
 	refusal := p.admit(ticket, best, usage.shareUsed)
-	if ticket.Attempt <= 1 && usage.shareUsed <= 1 {
+	if ticket.Attempt <= 1 && usage.shareUsed <= 1 && (refusal == nil || !isCanary) {
 		longPrompts.record(long, refusal == nil)
 	}
 	if refusal != nil {
@@ -130,7 +145,7 @@
 // candidates returns the upstreams that may execute the ticket. Of a large pool it assesses
 // the affinity upstreams and a random sample; all upstreams if none of these is usable.
 func (p *Placer) candidates(now time.Time, ticket request.Ticket) []candidate {
-	pool := p.upstreamsByPool[ticket.Pool]
+	pool := p.ruledPool(ticket)
 	affinity := p.affinityUpstreams(ticket)
 	list := p.scratch[:0]
 	defer func() { p.scratch = list }()
@@ -159,6 +174,30 @@
 	return list
 }
 
+// ruledPool returns the upstreams of the ticket's pool that its rule allows. The list is valid until
+// the next call.
+func (p *Placer) ruledPool(ticket request.Ticket) []*upstream {
+	pool := p.upstreamsByPool[ticket.Pool]
+	if ticket.Rule.IsZero() {
+		delete(p.ruledEngines, ticket.Pool)
+		return pool
+	}
+	// The fleet's token rate is that of the upstreams of a version, not of its canaries.
+	whole, engines := ticket.Rule, 0
+	whole.Among = nil
+	p.ruled = p.ruled[:0]
+	for _, u := range pool {
+		if whole.Permits(u.Software, u.ID) {
+			engines++
+		}
+		if ticket.Rule.Permits(u.Software, u.ID) {
+			p.ruled = append(p.ruled, u)
+		}
+	}
+	p.ruledEngines[ticket.Pool] = engines
+	return p.ruled
+}
+
 // assessAll appends the usable upstreams of a pool to list.
 func (p *Placer) assessAll(now time.Time, list []candidate, pool []*upstream, ticket request.Ticket, affinity *upstream) []candidate {
 	for _, u := range pool {
@@ -205,6 +244,8 @@
 		return false
 	case ticket.Regions != nil && !slices.Contains(ticket.Regions, u.region):
 		return false
+	case !ticket.Rule.Permits(u.Software, u.ID):
+		return false
 	case ticket.Software != "":
 		return u.Software == ticket.Software
 	case ticket.Resumable && p.streamVersions != nil:
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -75,6 +75,10 @@
 	displaced map[version.PoolID]*displaced
 	// random is created by rand.
 	random *rand.Rand
+	// ruledEngines is the number of upstreams of a pool that software rules leave to the requests;
+	// a pool without a rule has none. ruled is scratch space for the list of them.
+	ruledEngines map[version.PoolID]int
+	ruled        []*upstream
 }
 
 // New returns a placer without a configuration. It refuses every request until Configure is
@@ -91,6 +95,7 @@
 		peerLimits:      make(map[string]peerLimits),
 		displaced:       make(map[version.PoolID]*displaced),
 		longPrompts:     make(map[version.PoolID]*longPromptState),
+		ruledEngines:    make(map[version.PoolID]int),
 	}
 }
 
@@ -211,6 +216,7 @@
 		Pool:                 ticket.Pool,
 		Upstream:             u.ID,
 		PredictedTTFB:        best.ttfb,
+		IdleTTFB:             best.idleTTFB,
 		UncachedPromptTokens: best.uncachedTokens,
 	}, nil
 }
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
@@ -54,6 +55,7 @@
 		c.queueTime = p.queueTime(now, u, slowdown)
 		overhead := time.Duration(float64(baseTTFB)*slowdown) + network
 		c.ttfb = c.queueTime + c.prefillTime + overhead
+		c.idleTTFB = time.Duration(prefillNanoseconds) + baseTTFB + network
 		ownNanoseconds := float64(promptTokens(ticket)-sharedTokens(ticket.Prompt)) / p.prefillRate(u.pool) * float64(time.Second)
 		c.minTTFB = time.Duration(ownNanoseconds*slowdown) + overhead
 		c.atCapacity = u.engineAtCapacity(now, ticket)
@@ -66,6 +68,7 @@
 	} else {
 		excess := u.running(now) + 1 - u.slots()
 		c.ttfb = time.Duration(float64(plainServiceTime)*slowdown) + network
+		c.idleTTFB = plainServiceTime + network
 		if excess > 0 {
 			c.ttfb += time.Duration(float64(excess) / float64(u.slots()) * float64(plainServiceTime) * slowdown)
 		}
@@ -116,7 +119,7 @@
 
 // prefillRate returns the prompt tokens per second that an engine of the pool prefills.
 func (p *Placer) prefillRate(pool *version.Pool) float64 {
-	engines := len(p.upstreamsByPool[pool.ID])
+	engines := cmp.Or(p.ruledEngines[pool.ID], len(p.upstreamsByPool[pool.ID]))
 	if p.config.Limits.TokensPerSecond <= 0 || engines == 0 {
 		return defaultPrefillRate
 	}
