End reports on rollouts with the order, and sum those in force

Operators saw no end of the reports: once there had been an order, VMs went on sending them, since each counted as hearing of an order what it had ever heard.

A source now keeps which orders its last report holds. Only these are summed and sent, and only these keep VMs reporting.

--- a/fleet/process/exchange/rollouts.go
+++ b/fleet/process/exchange/rollouts.go
@@ -39,6 +39,8 @@
 	receivedAt  time.Time
 	// earlier holds the counts of the VM's ended incarnations, latest those of the present one.
 	earlier, latest map[uint64]*tally.Order
+	// present are the orders in the last report.
+	present map[uint64]bool
 }
 
 // receive takes in a report. Counts that another incarnation begins anew are added to those before.
@@ -58,9 +60,9 @@
 	for _, order := range s.latest {
 		order.Drained, order.OldRunning = 0, 0
 	}
-	reported := make(map[uint64]bool)
+	s.present = make(map[uint64]bool, len(report.Orders))
 	for _, order := range report.Orders[:min(len(report.Orders), wire.MaxRolloutOrders)] {
-		reported[order.Key] = true
+		s.present[order.Key] = true
 		if known := s.latest[order.Key]; known != nil {
 			known.Raise(tally.FromWire(order))
 		} else {
@@ -69,7 +71,7 @@
 	}
 	for _, orders := range []map[uint64]*tally.Order{s.latest, s.earlier} {
 		if len(orders) > wire.MaxRolloutOrders {
-			maps.DeleteFunc(orders, func(key uint64, _ *tally.Order) bool { return !reported[key] })
+			maps.DeleteFunc(orders, func(key uint64, _ *tally.Order) bool { return !s.present[key] })
 		}
 	}
 }
@@ -78,6 +80,13 @@
 type rolloutSum struct {
 	vms    uint32
 	orders map[uint64]*tally.Order
+	// present are the orders that a VM reports at present. The counts of the others are kept by
+	// those who know them, and not sent on.
+	present map[uint64]bool
+}
+
+func newRolloutSum() *rolloutSum {
+	return &rolloutSum{orders: make(map[uint64]*tally.Order), present: make(map[uint64]bool)}
 }
 
 // add adds a source, or takes it away if sign is negative. What describes the present counts only
@@ -86,6 +95,11 @@
 	age := now.Sub(s.receivedAt)
 	if age <= rolloutSilence {
 		sum.vms += uint32(sign) * s.vms
+		if sign > 0 {
+			for key := range s.present {
+				sum.present[key] = true
+			}
+		}
 	}
 	for _, orders := range []map[uint64]*tally.Order{s.earlier, s.latest} {
 		for key, order := range orders {
@@ -116,7 +130,7 @@
 // report returns the report of the sum.
 func (sum *rolloutSum) report() wire.RolloutReport {
 	report := wire.RolloutReport{VMs: sum.vms}
-	for _, key := range slices.Sorted(maps.Keys(sum.orders)) {
+	for _, key := range slices.Sorted(maps.Keys(sum.present)) {
 		if len(report.Orders) == wire.MaxRolloutOrders {
 			break
 		}
@@ -130,7 +144,7 @@
 	if s == nil {
 		return sum.report()
 	}
-	rest := &rolloutSum{vms: sum.vms, orders: make(map[uint64]*tally.Order, len(sum.orders))}
+	rest := &rolloutSum{vms: sum.vms, orders: make(map[uint64]*tally.Order, len(sum.orders)), present: sum.present}
 	for key, order := range sum.orders {
 		rest.orders[key] = order.Clone()
 	}
@@ -179,7 +193,7 @@
 // rolloutSum returns the sum of what the other VMs have reported, or with remote unset of those of
 // this data centre alone.
 func (r *Reporter) rolloutSum(now time.Time, remote bool) *rolloutSum {
-	sum := &rolloutSum{orders: make(map[uint64]*tally.Order)}
+	sum := newRolloutSum()
 	for _, s := range r.rollouts {
 		if r.rolloutCounts(s) && (remote || s.vm != "") {
 			sum.add(now, s, 1)
@@ -216,8 +230,9 @@
 	if own.VMs == 0 || len(own.Orders) == 0 && !r.hearsOrders(now) {
 		return nil
 	}
-	self := &rolloutSource{vm: r.self, vms: own.VMs, receivedAt: now, latest: make(map[uint64]*tally.Order)}
+	self := &rolloutSource{vm: r.self, vms: own.VMs, receivedAt: now, latest: make(map[uint64]*tally.Order), present: make(map[uint64]bool)}
 	for _, order := range own.Orders {
+		self.present[order.Key] = true
 		self.latest[order.Key] = tally.FromWire(order)
 	}
 	active := r.selfIsHub() && r.isActiveHub(now, r.self)
@@ -250,7 +265,7 @@
 // hearsOrders reports whether another VM has reported an order lately.
 func (r *Reporter) hearsOrders(now time.Time) bool {
 	for _, s := range r.rollouts {
-		if len(s.latest) > 0 && now.Sub(s.receivedAt) <= rolloutSilence {
+		if len(s.present) > 0 && now.Sub(s.receivedAt) <= rolloutSilence {
 			return true
 		}
 	}
--- a/fleet/process/exchange/rollouts_test.go
+++ b/fleet/process/exchange/rollouts_test.go
@@ -14,6 +14,8 @@
 	// failed is what a VM has counted in its present incarnation.
 	failed      map[version.VMID]uint32
 	incarnation map[version.VMID]uint64
+	// ended is set once no VM reports an order.
+	ended bool
 }
 
 func newRolloutNet(t *testing.T, dataCentres, perDataCentre int) *rolloutNet {
@@ -38,6 +40,9 @@
 			Key: 7, Drained: 1, Requests: 10, Routes: []wire.RolloutRoute{{Route: 3, New: count}},
 			Upstreams: []wire.RolloutUpstream{{Upstream: upstream, Counts: count}},
 		}}}
+		if n.ended {
+			own.Orders = nil
+		}
 		for _, message := range n.reporters[member.VM].RolloutOutbox(n.now, own) {
 			if n.down[message.To] {
 				continue
@@ -161,3 +166,43 @@
 		}
 	}
 }
+
+// Guards against reports that go on for ever once there was an order, since each VM reports because
+// it hears others report.
+func TestRolloutReportsEndWithTheOrder(t *testing.T) {
+	for _, size := range []struct{ dataCentres, perDataCentre int }{{3, 2}, {3, 27}} {
+		n := newRolloutNet(t, size.dataCentres, size.perDataCentre)
+		for range 6 {
+			n.round()
+		}
+		n.ended = true
+		// The last report of each scope on the way counts for rolloutSilence.
+		for start := n.now; n.now.Sub(start) < 4*rolloutSilence; {
+			n.round()
+		}
+		for _, member := range n.members {
+			if messages := n.reporters[member.VM].RolloutOutbox(n.now, wire.RolloutReport{VMs: 1}); len(messages) > 0 {
+				t.Fatalf("%d VMs: %s sends %d reports %v after the last order", len(n.members), member.VM, len(messages), 4*rolloutSilence)
+			}
+		}
+	}
+}
+
+// Guards against a sum without the order in force, because its place is taken by orders that have
+// ended.
+func TestRolloutSumHoldsTheOrdersInForce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New("a")
+	r.SetMembers([]Member{{VM: "a", DataCentre: "x", Capacity: 1}, {VM: "b", DataCentre: "x", Capacity: 1}})
+	// The keys grow, so that those of earlier orders sort before; b starts again at times.
+	for i := range 40 {
+		now = now.Add(time.Minute)
+		key := uint64(1000 + i)
+		r.ReceiveRollout(now, "b", wire.RolloutReport{
+			Incarnation: uint64(1 + i/12), VMs: 1, Orders: []wire.RolloutOrder{{Key: key, Requests: 1}},
+		})
+		if sum, _ := r.RolloutSum(now); len(sum.Orders) != 1 || sum.Orders[0].Key != key {
+			t.Fatalf("order %d: the sum holds %d orders, want the one in force", i, len(sum.Orders))
+		}
+	}
+}
