Ignore replaced orders in stale reads, and forget ended ones

A stale read that showed an order which another one had replaced brought it back as a new one: a VM sent the canary's share to a version that had been rolled back. A new order with the spec of one that had ended in an earlier era of the store, however long ago, was done or rolled back at once.

An object at an earlier position than the order in force no longer ends it, and an order that has ended counts as lost by the store for a minute only.

TestStaleReadDoesNotBringBackAReplacedOrder (a rule for the version that was rolled back before) and TestOrderOfALaterEraBeginsAnew (done and rolled back an hour later before) fail without the change and pass with it.

--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 // operator who takes an order back or replaces it reaches every VM within this time.
 const freshFor = 2 * time.Second
 
+// formerMemory is how long after its end an order in a new era of the store counts as the one that
+// was lost. One that is written later is another order, although its spec is the same.
+const formerMemory = time.Minute
+
 // progress is how far an order is; a higher value replaces a lower one.
 type progress uint8
 
@@ -68,8 +73,9 @@
 	condemned   string
 	condemnedAt time.Time
 	held        bool
-	// finalAt is when this VM learned that the order is done or rolled back.
-	finalAt time.Time
+	// finalAt is when this VM learned that the order is done or rolled back, and endedAt when it was
+	// no longer in the store.
+	finalAt, endedAt time.Time
 
 	// own is what this VM counted, others what the other VMs reported.
 	own, others *tally.Order
@@ -149,8 +155,14 @@
 			read[next.Pool] = next
 		}
 	}
+	maps.DeleteFunc(c.former, func(_ version.PoolID, o *order) bool { return now.Sub(o.endedAt) > formerMemory })
 	for pool, o := range c.orders {
-		if next, present := read[pool]; !present || !o.sameObject(next) {
+		next, present := read[pool]
+		if present && next.At.Compare(o.At) < 0 {
+			// A stale read may show an order that this one has replaced. update ignores it.
+			continue
+		}
+		if !present || !o.sameObject(next) {
 			c.end(now, o)
 		}
 	}
@@ -169,6 +181,7 @@
 func (c *Controller) end(now time.Time, o *order) {
 	c.notice(now, o, "order has ended", string(o.state()))
 	delete(c.orders, o.Pool)
+	o.endedAt = now
 	c.former[o.Pool] = o
 	if o.progress != progressDone {
 		c.versionOf(now, o.Pool, o.Software).blocked = true
