Choose the best upstream where no other VM is known

With one process and two idle upstreams every request went to the one that was drawn first: measured as fast, it stayed cheaper than the other, which before came first by its name. TestUpstreamGetsNoRequestsAfterDrainAdvice, which sends requests until the first upstream gets one, did not end. Without requests of others the best upstream is chosen as before the even load; the draw needs others.

Evidence: that test timed out after 60 s before and passes in 2.4 s; TestStaleReportsCauseNoHerd passes, its mean wait after reports stop is 3.5 ms (4.6 ms with the draw).

--- a/fleet/process/placement/spread.go
+++ b/fleet/process/placement/spread.go
@@ -105,6 +105,10 @@
 		choices = append(choices, balance.Choice{Index: i, Cost: float64(c.score), Slope: duration / float64(c.slots())})
 	}
 	p.choices = choices
+	if unseen == 0 {
+		// Nobody else is known to send requests there.
+		return best
+	}
 	return candidates[balance.Pick(choices, unseen, p.rand().Float64())]
 }
 
