Run two fleets with rollouts at once in the tests

All eleven at once, with the race detector and a load average of 25, left the daemons without processor time: not ready, or without an answer to an operator's call in time.

--- a/lab/edge/rollout_test.go
+++ b/lab/edge/rollout_test.go
@@ -34,6 +34,10 @@
 // rolloutFaults are those of sound upstreams.
 var rolloutFaults = generalupstream.Faults{Delay: 40 * time.Millisecond, Pause: 10 * time.Millisecond}
 
+// rolloutSlots are taken by the fleets that run at once: more of them leave too little of the machine to
+// each, with the race detector on.
+var rolloutSlots = make(chan struct{}, 2)
+
 // rolloutFleet is a fleet whose callers send requests without a pause.
 type rolloutFleet struct {
 	*crashingFleet
@@ -49,6 +53,8 @@
 // startRollout starts a fleet with upstreams of v1.
 func startRollout(t *testing.T) *rolloutFleet {
 	t.Helper()
+	rolloutSlots <- struct{}{}
+	t.Cleanup(func() { <-rolloutSlots })
 	f := &rolloutFleet{stop: make(chan struct{})}
 	f.crashingFleet = startFleet(t, rolloutVMs, rolloutUpstreams, generalupstream.Deadly{}, rolloutFaults, platformtest.RolloutBounds())
 	t.Cleanup(f.end)
