--- a/daemon/process/settings/check.go
+++ b/daemon/process/settings/check.go
@@ -18,6 +18,9 @@
 	// maxCalls limits Platform.CallsPerSecond and Platform.CallsBurst, in calls per second
 	// and calls.
 	maxCalls = 10_000
+	// maxMemoryMB and maxDescriptors limit Limits.MemoryMB and Limits.MaxFDs.
+	maxMemoryMB    = 1 << 20
+	maxDescriptors = 1 << 24
 	// maxSecretBytes limits the length of secrets and tokens, which are sent in HTTP
 	// headers.
 	maxSecretBytes = 1_024
@@ -68,6 +71,8 @@
 	if s.Upstreams.TLS.Enabled() && !s.Upstreams.HTTPS {
 		c.add("upstreams.tls needs https = true", "upstreams", "tls")
 	}
+	c.between(float64(s.Limits.MemoryMB), 0, maxMemoryMB, "limits", "memory_mb")
+	c.between(float64(s.Limits.MaxFDs), 0, maxDescriptors, "limits", "max_fds")
 	return c.problems
 }
 
--- a/daemon/process/settings/settings.go
+++ b/daemon/process/settings/settings.go
@@ -26,6 +26,7 @@
 	Operators  Operators            `toml:"operators"`
 	Platform   Platform             `toml:"platform"`
 	Upstreams  Upstreams            `toml:"upstreams"`
+	Limits     Limits               `toml:"limits"`
 }
 
 // Callers are the settings of the callers' listener.
@@ -82,6 +83,15 @@
 	TLS tlsfiles.Files `toml:"tls"`
 }
 
+// Limits are what the process may use of its VM.
+type Limits struct {
+	// MemoryMB is the memory in MB (2^20 bytes); default 0, unknown.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxFDs is the number of file descriptors; default 0, as many as the system allows the
+	// process.
+	MaxFDs int `toml:"max_fds"`
+}
+
 // defaultDrainGraceMS is the default of Callers.DrainGraceMS.
 const defaultDrainGraceMS = 5000
 
--- a/lab/fleetproc/fleetproc.go
+++ b/lab/fleetproc/fleetproc.go
@@ -39,9 +39,8 @@
 // for.
 const pollInterval = 10 * time.Millisecond
 
-// buildDaemon builds the daemon, once in a test process, and returns the path of its
-// executable.
-var buildDaemon = sync.OnceValues(func() (string, error) {
+// Build builds the daemon, once in a test process, and returns the path of its executable.
+var Build = sync.OnceValues(func() (string, error) {
 	directory, err := os.MkdirTemp("", "trefoilwell")
 	if err != nil {
 		return "", err
@@ -96,7 +95,7 @@
 // be nil.
 func (f *Fleet) Start(t testing.TB, vm version.VMID, dataCentre version.DataCentreID, edit func(*settings.Settings)) *Process {
 	t.Helper()
-	path, err := buildDaemon()
+	path, err := Build()
 	if err != nil {
 		t.Fatalf("build the daemon: %v", err)
 	}
@@ -263,6 +262,9 @@
 	}
 }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Running reports whether the process has not exited.
 func (p *Process) Running() bool {
 	select {
