Bound what clients make a process hold at every listener

Operators saw processes end for want of memory, and callers and load balancers get no answer, when clients left requests unfinished at any listener. The callers' listener bounded its connections and heads; the readiness, peer, metrics and operators' listeners bounded neither, and the product's own process bounded no connections at all. Two faults held at callers' listeners too: connections that sent nothing kept every new caller out until they timed out, and bodies that stopped short kept their reservations and the account's requests until their deadline. 503s that wait to be read could take 512 descriptors, however few there were.

daemon/connection/bounded takes the place of daemon/connection/heads: one budget for the heads of all listeners, and a port for each that bounds its connections. When one is full, connections that hold most and move least are closed for the new one; bytes that the process itself has not read yet protect a connection. daemon/process/budget (from edge/memory.go) divides memory and descriptors for both deployments. A body being read gives up its reservation once it has not moved for 0.5 s and others need it; a request whose body is whole no longer queues behind those that are not; bodies in chunks reserve what they hold, not the whole limit. Connections of the readiness, metrics and operators' listeners carry one request each.

TestHeadsOverTheMemoryAreRefused expected that a whole request is refused while unfinished heads hold the memory. It is served now, since those give way; the test checks that, and that heads over the memory that requests in progress hold are refused with 503 and Retry-After.

--- a/daemon/connection/heads/heads_test.go
+++ b/daemon/connection/bounded/heads_test.go
@@ -1,9 +1,10 @@
-package heads
+package bounded
 
 import (
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
@@ -14,7 +15,7 @@
 
 // server is a server whose heads are limited.
 type server struct {
-	*Limiter
+	*Budget
 	address string
 }
 
@@ -24,10 +25,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{Limiter: New(limit, nil), address: inner.Addr().String()}
+	s := &server{Budget: New(limit, slog.New(slog.DiscardHandler)), address: inner.Addr().String()}
+	port := s.NewPort(PortOptions{Name: "test", MaxConns: 1000, Grace: time.Second, IdleGrace: time.Second})
 	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
-	http1 := &http.Server{Handler: handler, ConnState: s.Track, MaxHeaderBytes: 32 << 10}
-	go func() { _ = http1.Serve(s.Listener(inner)) }()
+	http1 := &http.Server{Handler: handler, ConnState: port.Track, MaxHeaderBytes: 32 << 10}
+	go func() { _ = http1.Serve(port.Listener(inner)) }()
 	t.Cleanup(func() { http1.Close() })
 	return s
 }
--- a/daemon/connection/peer/peer.go
+++ b/daemon/connection/peer/peer.go
@@ -151,6 +151,8 @@
 // ServeHTTP accepts a link and serves it until it ends.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !m.authorised(r) {
+		// A kept connection could carry requests without end.
+		w.Header().Set("Connection", "close")
 		http.Error(w, ErrUnauthorised.Error(), http.StatusUnauthorized)
 		return
 	}
--- a/daemon/process/app/app.go
+++ b/daemon/process/app/app.go
@@ -14,10 +14,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/heads"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/bounded"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/objectstore"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/turnaway"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/budget"
 	"github.com/trefoilwell/trefoilwell/daemon/process/duty"
 	"github.com/trefoilwell/trefoilwell/daemon/process/ledger"
 	"github.com/trefoilwell/trefoilwell/daemon/process/loop"
@@ -34,13 +36,9 @@
 )
 
 const (
-	// readHeaderTimeout bounds the reading of a request's headers.
-	readHeaderTimeout = 5 * time.Second
 	// operatorsTimeout bounds the time to read an operator's request, and the time to
 	// answer it.
 	operatorsTimeout = 30 * time.Second
-	// maxHeadsBytes limits what the heads of all callers' requests hold beyond some KiB each.
-	maxHeadsBytes = 32 << 20
 )
 
 // App is one daemon.
@@ -61,8 +59,13 @@
 	handler    *serve.Handler
 	// callersServer serves callers' requests by handler.
 	callersServer *http.Server
-	// heads bounds the memory of callers' heads, on connections without TLS.
-	heads *heads.Limiter
+	// plan divides the VM's memory and descriptors, and ports bounds the connections of all listeners.
+	plan  budget.Plan
+	ports *bounded.Budget
+	// rejecter responds to callers whose connections cannot be served.
+	rejecter *turnaway.Rejecter
+	// The ports bound the connections of each listener.
+	callersPort, peersPort, operatorsPort *bounded.Port
 	// peersServer accepts the links of other daemons.
 	peersServer *http.Server
 	// operatorsServer serves the operators' interface.
@@ -85,7 +88,9 @@
 	if a.transports, err = newTransports(s); err != nil {
 		return nil, err
 	}
-	a.heads = heads.New(maxHeadsBytes, nil)
+	a.plan = planOf(s.Limits)
+	a.ports = bounded.New(a.plan.MaxHeadBytes, log)
+	a.rejecter = newRejecter(a.plan.MaxRejectedConns)
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -146,11 +151,18 @@
 		PlatformCalls:     platformCalls.Load,
 		Ledger:            func() any { return a.ledger.Stats() },
 		PromptQuarantine:  func() any { return a.quarantine.Stats() },
+		Held:              func() any { return a.handler.Held() },
+		Heads:             func() any { return a.ports.Stats() },
+		Listeners:         func() any { return a.ports.PortStats() },
 	})
 	a.callersServer = a.newCallersServer()
-	a.peersServer = newServer(a.peers)
-	a.operatorsServer = newServer(a.newOperatorHandler())
+	a.peersServer = bounded.NewServer(a.peers)
+	a.peersServer.ConnState = a.peersPort.Track
+	a.operatorsServer = bounded.NewServer(a.newOperatorHandler())
 	a.operatorsServer.ReadTimeout, a.operatorsServer.WriteTimeout = operatorsTimeout, operatorsTimeout
+	a.operatorsServer.ConnState = a.operatorsPort.Track
+	// A kept connection could carry requests without end, and operators send few.
+	a.operatorsServer.SetKeepAlivesEnabled(false)
 	return a, nil
 }
 
@@ -184,6 +196,7 @@
 	duty.AddVital(&group, ctx, "ledger", a.log, a.ledger.Run)
 	duty.AddVital(&group, ctx, "ledger sweep", a.log, a.ledger.Sweep)
 	duty.Add(&group, ctx, "owners", a.log, a.followOwners)
+	duty.Add(&group, ctx, "rejected connections", a.log, a.rejecter.Run)
 	err := group.Run()
 	if errors.IsAny(err, errDrained, context.Canceled) {
 		return nil
@@ -206,7 +219,9 @@
 		Accounting: a.loop,
 		Transport:  a.transports.upstreams,
 		Scheme:     a.transports.upstreamScheme,
-		OnAdvice:   a.loop.RecordAdvice,
+		// 0 without known memory: the relay's default.
+		MaxAnswerBytes: a.plan.MaxAnswerBytes,
+		OnAdvice:       a.loop.RecordAdvice,
 	})
 	a.handler = serve.New(serve.Options{
 		OnClaim:    a.recordClaim,
@@ -217,9 +232,13 @@
 		Counter:    a.metrics,
 		VM:         a.settings.VM,
 		DataCentre: a.settings.DataCentre,
+		// 0 without known memory: the handler's defaults.
+		MaxRequests:       a.plan.MaxRequests,
+		MaxHeldBytes:      a.plan.MaxBodyBytes,
+		AtConnectionLimit: func() bool { return a.callersPort.Open() > a.plan.MaxCallerConns },
 	})
 	server := serve.NewServer(a.handler)
-	server.ConnState = a.heads.Track
+	server.ConnState = a.callersPort.Track
 	return server
 }
 
@@ -246,10 +265,6 @@
 	a.loop.Post(node.Configure{Config: config})
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-}
-
 func addServer(group *run.Group, server *http.Server, listener net.Listener) {
 	group.Add(func() error {
 		return server.Serve(listener)
--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/trefoilwell/trefoilwell/daemon/connection/bounded"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/turnaway"
 )
 
@@ -67,6 +68,8 @@
 	connLimiter *connLimiter
 	admission   *admission
 	rejecter    *turnaway.Rejecter
+	// port bounds the accepted connections; nil leaves that to connLimiter.
+	port *bounded.Port
 	// stopped is set once every new connection is to be rejected, and ended once there are no
 	// more.
 	stopped, ended atomic.Bool
@@ -76,7 +79,12 @@
 func (l *admissionListener) stop() { l.stopped.Store(true) }
 
 // rejectsAll reports whether every connection is rejected, whatever the load shedder admits.
-func (l *admissionListener) rejectsAll() bool { return l.stopped.Load() || l.connLimiter.atHardLimit() }
+func (l *admissionListener) rejectsAll() bool {
+	if l.port == nil {
+		return l.stopped.Load() || l.connLimiter.atHardLimit()
+	}
+	return l.stopped.Load() || !l.port.HasRoom()
+}
 
 // Accept implements net.Listener.
 func (l *admissionListener) Accept() (net.Conn, error) {
@@ -105,14 +113,19 @@
 	l.rejecter.Reject(fd)
 }
 
-// rejectHead rejects a connection whose request has a head for which there is no memory.
-func (d *Daemon) rejectHead(conn net.Conn, read []byte) {
+// rejectConn rejects a connection for which there is no room, or whose request has a head, of which a
+// part that ends in read was read, for which there is no memory.
+func (d *Daemon) rejectConn(conn *net.TCPConn, read []byte) {
 	fd, err := turnaway.Detach(conn)
 	if err != nil {
 		// No request was served, so its caller may retry elsewhere at once.
 		_ = conn.Close()
 		return
 	}
+	if read == nil {
+		d.rejecter.Reject(fd)
+		return
+	}
 	d.rejecter.RejectBegun(fd, read)
 }
 
--- a/daemon/process/edge/crowd_test.go
+++ b/daemon/process/edge/crowd_test.go
@@ -45,7 +45,7 @@
 	backlog := &backlogListener{waiting: 500}
 	accepted := 0
 	for {
-		conn, err := (&admissionListener{Listener: backlog, connLimiter: limiter, admission: newAdmission(0, slog.New(slog.DiscardHandler)), rejecter: newRejecter()}).Accept()
+		conn, err := (&admissionListener{Listener: backlog, connLimiter: limiter, admission: newAdmission(0, slog.New(slog.DiscardHandler)), rejecter: newRejecter(0)}).Accept()
 		if err != nil {
 			break
 		}
@@ -77,7 +77,7 @@
 	accepted := 0
 	for {
 		overloaded.observeLag(time.Second)
-		if _, err := (&admissionListener{Listener: backlog, connLimiter: newConnLimiter(8192, waiting), admission: overloaded, rejecter: newRejecter()}).Accept(); err != nil {
+		if _, err := (&admissionListener{Listener: backlog, connLimiter: newConnLimiter(8192, waiting), admission: overloaded, rejecter: newRejecter(0)}).Accept(); err != nil {
 			break
 		}
 		accepted++
@@ -115,7 +115,7 @@
 		overloaded.observeLag(time.Second)
 	}
 	counting := &countingListener{Listener: listener}
-	rejecter := newRejecter()
+	rejecter := newRejecter(0)
 	go func() { _ = rejecter.Run(t.Context()) }()
 	admitting := &admissionListener{Listener: counting, connLimiter: newConnLimiter(8192, waiting), admission: overloaded, rejecter: rejecter}
 	accepted := 0
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -6,7 +6,6 @@
 	"context"
 	"expvar"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -17,11 +16,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
-	"github.com/trefoilwell/trefoilwell/daemon/connection/backlog"
-	"github.com/trefoilwell/trefoilwell/daemon/connection/heads"
+	"github.com/trefoilwell/trefoilwell/daemon/connection/bounded"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/peer"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/turnaway"
 	"github.com/trefoilwell/trefoilwell/daemon/connection/upstream"
+	"github.com/trefoilwell/trefoilwell/daemon/process/budget"
 	"github.com/trefoilwell/trefoilwell/daemon/process/clock"
 	"github.com/trefoilwell/trefoilwell/daemon/process/duty"
 	"github.com/trefoilwell/trefoilwell/daemon/process/lag"
@@ -45,10 +44,6 @@
 	revokeMargin = 500 * time.Millisecond
 	// gcPercent is the growth of the heap, in percent, that triggers a garbage collection.
 	gcPercent = 300
-	// callerIdleTimeout is the time after which an idle connection of a caller is closed.
-	// It is longer than any idle time-out that a configuration has set, because a caller
-	// that reuses a connection just before that time-out must not find it closed.
-	callerIdleTimeout = 2 * time.Minute
 	// maxIdleStoreConns bounds the idle connections to the store that are kept for reuse.
 	// Each watch needs one connection and reads need another.
 	maxIdleStoreConns = 8
@@ -85,7 +80,7 @@
 	software       *software
 	lives          *upstream.Lives
 	relay          *relay.Relay
-	heads          *heads.Limiter
+	ports          *bounded.Budget
 	handler        *serve.GeneralHandler
 	metrics        *metrics
 	lag            lag.Monitor
@@ -93,7 +88,7 @@
 	admission      *admission
 	rejecter       *turnaway.Rejecter
 	callerListener *admissionListener
-	memory         memoryPlan
+	plan           budget.Plan
 
 	callerServer    server
 	readinessServer server
@@ -120,12 +115,6 @@
 	fleetSize atomic.Int64
 }
 
-// server is an HTTP server with its bound listener.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
 // New reads the settings, assembles the daemon and opens its listeners. It fails if the
 // settings cannot be read or a listener cannot be opened.
 func New(options Options) (*Daemon, error) {
@@ -145,12 +134,12 @@
 	d.settings.Store(settings)
 	d.log = slog.New(slog.NewJSONHandler(d.logSink, &slog.HandlerOptions{Level: options.LogLevel})).
 		With("vm", settings.VM)
-	d.memory = planMemory(settings.MemoryBytes)
-	limitResources(settings, d.memory)
-	d.connLimiter = newConnLimiter(settings.MaxFileDescriptors, d.memory.maxCallerConns)
+	d.plan = budget.New(settings.MemoryBytes, settings.MaxFileDescriptors)
+	limitResources(settings, d.plan)
+	d.connLimiter = newConnLimiter(settings.MaxFileDescriptors, d.plan.MaxCallerConns)
 	d.admission = newAdmission(options.MaxLag, d.log)
 	d.metrics.vars.Set("lag_ms", expvar.Func(func() any { return d.lag.Lag().Milliseconds() }))
-	d.rejecter = newRejecter()
+	d.rejecter = newRejecter(d.plan.MaxRejectedConns)
 	d.metrics.vars.Set("connections_turned_away", expvar.Func(func() any { return d.admission.rejectedConnections() }))
 	d.metrics.vars.Set("connections_closed", expvar.Func(func() any { return d.rejecter.Counts().Closed }))
 	d.metrics.vars.Set("duty_panics", expvar.Func(func() any { return duty.Panics() }))
@@ -188,9 +177,11 @@
 		OnCallFailure:    d.storeTransport.CloseIdleConnections,
 		Log:              d.log,
 	})
-	d.handler = d.newHandler(d.memory)
-	d.heads = heads.New(d.memory.maxHeadBytes, d.rejectHead)
-	d.metrics.vars.Set("heads", expvar.Func(func() any { return d.heads.Stats() }))
+	d.handler = d.newHandler(d.plan)
+	d.ports = bounded.New(d.plan.MaxHeadBytes, d.log)
+	d.metrics.vars.Set("heads", expvar.Func(func() any { return d.ports.Stats() }))
+	d.metrics.vars.Set("held", expvar.Func(func() any { return d.handler.Held() }))
+	d.metrics.vars.Set("listeners", expvar.Func(func() any { return d.ports.PortStats() }))
 	return d, d.listen(settings)
 }
 
@@ -204,27 +195,27 @@
 }
 
 // limitResources limits the Go runtime to the processors and the memory of the VM.
-func limitResources(settings *platform.Settings, plan memoryPlan) {
+func limitResources(settings *platform.Settings, plan budget.Plan) {
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
 	}
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(plan.runtimeLimitBytes)
+		debug.SetMemoryLimit(plan.RuntimeLimitBytes)
 		// Below the memory limit, let the heap grow to save processor time.
 		debug.SetGCPercent(gcPercent)
 	}
 }
 
-func (d *Daemon) newHandler(plan memoryPlan) *serve.GeneralHandler {
+func (d *Daemon) newHandler(plan budget.Plan) *serve.GeneralHandler {
 	transport := upstream.NewTransport(nil)
-	transport.MaxIdleConns = plan.maxIdleUpstreamConns
+	transport.MaxIdleConns = plan.MaxIdleUpstreamConns
 	d.lives.Follow(transport)
 	d.relay = relay.New(relay.Options{
 		Accounting:     d.placing,
 		Transport:      transport,
 		Dialect:        platform.Dialect{},
 		General:        true,
-		MaxAnswerBytes: plan.maxAnswerBytes,
+		MaxAnswerBytes: plan.MaxAnswerBytes,
 		OnLoad:         d.placing.RecordLoad,
 		OnFirstByte:    d.placing.RecordFirstByte,
 		OnAdvice:       d.placing.RecordAdvice,
@@ -241,63 +232,17 @@
 		RequestID:         platform.RequestID,
 		Lag:               d.lag.Lag,
 		Admit:             d.admission.admitRequest,
-		MaxRequests:       plan.maxRequests,
+		MaxRequests:       plan.MaxRequests,
 		AtConnectionLimit: d.connLimiter.overLimit,
 		ConfigFresh:       d.configFresh,
 		Counter:           d.metrics,
 		Retry:             d.retryOptions,
-		MaxHeldBytes:      plan.maxBodyBytes,
+		MaxHeldBytes:      plan.MaxBodyBytes,
 		OnFinished:        d.metrics.recordDuration,
 		Log:               d.log,
 	})
 }
 
-func (d *Daemon) listen(settings *platform.Settings) error {
-	callerHTTP := serve.NewServer(d.handler)
-	callerHTTP.IdleTimeout = callerIdleTimeout
-	callerHTTP.ConnState = func(conn net.Conn, state http.ConnState) {
-		d.connLimiter.track(conn, state)
-		d.heads.Track(conn, state)
-	}
-	callerHTTP.ConnContext = serve.WithCallerConn
-	var err error
-	if d.callerServer, err = d.newServer(callerHTTP, settings.CallerAddress); err != nil {
-		return errors.Wrap(err, "open callers listener")
-	}
-	d.callerListener = &admissionListener{Listener: backlog.New(d.callerServer.listener.(*net.TCPListener)), connLimiter: d.connLimiter, admission: d.admission, rejecter: d.rejecter}
-	d.callerServer.listener = d.heads.Listener(d.callerListener)
-	readinessHTTP := &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: time.Second}
-	if d.readinessServer, err = d.newServer(readinessHTTP, settings.ReadinessAddress); err != nil {
-		return errors.Wrap(err, "open readiness listener")
-	}
-	peerHTTP := &http.Server{Handler: http.HandlerFunc(d.acceptLink), ReadHeaderTimeout: time.Second}
-	if d.peerServer, err = d.newServer(peerHTTP, net.JoinHostPort(settings.IP, portString(settings.PeerPort))); err != nil {
-		return errors.Wrap(err, "open peer listener")
-	}
-	if d.options.MetricsPort == 0 {
-		return nil
-	}
-	address := net.JoinHostPort(settings.IP, portString(d.options.MetricsPort))
-	metricsServer, err := d.newServer(&http.Server{Handler: d.newOperatorHandler(), ReadHeaderTimeout: time.Second}, address)
-	if err != nil {
-		return errors.Wrap(err, "open metrics listener")
-	}
-	d.metricsServer = &metricsServer
-	return nil
-}
-
-// listenConfig disables TCP keep-alive probes, which take four system calls to enable for each
-// connection. They are not needed: callers' idle connections are closed after
-// callerIdleTimeout, and links are checked by the peer manager.
-var listenConfig = net.ListenConfig{KeepAlive: -1}
-
-// newServer opens a listener at address (host:port) for a server.
-func (d *Daemon) newServer(httpServer *http.Server, address string) (server, error) {
-	httpServer.ErrorLog = slog.NewLogLogger(d.log.Handler(), slog.LevelWarn)
-	listener, err := listenConfig.Listen(context.Background(), "tcp", address)
-	return server{http: httpServer, listener: listener}, err
-}
-
 // Run serves until ctx ends, then drains the daemon. It returns nil after a drain or when it
 // was cancelled, otherwise the error that stopped the daemon.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -339,33 +284,6 @@
 	return err
 }
 
-// add adds the server to a group. After a call of Shutdown the server's actor returns only
-// when the group ends: an earlier return would end the group before Shutdown completes.
-func (s server) add(group *run.Group) {
-	groupEnded := make(chan struct{})
-	group.Add(func() error {
-		err := s.http.Serve(s.listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-groupEnded
-		}
-		return err
-	}, func(error) {
-		close(groupEnded)
-		s.http.Close()
-	})
-}
-
-// acceptLink accepts a link from another process. Until the fleet secret is known it responds
-// with status 503.
-func (d *Daemon) acceptLink(w http.ResponseWriter, r *http.Request) {
-	peers := d.peers.Load()
-	if peers == nil {
-		http.Error(w, "not linked yet", http.StatusServiceUnavailable)
-		return
-	}
-	peers.ServeHTTP(w, r)
-}
-
 // applyConfig applies a new state of the store.
 func (d *Daemon) applyConfig(config *version.Config) {
 	d.placing.Configure(config)
--- a/daemon/process/edge/rejecter.go
+++ b/daemon/process/edge/rejecter.go
@@ -14,12 +14,14 @@
 	20 * time.Millisecond, 35 * time.Millisecond, 50 * time.Millisecond, 65 * time.Millisecond,
 }
 
-// newRejecter returns the rejecter for connections that are not admitted.
-func newRejecter() *turnaway.Rejecter {
+// newRejecter returns the rejecter for connections that are not admitted, of which at most maxWaiting
+// wait; 0 is turnaway.DefaultMaxWaiting.
+func newRejecter(maxWaiting int) *turnaway.Rejecter {
 	return turnaway.New(turnaway.Options{
 		Body: serve.RefusalBody(&request.Refusal{
 			Reason: request.ReasonQueueFull, Execution: request.NotExecuted, Detail: "this router is behind with its work",
 		}),
 		RetryAfter: rejectionRetryAfter,
+		MaxWaiting: maxWaiting,
 	})
 }
--- a/daemon/process/edge/usage.go
+++ b/daemon/process/edge/usage.go
@@ -53,7 +53,7 @@
 
 // logScarceMemory logs what uses memory while it is scarce, until ctx ends.
 func (d *Daemon) logScarceMemory(ctx context.Context) error {
-	u, limit := newMemoryUsage(), d.memory.runtimeLimitBytes
+	u, limit := newMemoryUsage(), d.plan.RuntimeLimitBytes
 	for {
 		if err := wait.Sleep(ctx, memoryCheckInterval); err != nil {
 			return err
--- a/daemon/process/metrics/metrics.go
+++ b/daemon/process/metrics/metrics.go
@@ -43,6 +43,9 @@
 	Ledger func() any
 	// PromptQuarantine returns the counters of held prompt segments, likewise.
 	PromptQuarantine func() any
+	// Held returns the figures of the requests that are held, Heads those of the memory for heads of
+	// requests, and Listeners those of the connections of each listener, likewise.
+	Held, Heads, Listeners func() any
 }
 
 // Metrics holds the variables of one daemon. It is safe for concurrent use.
@@ -66,6 +69,11 @@
 	if counters.Ledger != nil {
 		m.vars.Set("ledger", expvar.Func(counters.Ledger))
 	}
+	if counters.Heads != nil {
+		m.vars.Set("held", expvar.Func(counters.Held))
+		m.vars.Set("heads", expvar.Func(counters.Heads))
+		m.vars.Set("listeners", expvar.Func(counters.Listeners))
+	}
 	if counters.PromptQuarantine != nil {
 		m.vars.Set("prompt_quarantine", expvar.Func(counters.PromptQuarantine))
 	}
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -151,17 +151,15 @@
 		return
 	}
 	account := c.ticket.Account
-	if refusal := g.limiter.enter(account); refusal != nil {
+	if refusal := g.limiter.enter(account, &c.reserved); refusal != nil {
 		c.sendToOtherRouter(refusal)
 		c.refuse(refusal)
 		return
 	}
-	reserved := &reservation{limiter: g.limiter, account: account}
-	defer reserved.release()
+	defer c.reserved.release()
 	g.begin(c)
 	defer g.end(c)
 	body, refusal := c.readBody()
-	reserved.bytes = int64(len(body))
 	if refusal != nil {
 		c.refuse(refusal)
 		return
@@ -331,34 +329,11 @@
 	if limit <= 0 || limit > MaxBodyBytes {
 		limit = MaxBodyBytes
 	}
-	if c.r.ContentLength > limit {
-		c.w.Header().Set("Connection", "close")
-		return nil, refuse(request.ReasonTooLarge, "the body is over the limit")
-	}
-	if c.r.ContentLength == 0 && len(c.r.TransferEncoding) == 0 {
-		return nil, nil
-	}
-	reserved := c.r.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	limiter, account := c.handler.limiter, c.ticket.Account
-	if refusal := limiter.reserve(account, reserved); refusal != nil {
+	body, refusal := c.reserved.readBody(c.w, c.r, limit, c.deadline)
+	if refusal != nil && (refusal.Reason == request.ReasonQueueFull || refusal.Reason == request.ReasonAccountQueueFull) {
 		c.sendToOtherRouter(refusal)
-		return nil, refusal
-	}
-	controller := http.NewResponseController(c.w)
-	// Writers in tests may not support deadlines.
-	_ = controller.SetReadDeadline(c.deadline)
-	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
-	if err != nil {
-		limiter.free(account, reserved)
-		c.w.Header().Set("Connection", "close")
-		return nil, bodyReadRefusal(err)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	limiter.free(account, reserved-int64(len(body)))
-	return body, nil
+	return body, refusal
 }
 
 // withRetryBudget calls use with the retry budget of a pool, while holding the lock, and
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
@@ -25,10 +26,15 @@
 
 // usage is the number of requests held and the bytes of their bodies.
 type usage struct {
-	requests int
-	bytes    int64
+	// requests includes those of reading, whose body had not come with the head and is being read.
+	// They are bounded apart from the others, so that they keep nobody out whose request is whole.
+	requests, reading int
+	bytes             int64
 }
 
+// whole returns the number of requests whose bodies are not being read.
+func (u usage) whole() int { return u.requests - u.reading }
+
 // requestLimiter limits the requests that the daemon holds and the bytes of their bodies,
 // in total and for each account. It is safe for concurrent use.
 //
@@ -42,6 +48,12 @@
 	mu       sync.Mutex
 	total    usage
 	accounts map[version.AccountID]*usage
+	// reading holds the requests whose body is read and had not come with the head.
+	reading map[*reservation]struct{}
+	// revoked counts the reservations that were revoked, and noneStillUntil is when it is looked again
+	// for some that may be.
+	revoked        uint64
+	noneStillUntil time.Time
 	// leaving is set once the balancer should send no new requests.
 	leaving bool
 	// closed is set once new requests are refused.
@@ -56,97 +68,56 @@
 		maxBytes:            maxBytes,
 		accountLimitDivisor: accountLimitDivisor,
 		accounts:            make(map[version.AccountID]*usage),
+		reading:             make(map[*reservation]struct{}),
 		idle:                make(chan struct{}),
 	}
 }
 
-// enter adds a request to the usage, or refuses it.
-func (l *requestLimiter) enter(id version.AccountID) *request.Refusal {
+// enter adds a request to the usage, which r holds then, or refuses it.
+func (l *requestLimiter) enter(id version.AccountID, r *reservation) *request.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	account := l.account(id)
-	switch {
-	case l.closed:
+	if l.closed {
 		return refuse(request.ReasonNotReady, "this router is shutting down")
-	case account.requests >= accountLimit(l.maxRequests, l.accountLimitDivisor):
-		return refuse(request.ReasonAccountQueueFull, "the account holds too many requests at this router")
-	case l.total.requests >= l.maxRequests:
-		return refuse(request.ReasonQueueFull, "this router holds too many requests")
+	}
+	account := l.account(id)
+	if refusal := l.refuseMore(account.whole(), l.total.whole()); refusal != nil {
+		return refusal
 	}
 	account.requests++
 	l.total.requests++
 	l.accounts[id] = account
+	r.limiter, r.account = l, id
 	return nil
 }
 
-// leave removes a request from the usage.
-func (l *requestLimiter) leave(id version.AccountID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.accounts[id].requests--
-	l.total.requests--
-	if l.accounts[id].requests == 0 {
-		delete(l.accounts, id)
-	}
-	l.signalIfIdle()
-}
-
-// reserve adds the bytes of a body to the usage, or refuses the request.
-func (l *requestLimiter) reserve(id version.AccountID, bytes int64) *request.Refusal {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	account := l.account(id)
+// refuseMore returns the refusal of a request beside others of its account and of all; nil if the
+// limits allow it.
+func (l *requestLimiter) refuseMore(ofAccount, ofAll int) *request.Refusal {
 	switch {
-	case account.bytes+bytes > accountLimit(l.maxBytes, l.accountLimitDivisor):
-		return refuse(request.ReasonAccountQueueFull, "the account's requests at this router hold too many bytes")
-	case l.total.bytes+bytes > l.maxBytes:
-		return refuse(request.ReasonQueueFull, "this router holds too many bytes of requests")
+	case ofAccount >= accountLimit(l.maxRequests, l.accountLimitDivisor):
+		return refuse(request.ReasonAccountQueueFull, "the account holds too many requests at this router")
+	case ofAll >= l.maxRequests:
+		return refuse(request.ReasonQueueFull, "this router holds too many requests")
 	}
-	account.bytes += bytes
-	l.total.bytes += bytes
 	return nil
 }
 
-// free removes bytes from the usage. It must be called before the request's leave.
-func (l *requestLimiter) free(id version.AccountID, bytes int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.account(id).bytes -= bytes
-	l.total.bytes -= bytes
-}
-
-// reservation is the usage of one request until it is released.
-type reservation struct {
-	limiter *requestLimiter
-	account version.AccountID
-	bytes   int64
-	// transferred is set if another goroutine releases the reservation later.
-	transferred bool
-}
-
-// addResponseBytes adds the bytes of a buffered response to the usage. It never refuses,
-// but it leaves less for new requests.
-func (r *reservation) addResponseBytes(bytes int64) {
-	r.limiter.free(r.account, -bytes)
-	r.bytes += bytes
-}
-
-// transfer makes release do nothing, and returns the function to call instead.
-func (r *reservation) transfer() func() {
-	r.transferred = true
-	return r.releaseNow
+// add adds bytes to the usage of an account. l.mu must be held.
+func (l *requestLimiter) add(id version.AccountID, bytes int64) {
+	l.account(id).bytes += bytes
+	l.total.bytes += bytes
 }
 
-// release removes the request from the usage, unless the reservation was transferred.
-func (r *reservation) release() {
-	if !r.transferred {
-		r.releaseNow()
+// remove removes a request with its bytes from the usage. l.mu must be held.
+func (l *requestLimiter) remove(id version.AccountID, bytes int64) {
+	l.add(id, -bytes)
+	l.accounts[id].requests--
+	l.total.requests--
+	if l.accounts[id].requests == 0 {
+		delete(l.accounts, id)
 	}
-}
-
-func (r *reservation) releaseNow() {
-	r.limiter.free(r.account, r.bytes)
-	r.limiter.leave(r.account)
+	l.signalIfIdle()
 }
 
 // startLeaving makes the readiness check fail.
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -40,6 +40,8 @@
 	// account is nil for a request without an API key.
 	account *version.Account
 	body    []byte
+	// reserved is the usage of the request, and of its body, while it is held.
+	reserved reservation
 	// fingerprint identifies what the request asks for; 0 until its body has been read.
 	fingerprint uint64
 	ticket      request.Ticket
--- a/daemon/request/serve/serve.go
+++ b/daemon/request/serve/serve.go
@@ -91,6 +91,9 @@
 	// MaxHeldBytes limits the bodies of the requests held, in bytes; default
 	// DefaultMaxHeldBytes.
 	MaxHeldBytes int64
+	// AtConnectionLimit reports whether there are so many caller connections that each should
+	// be closed after its response; default never.
+	AtConnectionLimit func() bool
 	// BodyTimeout limits the reading of a body; default DefaultBodyTimeout.
 	BodyTimeout time.Duration
 }
@@ -119,6 +122,9 @@
 	if options.Counter == nil {
 		options.Counter = noopCounter{}
 	}
+	if options.AtConnectionLimit == nil {
+		options.AtConnectionLimit = func() bool { return false }
+	}
 	return &Handler{
 		options:     options,
 		limiter:     newRequestLimiter(options.MaxRequests, options.MaxHeldBytes, accountLimitDivisor),
@@ -141,6 +147,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limitUnreadBody(w, r)
+	if h.options.AtConnectionLimit() {
+		w.Header().Set("Connection", "close")
+	}
 	switch r.URL.Path {
 	case PathHealth:
 		h.health(w, r)
@@ -239,18 +249,17 @@
 		return
 	}
 	account := admitted.account.ID
-	if refusal := h.limiter.enter(account); refusal != nil {
+	reserved := &reservation{}
+	if refusal := h.limiter.enter(account, reserved); refusal != nil {
 		h.refuse(w, refusalBeforeClaim(r, refusal))
 		return
 	}
-	reserved := &reservation{limiter: h.limiter, account: account}
 	defer reserved.release()
-	body, refusal := h.readBody(w, r, account)
+	body, refusal := reserved.readBody(w, r, MaxBodyBytes, time.Now().Add(h.options.BodyTimeout))
 	if refusal != nil {
 		h.refuse(w, refusalBeforeClaim(r, refusal))
 		return
 	}
-	reserved.bytes = int64(len(body))
 	c, refusal := newCall(admitted, body)
 	if c != nil {
 		defer func() { c.pass.Close() }()
