Let the soak's callers play all clients outside the limits

The soak held unfinished heads beside answers without end. It now sends, in turn, a crowd of each form of lab/crowd; requests that are whole go to a path without a route, so that nothing of a crowd is run.

--- a/lab/soak/odd.go
+++ b/lab/soak/odd.go
@@ -4,17 +4,17 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/daemon/process/wait"
+	"github.com/trefoilwell/trefoilwell/lab/crowd"
 	"github.com/trefoilwell/trefoilwell/lab/generalupstream"
 	"github.com/trefoilwell/trefoilwell/lab/metastore"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 const (
@@ -26,9 +26,10 @@
 	maxOddLength = 3 * time.Second
 	// endlessAnswers is how many answers of an upstream are endless.
 	endlessAnswers = 200
-	// heldHeads is how many requests have a head of headBytes that does not end.
-	heldHeads = 250
-	headBytes = 30 << 10
+	// crowdSize is the number of clients of a crowd.
+	crowdSize = 250
+	// crowdBodyBytes is the size of the bodies of a crowd that are within the limit.
+	crowdBodyBytes = 1 << 20
 	// emptyTime is how long a version without accounts is the newest one.
 	emptyTime = 2500 * time.Millisecond
 	// rebornDowntime is how long an upstream is down that starts again unseen.
@@ -40,8 +41,8 @@
 // endlessForms are the parts of an answer that have no end, in turn.
 var endlessForms = []generalupstream.Faults{{Endless: endlessAnswers}, {EndlessHeads: endlessAnswers}, {EndlessBodies: endlessAnswers}}
 
-// runOdd makes faults during storms that no other disturbance makes: answers without end and heads of
-// requests without end, versions without accounts, and upstreams that start again with another software
+// runOdd makes faults during storms that no other disturbance makes: answers without end, crowds of
+// clients outside the limits, versions without accounts, and upstreams that start again with another software
 // version while the store is silent.
 func (s *scenario) runOdd(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
@@ -53,14 +54,14 @@
 		}
 		s.awaitStorm(ctx)
 		s.mu.Lock()
-		form := endlessForms[s.odd%len(endlessForms)]
+		form, clients := endlessForms[s.odd%len(endlessForms)], crowd.Forms[s.odd%len(crowd.Forms)]
 		s.odd++
 		s.mu.Unlock()
 		switch kind {
 		case 0:
-			s.log.Info("endless answers", "upstream", i, "for", length, "heads", form.EndlessHeads > 0, "bodies", form.EndlessBodies > 0)
+			s.log.Info("endless answers", "upstream", i, "for", length, "heads", form.EndlessHeads > 0, "bodies", form.EndlessBodies > 0, "crowd", clients.Name)
 			s.fleet.upstreams[i].SetFaults(form)
-			s.fleet.holdHeads(ctx, i%len(s.fleet.daemons), length)
+			s.fleet.crowd(ctx, clients, i%len(s.fleet.daemons), length)
 			s.fleet.upstreams[i].SetFaults(generalupstream.Faults{})
 		case 1:
 			s.log.Info("version without accounts")
@@ -73,29 +74,19 @@
 	}
 }
 
-// holdHeads begins requests at a daemon with as many header lines as it reads of one, and ends their
-// connections after a time.
-func (f *fleet) holdHeads(ctx context.Context, vm int, length time.Duration) {
-	var head strings.Builder
-	head.WriteString("GET / HTTP/1.1\r\n")
-	for n := 0; head.Len() < headBytes; n++ {
-		fmt.Fprintf(&head, "%x:\r\n", n)
+// crowd sends a crowd of clients outside the limits to a daemon for a time.
+func (f *fleet) crowd(ctx context.Context, form crowd.Form, vm int, length time.Duration) {
+	target := crowd.Target{
+		Address: f.daemons[vm].callersProxy.Address(), Host: host, Path: "/safe/x", BodyBytes: crowdBodyBytes,
+		Header: platformtest.HeaderKey + ": " + apiKeyOf(f.newestVersion()) + "\r\n" + platformtest.HeaderRequestID + ": crowd\r\n",
 	}
-	var conns []net.Conn
-	for range heldHeads {
-		conn, err := net.DialTimeout("tcp", f.daemons[vm].callersProxy.Address(), time.Second)
-		if err != nil {
-			// The daemon may have been ended.
-			break
-		}
-		conns = append(conns, conn)
-		// The daemon closes the connections that it has no memory for.
-		_, _ = io.WriteString(conn, head.String())
+	if form.Whole {
+		// Nothing of a crowd may be run.
+		target.Path = "/nowhere"
 	}
+	clients := crowd.Start(ctx, form, target, crowdSize)
+	defer clients.Stop()
 	_ = wait.Sleep(ctx, length)
-	for _, conn := range conns {
-		conn.Close()
-	}
 }
 
 // startAgainUnseen lets an upstream start again under its name, with another software version, while
