--- a/daemon/process/settings/settings_test.go
+++ b/daemon/process/settings/settings_test.go
@@ -52,6 +52,8 @@
 		{"rate", minimal + "calls_per_second = 0\n", "s.toml:9:1: platform.calls_per_second must be from 1 to 10000"},
 		{"rate no number", minimal + "calls_per_second = nan\n", "s.toml:9:1: platform.calls_per_second"},
 		{"burst", minimal + "calls_burst = -1\n", "s.toml:9:1: platform.calls_burst"},
+		{"memory", minimal + "[limits]\nmemory_mb = -1\n", "s.toml:10:1: limits.memory_mb must be from 0 to 1048576"},
+		{"descriptors", minimal + "[limits]\nmax_fds = -1\n", "s.toml:10:1: limits.max_fds"},
 		{"grace", minimal + "[callers]\ndrain_grace_ms = 700000\n", "s.toml:10:1: callers.drain_grace_ms"},
 		{"listen", minimal + "[callers]\nlisten = \"8080\"\n", "s.toml:10:1: callers.listen"},
 		{"same address", minimal + "[callers]\nlisten = \":7070\"\n", "peers.listen is the address of callers.listen"},
