Check that the log names the bound that closed connections

The test of connections that give way now checks that the log has one line for them, with the listener and the bound, and no further one. go test -race ./daemon/connection/bounded passes.

--- a/daemon/connection/bounded/port_test.go
+++ b/daemon/connection/bounded/port_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,14 +20,17 @@
 
 const testGrace = 100 * time.Millisecond
 
+// quiet discards log lines.
+var quiet = slog.New(slog.DiscardHandler)
+
 // startPort starts a server behind a port of at most maxConns connections, and returns its address.
-func startPort(t *testing.T, maxConns int, handler http.Handler) (*Budget, string) {
+func startPort(t *testing.T, maxConns int, log *slog.Logger, handler http.Handler) (*Budget, string) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := New(1<<20, slog.New(slog.DiscardHandler))
+	b := New(1<<20, log)
 	port := b.NewPort(PortOptions{Name: "test", MaxConns: maxConns, Grace: testGrace, IdleGrace: testGrace})
 	server := NewServer(handler)
 	server.ConnState = port.Track
@@ -57,7 +61,8 @@
 func TestAConnectionThatDoesNotMoveGivesWay(t *testing.T) {
 	const maxConns = 6
 	released := make(chan struct{})
-	b, address := startPort(t, maxConns, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	lines := &lockedBuffer{}
+	b, address := startPort(t, maxConns, slog.New(slog.NewTextHandler(lines, nil)), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/slow":
 			<-released
@@ -90,12 +95,33 @@
 	if stats := b.PortStats()["test"]; stats.Closed[boundConnections] < uint64(len(still)) {
 		t.Errorf("%+v, want %d closed for their number", stats, len(still))
 	}
+	if text := lines.String(); strings.Count(text, "bound=connections") != 1 || !strings.Contains(text, "listener=test") {
+		t.Errorf("the log has %q, want one line on the port and its bound", text)
+	}
 	close(released)
 	if answer, err := http.ReadResponse(bufio.NewReader(served), nil); err != nil || answer.StatusCode != http.StatusOK {
 		t.Errorf("the request that was served meanwhile got %v, error %v", answer, err)
 	}
 }
 
+// lockedBuffer is a buffer for concurrent use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // endless reads as bytes without end.
 type endless struct{}
 
@@ -104,7 +130,7 @@
 // Guards against a crowd of heads that takes all memory for heads: the one that came last is served,
 // and heads that grow by a byte at a time are not kept for that.
 func TestAnUnfinishedHeadGivesWayToAnother(t *testing.T) {
-	b, address := startPort(t, 1000, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	b, address := startPort(t, 1000, quiet, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	large := "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 3000)
 	for range 10 {
 		dial(t, address, large)
@@ -137,12 +163,12 @@
 	const peers, maxConns = 300, 40
 	manager := func(vm string, handler peer.Handler) *peer.Manager {
 		return peer.New(peer.Options{
-			Secret: "secret", Scheme: "ws", Handler: handler, Log: slog.New(slog.DiscardHandler),
+			Secret: "secret", Scheme: "ws", Handler: handler, Log: quiet,
 			Hello: func() wire.Hello { return wire.Hello{VM: version.VMID(vm), DataCentre: "north", Incarnation: 1} },
 		})
 	}
 	hub := &linked{}
-	_, address := startPort(t, maxConns, manager("vm-z", hub))
+	_, address := startPort(t, maxConns, quiet, manager("vm-z", hub))
 	for i := range peers {
 		manager(fmt.Sprintf("vm-%03d", i), &linked{}).Connect(t.Context(), "vm-z", address)
 	}
