Keep away from old upstreams while a stalled store may apply done

A store that accepted the write of done, answered nothing for seconds and then applied it ended the requests that were in flight at old upstreams: after 2 s without a read every VM had gone back to the old version.

A VM remembers when the order may last have been done. In the shift, with nothing read for 1.5 s, it keeps away from the old upstreams for 4 s after that, and refuses requests with Retry-After once its knowledge is too old for the new version. The tests' store can stall, and then applies the writes that it got.

--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -73,6 +73,8 @@
 	condemned   string
 	condemnedAt time.Time
 	held        bool
+	// mayBeDoneAt is when another VM may last have been writing that the order is done.
+	mayBeDoneAt time.Time
 	// finalAt is when this VM learned that the order is done or rolled back, and endedAt when it was
 	// no longer in the store.
 	finalAt, endedAt time.Time
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -28,6 +28,10 @@
 // order may have been done at that moment: until the write of either has an outcome.
 const holdTime = 1500 * time.Millisecond
 
+// unreadTime is how long after the order may have been done a VM that has read nothing since keeps
+// away from the old upstreams: a store that answers nothing may apply the write of done meanwhile.
+const unreadTime = 4 * time.Second
+
 // mode returns which versions run the requests now.
 func (c *Controller) mode(now time.Time, o *order) mode {
 	switch {
@@ -36,7 +40,7 @@
 	case o.progress == progressRolledBack:
 		return modeOld
 	case o.condemned != "":
-		if o.held && now.Sub(o.condemnedAt) < holdTime {
+		if o.held && now.Sub(o.condemnedAt) < holdTime || c.mayHaveBeenDone(now, o) {
 			return modeHold
 		}
 		return modeOld
@@ -46,6 +50,9 @@
 		if o.isSole() {
 			return modeDone
 		}
+		if c.mayHaveBeenDone(now, o) {
+			return modeHold
+		}
 		return modeOld
 	case o.progress == progressShifting:
 		return modeNew
@@ -79,7 +86,7 @@
 		if ticket.Software == "" || ticket.Software == o.Software {
 			return request.SoftwareRule{Only: o.Software}
 		}
-		if c.mayBeDone(now, o) {
+		if c.keepsFromOld(now, o) {
 			return request.SoftwareRule{Only: o.Software}
 		}
 		o.neededOldAt = now
@@ -128,7 +135,7 @@
 	case modeHold:
 		return false
 	case modeNew:
-		return isNew || !c.mayBeDone(now, o)
+		return isNew || !c.keepsFromOld(now, o)
 	case modeCanary:
 		return true
 	}
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -145,13 +145,14 @@
 	if o.condemned != "" || o.isFinal() {
 		return
 	}
-	o.held = c.mayBeDone(now, o)
+	o.held = c.keepsFromOld(now, o)
 	o.condemned, o.condemnedAt = reason, now
 	c.notice(now, o, "version is bad", reason)
 }
 
 // step returns the write of the status that this VM is to make now.
 func (c *Controller) step(now time.Time, o *order, total *tally.Order) (StatusWrite, bool) {
+	c.keepsFromOld(now, o)
 	status, delay, due := c.dueStatus(now, o, total)
 	w := &o.writes
 	if w.pending && now.Sub(w.sentAt) > writeTimeout {
@@ -282,6 +283,23 @@
 	return othersDrained && c.isDrained(now, o)
 }
 
+// mayHaveBeenDone reports whether a write of done that this VM has no news of may still be applied:
+// nothing was read since shortly before the order may have been done.
+func (c *Controller) mayHaveBeenDone(now time.Time, o *order) bool {
+	return o.progress == progressShifting && !o.mayBeDoneAt.IsZero() && now.Sub(o.mayBeDoneAt) < unreadTime &&
+		!c.isFresh(now, drainedFresh)
+}
+
+// keepsFromOld reports whether nothing may be sent to old upstreams, since the order may be done now
+// or may have been. It records the former.
+func (c *Controller) keepsFromOld(now time.Time, o *order) bool {
+	if c.mayBeDone(now, o) {
+		o.mayBeDoneAt = now
+		return true
+	}
+	return c.mayHaveBeenDone(now, o)
+}
+
 // isDone reports whether the order can be done: every VM that is heard has nothing at old upstreams,
 // and members that are not heard have been silent for long enough.
 func (c *Controller) isDone(now time.Time, o *order) bool {
--- a/fleet/process/rollout/world_test.go
+++ b/fleet/process/rollout/world_test.go
@@ -102,8 +102,10 @@
 	order   *Order
 	silent  bool
 	loseAll bool
-	late    []lateWrite
-	steps   []Status
+	// stalledUntil is until when the store answers nothing; it then applies the writes that it got.
+	stalledUntil time.Time
+	late         []lateWrite
+	steps        []Status
 
 	// requests and sentNew count from the order to its limit, for the service and its new version.
 	requests, sentNew, bad, lost int
@@ -252,7 +254,7 @@
 
 // read lets a VM read the orders.
 func (w *world) read(v *vm) {
-	if w.silent || v.refused {
+	if w.silent || v.refused || w.now.Before(w.stalledUntil) {
 		return
 	}
 	v.silentSince = w.now
@@ -373,6 +375,9 @@
 // write carries out a write of a status.
 func (w *world) write(v *vm, write StatusWrite) {
 	switch {
+	case w.now.Before(w.stalledUntil):
+		w.late = append(w.late, lateWrite{w.stalledUntil, write})
+		v.Written(w.now, write, WriteUnknown)
 	case w.silent || v.refused:
 		v.Written(w.now, write, WriteFailed)
 	case w.loseAll && w.random.IntN(2) == 0:
