Keep a drained VM from old upstreams while its report counts

A VM that reported that it is drained, and was suspended for 450 ms, could send to an old upstream after another VM had counted the report and written done: reports count for 500 ms at each of up to three VMs that hold them, while done waited for 250 ms.

A VM remembers when it last reported that it is drained, and sends nothing to old upstreams until the report counts nowhere and a write has been applied, neither for a take-up nor because of a verdict or a silent store. The caller of a stream is refused with Retry-After meanwhile, and the VM reports that it needs the old upstreams. The comment on drainedTime said that the wait alone was enough.

TestOldUpstreamsAreGivenUpOnlyOnce expected that an old upstream may be used right after such a report, if another VM needs one.

--- a/fleet/process/exchange/rollouts.go
+++ b/fleet/process/exchange/rollouts.go
@@ -21,6 +21,18 @@
 	maxRolloutSources = 64
 )
 
+// hopsOverHubs is the number of VMs, after the one that reports, that a report passes through hubs to.
+const hopsOverHubs = 3
+
+// RolloutReportLifetime returns how old what a VM has reported of the present can be while another VM
+// of the fleet still counts it. Each VM that passes it on may have held it for its whole lifetime.
+func RolloutReportLifetime(members int) time.Duration {
+	if members > MaxMeshMembers {
+		return hopsOverHubs * reportLifetime
+	}
+	return reportLifetime
+}
+
 // RolloutMessage is a rollout report addressed to another VM.
 type RolloutMessage struct {
 	To     version.VMID
--- a/fleet/process/rollout/failure_test.go
+++ b/fleet/process/rollout/failure_test.go
@@ -391,8 +391,8 @@
 	if report := pass(takeUpGrace, 0, ""); report.Drained != 1 {
 		t.Errorf("%+v with nothing at old upstreams", report)
 	}
-	if !c.Permits(now, v1) {
-		t.Error("an old upstream is given up while another VM needs one")
+	if c.Permits(now, v1) {
+		t.Error("an old upstream gets a request while another VM may count this one as drained")
 	}
 	pass(drainedTime, 1, "")
 	if rule := c.Rule(now, stream); rule.Permits("v1", v1.ID) || c.Permits(now, v1) {
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -75,6 +75,8 @@
 	held        bool
 	// mayBeDoneAt is when another VM may last have been writing that the order is done.
 	mayBeDoneAt time.Time
+	// toldDrainedAt is when this VM, or one of its earlier processes, last reported that it is drained.
+	toldDrainedAt time.Time
 	// finalAt is when this VM learned that the order is done or rolled back, and endedAt when it was
 	// no longer in the store.
 	finalAt, endedAt time.Time
@@ -205,6 +207,10 @@
 	if o == nil || !o.sameObject(next) {
 		o = &order{Order: next, startedAt: now, own: tally.New(), others: tally.New()}
 	}
+	if next.Status.progress(next.Software) == progressShifting {
+		// A process of this VM that ran before may just have reported that it is drained.
+		o.toldDrainedAt = now
+	}
 	delete(c.former, next.Pool)
 	c.orders[next.Pool] = o
 	state := c.versionOf(now, next.Pool, next.Software)
--- a/fleet/process/rollout/report.go
+++ b/fleet/process/rollout/report.go
@@ -29,6 +29,7 @@
 		own.OldRunning = uint32(c.oldRunning(o))
 		if c.isDrained(now, o) {
 			own.Drained = 1
+			o.toldDrainedAt = now
 		}
 		report.Orders = append(report.Orders, own.Wire(o.key()))
 	}
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -40,7 +40,7 @@
 	case o.progress == progressRolledBack:
 		return modeOld
 	case o.condemned != "":
-		if o.held && now.Sub(o.condemnedAt) < holdTime || c.mayHaveBeenDone(now, o) {
+		if o.held && now.Sub(o.condemnedAt) < holdTime || c.mayHaveBeenDone(now, o) || c.countsAsDrained(now, o) {
 			return modeHold
 		}
 		return modeOld
@@ -50,7 +50,7 @@
 		if o.isSole() {
 			return modeDone
 		}
-		if c.mayHaveBeenDone(now, o) {
+		if c.mayHaveBeenDone(now, o) || c.countsAsDrained(now, o) {
 			return modeHold
 		}
 		return modeOld
@@ -90,6 +90,10 @@
 			return request.SoftwareRule{Only: o.Software}
 		}
 		o.neededOldAt = now
+		if c.countsAsDrained(now, o) {
+			// The caller comes back, and this VM reports meanwhile that it needs the old upstreams.
+			return request.SoftwareRule{Only: o.Software}
+		}
 		return withoutNew
 	case modeCanary:
 		switch {
@@ -135,7 +139,7 @@
 	case modeHold:
 		return false
 	case modeNew:
-		return isNew || !c.keepsFromOld(now, o)
+		return isNew || !c.keepsFromOld(now, o) && !c.countsAsDrained(now, o)
 	case modeCanary:
 		return true
 	}
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout/tally"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
@@ -38,9 +39,13 @@
 	// takeUpGrace is how long after the last sign of a stream that needs an old upstream its caller
 	// may take to come back.
 	takeUpGrace = time.Second
-	// drainedTime is for how long all VMs must have nothing at old upstreams: what one of them
-	// reports otherwise reaches the VM that writes in less.
+	// drainedTime is for how long all VMs must have nothing at old upstreams: usually, what one of
+	// them reports otherwise reaches the VM that writes in less. That no VM goes back there while its
+	// report counts does not depend on it, but on countsAsDrained.
 	drainedTime = 250 * time.Millisecond
+	// doneWriteTime is how long after the last look at the reports a write of done is applied at the
+	// latest, if the store does not stall.
+	doneWriteTime = 500 * time.Millisecond
 	// silenceTime is how long members have to be silent that no longer count, and isolationTime how
 	// long a VM that hears less than half of the members waits for others to act.
 	silenceTime   = 3 * time.Second
@@ -290,6 +295,14 @@
 		!c.isFresh(now, drainedFresh)
 }
 
+// countsAsDrained reports whether another VM may count this one as drained, by a report that is on its
+// way or held by a hub, and write done. This VM sends nothing to old upstreams then, also if it was
+// suspended since and has not heard that the others are drained.
+func (c *Controller) countsAsDrained(now time.Time, o *order) bool {
+	return o.progress == progressShifting && !o.toldDrainedAt.IsZero() &&
+		now.Sub(o.toldDrainedAt) <= exchange.RolloutReportLifetime(len(c.members))+doneWriteTime
+}
+
 // keepsFromOld reports whether nothing may be sent to old upstreams, since the order may be done now
 // or may have been. It records the former.
 func (c *Controller) keepsFromOld(now time.Time, o *order) bool {
