Ignore lists of the rollouts that are older than those before

A stale list without an order confirmed a version that an order named, and one with a removed order brought it back: the controller knew when a read was sent, but not which state of the store it showed.

Lists come with the store's position, and older ones are ignored. The mirror does not count a list as a read that is older than the registrations with which a version appeared. It takes the position on from a store reader whose state has not changed. The mirror tests' store answered the rollouts at a revision below that of a registration it had shown; the revision is that of the whole store.

--- a/daemon/process/edge/rollouts.go
+++ b/daemon/process/edge/rollouts.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 	"github.com/trefoilwell/trefoilwell/platform"
 )
 
@@ -59,8 +60,8 @@
 }
 
 // setOrders takes in the orders that the mirror has read.
-func (r *rollouts) setOrders(orders []rollout.Order, readAt time.Time) {
-	r.daemon.placing.SetOrders(orders, readAt)
+func (r *rollouts) setOrders(orders []rollout.Order, at storeera.Position, readAt time.Time) {
+	r.daemon.placing.SetOrders(orders, at, readAt)
 }
 
 // Send implements relay.Observer.
--- a/daemon/process/placing/rollout.go
+++ b/daemon/process/placing/rollout.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout"
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
 
 // The times of rollouts are those of clock.Boot, which runs while the VM is suspended. Those of the
@@ -18,11 +19,12 @@
 // every software version may serve. It must be called before any other method.
 func (p *Placer) SetRollouts(controller *rollout.Controller) { p.rollouts = controller }
 
-// SetOrders sets the orders for rollouts: a complete list, from a read that was sent at readAt.
-func (p *Placer) SetOrders(orders []rollout.Order, readAt time.Time) {
+// SetOrders sets the orders for rollouts: a complete list, which the store had at a position, from a read
+// that was sent at readAt.
+func (p *Placer) SetOrders(orders []rollout.Order, at storeera.Position, readAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rollouts.SetOrders(clock.Boot(), orders, readAt)
+	p.rollouts.SetOrders(clock.Boot(), orders, at, readAt)
 }
 
 // rule sets the rule for the software versions that may run a ticket. mu must be held.
--- a/daemon/version/mirror/mirror.go
+++ b/daemon/version/mirror/mirror.go
@@ -105,9 +105,10 @@
 	// lack what a process before this one knew.
 	FirstStart bool
 	// Rollouts receives the orders for rollouts, in order with Apply, whenever they change or were
-	// read in full. readAt is a time of the clock at which they were all that the store had; zero if
-	// that is not known. Without it the kind is not read.
-	Rollouts func(orders []rollout.Order, readAt time.Time)
+	// read in full. at is the position of the store that they are of, and readAt a time of the clock at
+	// which they were all that the store had; zero if that is not known. Without it the kind is not
+	// read.
+	Rollouts func(orders []rollout.Order, at storeera.Position, readAt time.Time)
 	// UpstreamsRead is called, in order with Apply, with a time of the clock at which the registered
 	// upstreams that were passed to Apply were all that the store had; nil does nothing.
 	UpstreamsRead func(at time.Time)
--- a/daemon/version/mirror/rollouts.go
+++ b/daemon/version/mirror/rollouts.go
@@ -50,7 +50,10 @@
 	// appeared last, and appeared is closed and replaced then.
 	versions  map[serviceVersion]bool
 	versionAt time.Time
-	appeared  chan struct{}
+	// registeredAt is the position at which the registrations are known that showed these versions.
+	// An older state of the rollouts says nothing of a version that appeared with them.
+	registeredAt storeera.Position
+	appeared     chan struct{}
 }
 
 // serviceVersion is a software version that serves in a pool.
@@ -167,7 +170,7 @@
 	}
 	m.rollouts.versions = versions
 	if isNew {
-		m.rollouts.versionAt = m.options.Clock()
+		m.rollouts.versionAt, m.rollouts.registeredAt = m.options.Clock(), m.upstreams.at
 		close(m.rollouts.appeared)
 		m.rollouts.appeared = make(chan struct{})
 	}
@@ -198,6 +201,10 @@
 	}
 	m.rollouts.sharedAt = now
 	if state.Read && state.Mark == k.appliedMark {
+		if at := state.At.Position(); k.at.Compare(at) < 0 && k.at.Era == at.Era {
+			// Nothing has changed up to that position.
+			k.at = at
+		}
 		m.readRollouts(now, sentAt.Add(-milliseconds(state.ReadAgeMS)))
 	}
 }
@@ -206,7 +213,8 @@
 // them on. While the store lacks what was written before its return, or entries are kept that it
 // lacks, that is not known.
 func (m *Mirror) readRollouts(now, at time.Time) {
-	if len(m.rollouts.missing) > 0 || !m.eras.Settled(now) || m.mayHaveMissedReturn(now) || !at.After(m.rollouts.readAt) {
+	if len(m.rollouts.missing) > 0 || !m.eras.Settled(now) || m.mayHaveMissedReturn(now) || !at.After(m.rollouts.readAt) ||
+		m.rollouts.at.Compare(m.rollouts.registeredAt) < 0 {
 		return
 	}
 	m.rollouts.readAt = at
@@ -223,7 +231,7 @@
 			orders = append(orders, order)
 		}
 	}
-	m.options.Rollouts(orders, m.rollouts.readAt)
+	m.options.Rollouts(orders, m.rollouts.at, m.rollouts.readAt)
 }
 
 // decodeRollouts decodes new orders. m.mu must be held.
--- a/daemon/version/mirror/rollouts_test.go
+++ b/daemon/version/mirror/rollouts_test.go
@@ -35,7 +35,9 @@
 func newRolloutFixture() *rolloutFixture {
 	f := &rolloutFixture{fixture: newFixture()}
 	options := f.options
-	options.Rollouts = func(orders []rollout.Order, readAt time.Time) { f.orders, f.readAt = orders, readAt }
+	options.Rollouts = func(orders []rollout.Order, _ storeera.Position, readAt time.Time) {
+		f.orders, f.readAt = orders, readAt
+	}
 	f.Mirror = New(options)
 	return f
 }
@@ -116,7 +118,12 @@
 	s.counts[call+" "+kind]++
 	switch {
 	case kind == platform.KindRollout && s.order.Name != "":
-		return platform.Snapshot{Revision: 10, Objects: []platform.Object{s.order}}
+		revision := uint64(10)
+		if s.second != "" {
+			// The revision is that of the whole store, which the registration has raised.
+			revision = 40
+		}
+		return platform.Snapshot{Revision: revision, Objects: []platform.Object{s.order}}
 	case kind == platform.KindUpstream && s.second != "":
 		return platform.Snapshot{Revision: 40, Objects: []platform.Object{{Name: "y", Revision: 40, Spec: fmt.Appendf(nil,
 			`{"service":"s","address":"10.0.0.1:80","zone":"dc","version":%q,"slots":8,"state":"ready","cold_remaining_ms":0,"seq":1}`, s.second)}}}
@@ -172,7 +179,7 @@
 				mirror := New(Options{
 					Store: store, Clock: time.Now, Apply: func(*version.Config) {}, HasStoreReaders: never,
 					Members: func(map[version.VMID][]byte) {}, OnCallFailure: func() {}, Log: slog.New(slog.DiscardHandler),
-					Rollouts: func(_ []rollout.Order, at time.Time) {
+					Rollouts: func(_ []rollout.Order, _ storeera.Position, at time.Time) {
 						mu.Lock()
 						defer mu.Unlock()
 						if !readAt.IsZero() {
@@ -244,7 +251,7 @@
 		leaf := New(Options{
 			Store: store, Clock: time.Now, Apply: func(*version.Config) {}, HasStoreReaders: always,
 			Members: func(map[version.VMID][]byte) {}, OnCallFailure: func() {}, Log: slog.New(slog.DiscardHandler),
-			Rollouts: func(_ []rollout.Order, at time.Time) { readAt = at },
+			Rollouts: func(_ []rollout.Order, _ storeera.Position, at time.Time) { readAt = at },
 		})
 		ask := func() {
 			response, ok := hub.AnswerStateRequest(leaf.StateRequest())
@@ -269,3 +276,26 @@
 		}
 	})
 }
+
+// Guards against a version that counts as read although the list of the rollouts is older than its
+// registration, and so cannot show an order that was written before it.
+func TestStaleListDoesNotConfirmAVersion(t *testing.T) {
+	f := newRolloutFixture()
+	f.started = f.started.Add(-time.Minute)
+	f.firstRead = f.started
+	f.store.config = configObject(1, 1)
+	f.store.config.Era = 1
+	f.readConfig(t.Context())
+	f.list(t, f.upstreams, 1, 10, registration("a", 2))
+	f.list(t, f.evacuations, 1, 10)
+	f.list(t, f.members, 1, 10)
+	for _, revision := range []uint64{5, 9, 10, 12} {
+		f.clock.now = f.clock.now.Add(time.Second)
+		if err := f.listRollouts(t, 1, revision); err != nil {
+			t.Fatal(err)
+		}
+		if counts := f.readAt.Equal(f.clock.now); counts != (revision >= 10) {
+			t.Errorf("a list at revision %d counts as a read after the registration at 10: %v", revision, counts)
+		}
+	}
+}
--- a/fleet/process/rollout/done_test.go
+++ b/fleet/process/rollout/done_test.go
@@ -49,7 +49,7 @@
 			Pool: testPool, Service: "svc", Software: "v2", Duration: testDuration, Created: 5,
 			At:     storeera.Position{Era: 1, Revision: 6},
 			Status: Status{State: StateRunning, Software: "v2", Phase: PhaseShifting},
-		}}, f.now)
+		}}, storeera.Position{Era: 1, Revision: 6}, f.now)
 	}
 	read()
 	f.now = f.now.Add(3500 * time.Millisecond)
--- a/fleet/process/rollout/failure_test.go
+++ b/fleet/process/rollout/failure_test.go
@@ -287,11 +287,11 @@
 	if permits(v2) {
 		t.Error("a version that has just appeared gets requests before a read")
 	}
-	c.SetOrders(now.Add(50*time.Millisecond), nil, sentBefore)
+	c.SetOrders(now.Add(50*time.Millisecond), nil, storeera.Position{}, sentBefore)
 	if permits(v2) {
 		t.Error("a version gets requests after a read that was sent before its registration was seen")
 	}
-	c.SetOrders(now.Add(60*time.Millisecond), nil, now)
+	c.SetOrders(now.Add(60*time.Millisecond), nil, storeera.Position{}, now)
 	if !permits(v2) || !permits(v1) {
 		t.Error("a version that no order names gets no requests after a read")
 	}
@@ -312,7 +312,7 @@
 	c := New(Options{VM: "vm-0", Incarnation: 1, ExposureShare: testShare, RollbackTime: testRollback})
 	c.SetMembers(now, []version.VMID{"vm-0", "vm-1"})
 	c.Configure(now, configOf(v1))
-	c.SetOrders(now, []Order{order}, now)
+	c.SetOrders(now, []Order{order}, order.At, now)
 	c.Configure(now, configOf(v1, v2))
 	check := func(what, stream string, v1Runs, v2Runs bool) {
 		t.Helper()
@@ -324,7 +324,7 @@
 	set := func(status Status) {
 		order.At.Revision++
 		order.Status = status
-		c.SetOrders(now, []Order{order}, now)
+		c.SetOrders(now, []Order{order}, order.At, now)
 	}
 	set(Status{State: StateRunning, Software: "v2", Phase: PhaseCanary})
 	check("a retry in the canary", "", true, false)
@@ -364,14 +364,14 @@
 	c := New(Options{VM: "vm-0", Incarnation: 1, ExposureShare: testShare, RollbackTime: testRollback})
 	c.SetMembers(now, []version.VMID{"vm-0", "vm-1"})
 	c.Configure(now, configOf(v1))
-	c.SetOrders(now, []Order{order}, now)
+	c.SetOrders(now, []Order{order}, order.At, now)
 	c.Configure(now, configOf(v1, v2))
 	c.Sent(now, testPool, "d", v1.ID)
 	order.At.Revision++
 	order.Status = Status{State: StateRunning, Software: "v2", Phase: PhaseShifting}
 	pass := func(d time.Duration, othersDrained uint32, condemned string) wire.RolloutOrder {
 		now = now.Add(d)
-		c.SetOrders(now, []Order{order}, now)
+		c.SetOrders(now, []Order{order}, order.At, now)
 		c.Receive(now, wire.RolloutReport{VMs: 1, Orders: []wire.RolloutOrder{{
 			Key: c.orders[testPool].key(), Drained: othersDrained, Condemned: condemned,
 		}}}, 0)
@@ -427,7 +427,7 @@
 	var registered time.Time
 	send := func(requests int) (canary int) {
 		for range requests {
-			c.SetOrders(now, []Order{order}, now)
+			c.SetOrders(now, []Order{order}, order.At, now)
 			rule := c.Rule(now, request.Ticket{Pool: testPool, Attempt: 1})
 			upstream := v1
 			if rule.Among != nil {
--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout/tally"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
 
 // freshFor is how long after the read of an order was sent its version may get requests. An
@@ -145,14 +146,15 @@
 	return o.Created == read.Created
 }
 
-// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. It is
-// called after each read, also if nothing has changed: that keeps the knowledge of the orders fresh.
-// A list whose read was sent before that of the last one is ignored.
-func (c *Controller) SetOrders(now time.Time, orders []Order, readAt time.Time) {
-	if !c.enabled() || readAt.Before(c.readAt) {
+// SetOrders sets the orders in the store: a complete list, which the store had at a position, from a
+// read that was sent at readAt. It is called after each read, also if nothing has changed: that keeps
+// the knowledge of the orders fresh. A list whose read was sent before that of the last one, or that is
+// older than one that was shown before, is ignored.
+func (c *Controller) SetOrders(now time.Time, orders []Order, at storeera.Position, readAt time.Time) {
+	if !c.enabled() || readAt.Before(c.readAt) || at.Compare(c.listedAt) < 0 {
 		return
 	}
-	c.readAt = readAt
+	c.readAt, c.listedAt = readAt, at
 	read := make(map[version.PoolID]Order, len(orders))
 	for _, next := range orders {
 		if known, present := read[next.Pool]; !present || known.At.Compare(next.At) < 0 {
--- a/fleet/process/rollout/orders_test.go
+++ b/fleet/process/rollout/orders_test.go
@@ -29,7 +29,7 @@
 	f.SetOrders(f.now, []Order{{
 		Pool: testPool, Service: "svc", Software: software, Duration: testDuration, Created: created, At: at,
 		Status: Status{State: state, Software: software},
-	}}, f.now)
+	}}, at, f.now)
 }
 
 // Guards against a stale read that brings back an order which another one has replaced, and with it
@@ -62,10 +62,33 @@
 		f.read(0, "v2", 5, storeera.Position{Era: 1, Revision: 5}, StateNone)
 		f.read(time.Second, "v2", 5, storeera.Position{Era: 1, Revision: 9}, state)
 		f.now = f.now.Add(time.Second)
-		f.SetOrders(f.now, nil, f.now)
+		f.SetOrders(f.now, nil, storeera.Position{Era: 1, Revision: 10}, f.now)
 		f.read(time.Hour, "v2", 3, storeera.Position{Era: 2, Revision: 3}, StateNone)
 		if view := f.Overview(f.now); view[0].State != StateNone || view[0].Elapsed > 0 {
 			t.Errorf("a new order is %q after %v, an hour after the end of one that was %s", view[0].State, view[0].Elapsed, state)
 		}
 	}
 }
+
+// Guards against a stale list that brings an order back which was removed, and against one that lacks an
+// order and so lets its version serve.
+func TestStaleListIsIgnored(t *testing.T) {
+	v2 := software("u2", "v2")
+	f := newOrdersFixture(software("u1", "v1"), v2)
+	f.read(0, "v2", 5, storeera.Position{Era: 1, Revision: 6}, StateRunning)
+	f.now = f.now.Add(time.Second)
+	f.SetOrders(f.now, nil, storeera.Position{Era: 1, Revision: 7}, f.now)
+	f.read(time.Second, "v2", 5, storeera.Position{Era: 1, Revision: 6}, StateRunning)
+	if view := f.Overview(f.now); len(view) != 0 || f.Permits(f.now, v2) {
+		t.Errorf("%+v after a stale list, want no order; v2 permitted: %v", view, f.Permits(f.now, v2))
+	}
+	f = newOrdersFixture(software("u1", "v1"))
+	f.read(0, "v2", 5, storeera.Position{Era: 1, Revision: 6}, StateNone)
+	f.now = f.now.Add(time.Second)
+	f.Configure(f.now, configOf(software("u1", "v1"), v2, software("u3", "v3")))
+	f.now = f.now.Add(time.Second)
+	f.SetOrders(f.now, nil, storeera.Position{Era: 1, Revision: 4}, f.now)
+	if f.Permits(f.now, software("u3", "v3")) || len(f.Overview(f.now)) != 1 {
+		t.Errorf("%+v after a stale list without orders; v3 permitted: %v", f.Overview(f.now), f.Permits(f.now, software("u3", "v3")))
+	}
+}
--- a/fleet/process/rollout/rollout.go
+++ b/fleet/process/rollout/rollout.go
@@ -188,6 +188,8 @@
 	orders, former map[version.PoolID]*order
 	// readAt is when the read was sent that the orders come from; zero before the first one.
 	readAt time.Time
+	// listedAt is the position at which the store had these orders.
+	listedAt storeera.Position
 	// members are the VMs of the fleet, sorted; membersChangedAt is when one was added or removed.
 	members          []version.VMID
 	membersChangedAt time.Time
--- a/fleet/process/rollout/world_test.go
+++ b/fleet/process/rollout/world_test.go
@@ -99,9 +99,11 @@
 	badDay bool
 
 	// order is the object in the store; nil if there is none.
-	order   *Order
-	silent  bool
-	loseAll bool
+	order *Order
+	// revision is the store's position without an order.
+	revision storeera.Position
+	silent   bool
+	loseAll  bool
 	// stalledUntil is until when the store answers nothing; it then applies the writes that it got.
 	stalledUntil time.Time
 	late         []lateWrite
@@ -259,13 +261,15 @@
 	}
 	v.silentSince = w.now
 	var orders []Order
+	at := w.revision
 	switch {
 	case v.stale != nil:
-		orders = []Order{*v.stale}
+		orders, at = []Order{*v.stale}, v.stale.At
 	case w.order != nil:
-		orders = []Order{*w.order}
+		orders, at = []Order{*w.order}, w.order.At
+		w.revision = at
 	}
-	v.SetOrders(w.now, orders, w.now)
+	v.SetOrders(w.now, orders, at, w.now)
 }
 
 // useHubs lets the VMs report to each other through the hubs of three data centres, and not through
