Take in that an upstream is registered again as another version

An upstream that registered again under its name with another version, pool or cold time kept what it was at first: it counted for its earlier version, among the upstreams and in the evidence, and as warm.

Another pool, version or instance makes it another upstream. Attempts in flight count for what it was when they were sent, and attempts that were placed before are not permitted. A later cold time makes it cold again.

--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -128,6 +128,10 @@
 	if slices.Contains(c.excluded[u.Pool], u.Software) || c.versions[poolVersion{u.Pool, u.Software}] == nil {
 		return false
 	}
+	if known := c.upstreams[u.ID]; known != nil && !known.isRegisteredAs(u) {
+		// Another process has been registered since the attempt was placed.
+		return false
+	}
 	o := c.orders[u.Pool]
 	if o == nil {
 		return true
@@ -163,10 +167,15 @@
 
 // Ended records the end of an attempt that was sent.
 func (c *Controller) Ended(now time.Time, sample Sample) {
-	u := c.upstreams[sample.Upstream]
-	if !c.enabled() || u == nil {
+	present := c.upstreams[sample.Upstream]
+	if !c.enabled() || present == nil {
 		return
 	}
+	sentAt := sample.SentAt
+	if sentAt.IsZero() {
+		sentAt = now
+	}
+	u := present.at(sentAt)
 	if u.running > 0 {
 		c.addRunning(u, -1)
 	}
@@ -175,7 +184,7 @@
 		o.neededOldAt = now
 	}
 	c.record(now, o, u, sample)
-	if !u.registered && u.running == 0 {
+	if present.inUse() == nil && !present.registered {
 		delete(c.upstreams, sample.Upstream)
 	}
 }
--- a/fleet/process/rollout/versions.go
+++ b/fleet/process/rollout/versions.go
@@ -50,8 +50,13 @@
 	name     string
 	pool     version.PoolID
 	software string
-	// coldUntil is when the upstream is warm, by the clock of the controller.
-	coldUntil  time.Time
+	instance string
+	// expectsCold is until when the registration says that it is cold, and coldUntil the upstream is warm, by the clock of the controller.
+	expectsCold, coldUntil time.Time
+	// since is when it was registered with this pool, software version and instance. before is what it
+	// was until then, while attempts are in flight that were sent before; nil if there are none.
+	since      time.Time
+	before     *upstream
 	registered bool
 	// inService is set if the upstream may get requests.
 	inService bool
@@ -71,16 +76,21 @@
 	present := make(map[poolVersion]bool)
 	for id, spec := range config.Upstreams {
 		u := c.upstreams[id]
-		if u == nil {
-			u = &upstream{name: spec.Name, pool: spec.Pool, software: spec.Software}
-			u.coldUntil = now.Add(c.coldTime(config.Pools[spec.Pool], spec))
+		if u == nil || !u.isRegisteredAs(spec) {
+			u = &upstream{
+				name: spec.Name, pool: spec.Pool, software: spec.Software, instance: spec.Instance, since: now, before: u.inUse(),
+				coldUntil: now.Add(c.coldTime(config.Pools[spec.Pool], spec)),
+			}
 			c.upstreams[id] = u
+		} else if spec.ColdUntil.After(u.expectsCold) {
+			u.coldUntil = now.Add(c.coldTime(config.Pools[spec.Pool], spec))
 		}
+		u.expectsCold = spec.ColdUntil
 		u.registered, u.inService = true, !spec.Draining && !config.UpstreamOut(spec)
 		present[poolVersion{spec.Pool, spec.Software}] = true
 	}
 	for id, u := range c.upstreams {
-		if !u.registered && u.running == 0 {
+		if !u.registered && u.inUse() == nil {
 			delete(c.upstreams, id)
 		}
 	}
@@ -117,6 +127,32 @@
 	c.updateExcluded(now)
 }
 
+// isRegisteredAs reports whether a registration is of the same process at the upstream's address.
+func (u *upstream) isRegisteredAs(spec *version.Upstream) bool {
+	return u.pool == spec.Pool && u.software == spec.Software && u.instance == spec.Instance
+}
+
+// inUse returns the upstream, without what it was before if nothing is in flight there; nil if nothing
+// is in flight at all.
+func (u *upstream) inUse() *upstream {
+	if u == nil {
+		return nil
+	}
+	u.before = u.before.inUse()
+	if u.running == 0 {
+		return u.before
+	}
+	return u
+}
+
+// at returns what the upstream was when an attempt was sent that has not ended.
+func (u *upstream) at(sentAt time.Time) *upstream {
+	for u.before != nil && (sentAt.Before(u.since) || u.running == 0) {
+		u = u.before
+	}
+	return u
+}
+
 // coldTime returns how long an upstream that has just been registered is cold. The time at which it
 // expects to be warm is not used, which is by another clock.
 func (c *Controller) coldTime(pool *version.Pool, spec *version.Upstream) time.Duration {
