Shift streams only to a version that the record of versions has

In the shift, and after done, a stream that its caller may take up got no upstream while the record of software versions lacked the new version: the rollout allowed the new one only, and the placer none that is not recorded.

No order shifts before the record has its version. A VM that has not learned of it begins such streams at the old version, and does not count as drained until it has.

--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -74,6 +74,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.SetStreamVersions(versions)
+	if p.rollouts != nil {
+		p.rollouts.SetStreamVersions(versions)
+	}
 }
 
 // Leave gives up this process's fraction of the limits of cold upstreams, which the other
--- a/fleet/process/rollout/rollout.go
+++ b/fleet/process/rollout/rollout.go
@@ -186,6 +186,9 @@
 	// orders are the orders in force, by pool. former are those that are no longer in the store,
 	// for the case that it has lost them.
 	orders, former map[version.PoolID]*order
+	// streamVersions are the software versions, by pool, at which streams may begin that callers may
+	// take up; nil allows all.
+	streamVersions map[version.PoolID][]string
 	// readAt is when the read was sent that the orders come from; zero before the first one.
 	readAt time.Time
 	// listedAt is the position at which the store had these orders.
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -16,7 +16,8 @@
 	modeOld mode = iota
 	// modeCanary sends a share of them to the new version.
 	modeCanary
-	// modeNew sends all to the new version, but for streams that the old one began.
+	// modeNew sends all to the new version, but for streams that the old one began, and new ones as long
+	// as none may begin at the new version.
 	modeNew
 	// modeHold sends none: the order may be done, but its version is bad.
 	modeHold
@@ -83,7 +84,8 @@
 	case modeHold:
 		return request.SoftwareRule{Only: o.Software, Except: []string{o.Software}}
 	case modeNew:
-		if ticket.Software == "" || ticket.Software == o.Software {
+		mayBegin := !ticket.Resumable || c.streamsMayBegin(o)
+		if ticket.Software == "" && mayBegin || ticket.Software == o.Software {
 			return request.SoftwareRule{Only: o.Software}
 		}
 		if c.keepsFromOld(now, o) {
@@ -108,6 +110,17 @@
 	return withoutNew
 }
 
+// SetStreamVersions sets the software versions, by pool, at which streams may begin that callers may
+// take up: those in the record of versions. Without a call streams may begin at all.
+func (c *Controller) SetStreamVersions(versions map[version.PoolID][]string) {
+	c.streamVersions = versions
+}
+
+// streamsMayBegin reports whether streams that callers may take up may begin at the order's version.
+func (c *Controller) streamsMayBegin(o *order) bool {
+	return c.streamVersions == nil || slices.Contains(c.streamVersions[o.Pool], o.Software)
+}
+
 // takeUpSlack is the number of streams of the new version that a VM continues in a canary beyond
 // its share.
 const takeUpSlack = 2
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -241,7 +241,7 @@
 
 // isGood reports whether the canary has been observed for long enough and shows no fault.
 func (c *Controller) isGood(now time.Time, o *order, elapsed time.Duration, total *tally.Order) bool {
-	if o.sides.news == 0 || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
+	if o.sides.news == 0 || !c.streamsMayBegin(o) || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
 		return false
 	}
 	if elapsed >= fractionOf(o.Duration, latestJudgeFraction) {
@@ -276,7 +276,7 @@
 	if o.neededOldAt.After(lastNeed) {
 		lastNeed = o.neededOldAt
 	}
-	return c.mode(now, o) == modeNew && c.isFresh(now, drainedFresh) && now.Sub(lastNeed) >= takeUpGrace && c.oldRunning(o) == 0
+	return c.mode(now, o) == modeNew && c.streamsMayBegin(o) && c.isFresh(now, drainedFresh) && now.Sub(lastNeed) >= takeUpGrace && c.oldRunning(o) == 0
 }
 
 // mayBeDone reports whether another VM may be writing that the order is done.
