Tell a canary budget that is spent from one that has not begun

The first value of the budget was set whenever it was 0, which it is after each request that was taken from a full one: a configuration then gave a VM a part of a request again.

go test ./fleet/process/rollout -run RenewTheShare: fails before, passes.

--- a/fleet/process/rollout/canary.go
+++ b/fleet/process/rollout/canary.go
@@ -91,8 +91,8 @@
 	if !o.sidesKnown && s.news+s.olds > 0 {
 		o.sidesKnown, o.sole = true, s.olds == 0
 	}
-	if o.budget.tokens == 0 {
-		o.budget.tokens = c.rounding(o)
+	if !o.budget.begun {
+		o.budget.begun, o.budget.tokens = true, c.rounding(o)
 	}
 	switch {
 	case s.news > 0:
@@ -132,6 +132,8 @@
 
 // budget bounds the requests that a VM sends to the canary by its own share of the requests.
 type budget struct {
+	// begun is set once tokens has its first value.
+	begun bool
 	// tokens is what the present pace allows, 1 at most.
 	tokens float64
 	// reserved are the times of the choices for the new version that were not sent yet.
--- a/fleet/process/rollout/versions_test.go
+++ b/fleet/process/rollout/versions_test.go
@@ -44,3 +44,19 @@
 		t.Error("an upstream that is cold again counts as warm")
 	}
 }
+
+// Guards against a VM that gets part of its share again with each configuration after it has spent it,
+// and so sends more than the pace to the canary.
+func TestConfigurationDoesNotRenewTheShare(t *testing.T) {
+	f := newOrdersFixture(software("u1", "v1"), software("u2", "v2"))
+	f.read(0, "v2", 5, storeera.Position{Era: 1, Revision: 5}, StateNone)
+	o := f.orders[testPool]
+	o.own.Requests, o.budget.tokens = 1000, 1
+	if !f.take(f.now, o) {
+		t.Fatal("the share is spent before the first request")
+	}
+	f.Configure(f.now, configOf(software("u1", "v1"), software("u2", "v2")))
+	if o.budget.tokens != 0 {
+		t.Errorf("%g tokens after a configuration, want none", o.budget.tokens)
+	}
+}
