--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -16,7 +16,8 @@
 	modeOld mode = iota
 	// modeCanary sends a share of them to the new version.
 	modeCanary
-	// modeNew sends all to the new version, but for streams that the old one began.
+	// modeNew sends all to the new version, but for streams that the old one began, and new ones as long
+	// as none may begin at the new version.
 	modeNew
 	// modeHold sends none: the order may be done, but its version is bad.
 	modeHold
@@ -28,6 +29,10 @@
 // order may have been done at that moment: until the write of either has an outcome.
 const holdTime = 1500 * time.Millisecond
 
+// unreadTime is how long after the order may have been done a VM that has read nothing since keeps
+// away from the old upstreams: a store that answers nothing may apply the write of done meanwhile.
+const unreadTime = 4 * time.Second
+
 // mode returns which versions run the requests now.
 func (c *Controller) mode(now time.Time, o *order) mode {
 	switch {
@@ -36,7 +41,7 @@
 	case o.progress == progressRolledBack:
 		return modeOld
 	case o.condemned != "":
-		if o.held && now.Sub(o.condemnedAt) < holdTime {
+		if o.held && now.Sub(o.condemnedAt) < holdTime || c.mayHaveBeenDone(now, o) || c.countsAsDrained(now, o) {
 			return modeHold
 		}
 		return modeOld
@@ -46,6 +51,9 @@
 		if o.isSole() {
 			return modeDone
 		}
+		if c.mayHaveBeenDone(now, o) || c.countsAsDrained(now, o) {
+			return modeHold
+		}
 		return modeOld
 	case o.progress == progressShifting:
 		return modeNew
@@ -76,13 +84,18 @@
 	case modeHold:
 		return request.SoftwareRule{Only: o.Software, Except: []string{o.Software}}
 	case modeNew:
-		if ticket.Software == "" || ticket.Software == o.Software {
+		mayBegin := !ticket.Resumable || c.streamsMayBegin(o)
+		if ticket.Software == "" && mayBegin || ticket.Software == o.Software {
 			return request.SoftwareRule{Only: o.Software}
 		}
-		if c.mayBeDone(now, o) {
+		if c.keepsFromOld(now, o) {
 			return request.SoftwareRule{Only: o.Software}
 		}
 		o.neededOldAt = now
+		if c.countsAsDrained(now, o) {
+			// The caller comes back, and this VM reports meanwhile that it needs the old upstreams.
+			return request.SoftwareRule{Only: o.Software}
+		}
 		return withoutNew
 	case modeCanary:
 		switch {
@@ -97,6 +110,17 @@
 	return withoutNew
 }
 
+// SetStreamVersions sets the software versions, by pool, at which streams may begin that callers may
+// take up: those in the record of versions. Without a call streams may begin at all.
+func (c *Controller) SetStreamVersions(versions map[version.PoolID][]string) {
+	c.streamVersions = versions
+}
+
+// streamsMayBegin reports whether streams that callers may take up may begin at the order's version.
+func (c *Controller) streamsMayBegin(o *order) bool {
+	return c.streamVersions == nil || slices.Contains(c.streamVersions[o.Pool], o.Software)
+}
+
 // takeUpSlack is the number of streams of the new version that a VM continues in a canary beyond
 // its share.
 const takeUpSlack = 2
@@ -117,6 +141,10 @@
 	if slices.Contains(c.excluded[u.Pool], u.Software) || c.versions[poolVersion{u.Pool, u.Software}] == nil {
 		return false
 	}
+	if known := c.upstreams[u.ID]; known != nil && !known.isRegisteredAs(u) {
+		// Another process has been registered since the attempt was placed.
+		return false
+	}
 	o := c.orders[u.Pool]
 	if o == nil {
 		return true
@@ -128,7 +156,7 @@
 	case modeHold:
 		return false
 	case modeNew:
-		return isNew || !c.mayBeDone(now, o)
+		return isNew || !c.keepsFromOld(now, o) && !c.countsAsDrained(now, o)
 	case modeCanary:
 		return true
 	}
@@ -152,10 +180,15 @@
 
 // Ended records the end of an attempt that was sent.
 func (c *Controller) Ended(now time.Time, sample Sample) {
-	u := c.upstreams[sample.Upstream]
-	if !c.enabled() || u == nil {
+	present := c.upstreams[sample.Upstream]
+	if !c.enabled() || present == nil {
 		return
 	}
+	sentAt := sample.SentAt
+	if sentAt.IsZero() {
+		sentAt = now
+	}
+	u := present.at(sentAt)
 	if u.running > 0 {
 		c.addRunning(u, -1)
 	}
@@ -164,7 +197,7 @@
 		o.neededOldAt = now
 	}
 	c.record(now, o, u, sample)
-	if !u.registered && u.running == 0 {
+	if present.inUse() == nil && !present.registered {
 		delete(c.upstreams, sample.Upstream)
 	}
 }
