Lend unused requests only where none wait for a grant

TestOneAccountCannotUseAllRequestsOrBytesOfARouter failed: in the product's own form requests wait at the daemon for a grant, and one account's waiting requests filled the daemon but for an eighth. The test of bodies that do not move has its limits back.

--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -103,9 +103,11 @@
 	if options.OnFinished == nil {
 		options.OnFinished = func(string, time.Duration) {}
 	}
+	limiter := newRequestLimiter(options.MaxRequests, options.MaxHeldBytes, generalAccountLimitDivisor)
+	limiter.lendsRequests = true
 	return &GeneralHandler{
 		options:      options,
-		limiter:      newRequestLimiter(options.MaxRequests, options.MaxHeldBytes, generalAccountLimitDivisor),
+		limiter:      limiter,
 		retryBudgets: make(map[version.PoolID]*retry.Window),
 		durations:    grace.NewDurations(),
 		inProgress:   make(map[*generalCall]struct{}),
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -45,6 +45,9 @@
 	maxBytes    int64
 	// accountLimitDivisor divides both limits to give the limits of one account.
 	accountLimitDivisor int
+	// lendsRequests is set if an account may hold requests that others leave, beyond its limit. Where
+	// requests wait for a grant, one account could fill the process with them.
+	lendsRequests bool
 
 	mu       sync.Mutex
 	total    usage
@@ -95,8 +98,12 @@
 // refuseMore returns the refusal of a request beside others of its account and of all; nil if the
 // limits allow it.
 func (l *requestLimiter) refuseMore(ofAccount, ofAll int) *request.Refusal {
+	maxOfAccount := accountLimit(l.maxRequests, l.accountLimitDivisor)
+	if l.lendsRequests {
+		maxOfAccount = occupancy.Limit(l.maxRequests, maxOfAccount, ofAll-ofAccount)
+	}
 	switch {
-	case ofAccount >= occupancy.Limit(l.maxRequests, accountLimit(l.maxRequests, l.accountLimitDivisor), ofAll-ofAccount):
+	case ofAccount >= maxOfAccount:
 		return refuse(request.ReasonAccountQueueFull, "the account holds too many requests at this router")
 	case ofAll >= l.maxRequests:
 		return refuse(request.ReasonQueueFull, "this router holds too many requests")
--- a/daemon/request/serve/reservation_test.go
+++ b/daemon/request/serve/reservation_test.go
@@ -87,14 +87,13 @@
 	for _, c := range []struct {
 		name    string
 		account version.AccountID
-		// maxRequests and maxBytes are the limits of all. Each of two accounts has half of the bytes, and
-		// one account alone all requests but one.
+		// maxRequests and maxBytes are the limits of all; each of two accounts has half.
 		maxRequests int
 		maxBytes    int64
 	}{
 		{"bytes of the account", 1, 100, 2 * stopping * bodyBytes},
 		{"bytes of all", 2, 100, stopping * bodyBytes},
-		{"requests of the account", 1, stopping + 1, 100 * bodyBytes},
+		{"requests of the account", 1, 2 * stopping, 100 * bodyBytes},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := newRequestLimiter(c.maxRequests, c.maxBytes, 2)
