--- a/daemon/request/relay/observe_test.go
+++ b/daemon/request/relay/observe_test.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilwell/trefoilwell/fleet/request"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
 	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // sendRecorder is an Observer that records what it is told.
@@ -83,7 +84,7 @@
 		"answer":           {handler: answer(200, ""), timed: true},
 		"caller's mistake": {handler: answer(404, ""), timed: true},
 		"failure":          {handler: answer(500, ""), want: End{Failed: true}, timed: true},
-		"not run":          {handler: answer(503, "X-Not-Executed")},
+		"not run":          {handler: answer(503, platformtest.HeaderNotExecuted)},
 		"no answer":        {handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: End{Failed: true}},
 		"overdue":          {handler: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, want: End{Failed: true, Overdue: true}},
 		"stream":           {handler: stream(4, false), stream: true, timed: true, paced: true},
@@ -97,7 +98,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				// The server notices that the caller has left only once the body is read.
 				_, _ = io.Copy(io.Discard, r.Body)
-				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				w.Header().Set(platformtest.HeaderRequestID, r.Header.Get(platformtest.HeaderRequestID))
 				c.handler(w, r)
 			}))
 			defer server.Close()
