Put no times of a VM that is behind down to a software version

TestGoodVersionIsDoneAndNothingIsLost failed in one of three runs beside a load average of 24: in the shift 55 of 216 responses of a good version were slow, since the daemons got no processor time, and nothing of the old version was measured then. A VM whose scheduling lag is over 20 ms, the least by which a slow response exceeds the usual time, now counts its attempts without times.

--- a/daemon/process/placing/rollout.go
+++ b/daemon/process/placing/rollout.go
@@ -51,11 +51,18 @@
 	return true
 }
 
+// maxTrustedLag is the scheduling lag of this VM up to which its times are put down to an upstream's
+// version: a response counts as slow from this much more than usual.
+const maxTrustedLag = 20 * time.Millisecond
+
 // EndAttempt records the end of an attempt that was sent.
 func (p *Placer) EndAttempt(sample rollout.Sample) {
 	if p.rollouts == nil {
 		return
 	}
+	if p.lag() > maxTrustedLag {
+		sample.FirstByte, sample.EventPace = 0, 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rollouts.Ended(clock.Boot(), sample)
