--- a/fleet/connection/wire/codec.go
+++ b/fleet/connection/wire/codec.go
@@ -97,6 +97,7 @@
 	loadReportDecoders,
 	limitReportDecoders,
 	rolloutDecoders,
+	paceReportDecoders,
 	stateDecoders,
 	promptDecoders,
 	resumeDecoders,
