--- a/daemon/process/quarantine/pass.go
+++ b/daemon/process/quarantine/pass.go
@@ -44,6 +44,19 @@
 	return p, nil
 }
 
+// Judge returns the refusal that a request with these segments would get, or nil, without recording
+// anything. trial is set if the request would be sent although a segment is held, to find out whether
+// that is sound again.
+func (q *Quarantine) Judge(segments []request.PromptSegment) (held *request.Refusal, trial bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	hold, trial := q.tracker.Judge(time.Now(), request.Content{Segments: segments})
+	if hold == nil || trial {
+		return nil, trial
+	}
+	return refusal(hold), false
+}
+
 // Identify implements serve.Pass.
 func (p *pass) Identify(fingerprint uint64) *request.Refusal {
 	p.quarantine.mu.Lock()
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -265,20 +265,43 @@
 	case account == nil:
 		return nil
 	}
-	if !c.route.Public {
-		fresh, age := c.handler.options.ConfigFresh()
-		c.configAge = age
-		if !fresh {
-			return refuse(request.ReasonNotReady, "this router cannot tell whether the key still holds")
-		}
+	if refusal := c.checkFresh(); refusal != nil {
+		return refusal
 	}
 	c.account = account
 	c.ticket.Account = account.ID
 	return nil
 }
 
-// prepareTicket sets the request's deadline, pool and ticket.
+// checkFresh refuses a request with an API key to a route that is not public if the configuration is
+// too old to trust the key.
+func (c *generalCall) checkFresh() *request.Refusal {
+	if c.route.Public {
+		return nil
+	}
+	fresh, age := c.handler.options.ConfigFresh()
+	c.configAge = age
+	if !fresh {
+		return refuse(request.ReasonNotReady, "this router cannot tell whether the key still holds")
+	}
+	return nil
+}
+
+// prepareTicket sets the request's deadline, pool and ticket, and counts the request.
 func (c *generalCall) prepareTicket() *request.Refusal {
+	if refusal := c.fillTicket(); refusal != nil {
+		return refusal
+	}
+	c.ticket.ID = c.handler.options.Fleet.NewID()
+	c.handler.withRetryBudget(c.pool.ID, func(w *retry.Window) bool {
+		w.Request(c.started)
+		return true
+	})
+	return nil
+}
+
+// fillTicket sets the request's deadline and pool, and the fields of the ticket but its ID.
+func (c *generalCall) fillTicket() *request.Refusal {
 	limit := c.route.Timeout
 	if c.incoming.Deadline > 0 && (limit <= 0 || c.incoming.Deadline < limit) {
 		limit = c.incoming.Deadline
@@ -292,7 +315,6 @@
 		return refuse(request.ReasonNoUpstream, "the route's service is not configured")
 	}
 	c.pool = pool
-	c.ticket.ID = c.handler.options.Fleet.NewID()
 	c.ticket.Pool = pool.ID
 	c.ticket.Attempt = 1
 	c.ticket.Prompt = c.incoming.Prompt
@@ -300,10 +322,6 @@
 	if c.account != nil && c.account.Regions != nil {
 		c.ticket.Regions = intersectRegions(c.ticket.Regions, c.account.Regions)
 	}
-	c.handler.withRetryBudget(pool.ID, func(w *retry.Window) bool {
-		w.Request(c.started)
-		return true
-	})
 	return nil
 }
 
--- a/daemon/request/serve/passage.go
+++ b/daemon/request/serve/passage.go
@@ -79,12 +79,7 @@
 func (c *generalCall) acquire() (request.Grant, *request.Refusal) {
 	now := time.Now()
 	c.ticket.BodyBytes = len(c.body)
-	c.ticket.Age = now.Sub(c.started)
-	c.ticket.Wait = c.deadline.Sub(now)
-	c.ticket.TTFBObjective = 0
-	if c.route.TTFBObjective > 0 && !c.continuesStream() {
-		c.ticket.TTFBObjective = max(c.route.TTFBObjective-c.ticket.Age, time.Nanosecond)
-	}
+	c.setTimes(now)
 	if c.ticket.Wait <= 0 {
 		return request.Grant{}, refuse(request.ReasonDeadline, "the deadline passed before the request was sent")
 	}
@@ -103,6 +98,16 @@
 	return grant, refusal
 }
 
+// setTimes sets the fields of the ticket that depend on the time.
+func (c *generalCall) setTimes(now time.Time) {
+	c.ticket.Age = now.Sub(c.started)
+	c.ticket.Wait = c.deadline.Sub(now)
+	c.ticket.TTFBObjective = 0
+	if c.route.TTFBObjective > 0 && !c.continuesStream() {
+		c.ticket.TTFBObjective = max(c.route.TTFBObjective-c.ticket.Age, time.Nanosecond)
+	}
+}
+
 // attempt makes one attempt and reports whether the caller has received the final response.
 func (c *generalCall) attempt(grant request.Grant) bool {
 	c.sentAttempts++
@@ -292,12 +297,8 @@
 	c.limitUnreadBody()
 	status := c.refusalStatus(refusal)
 	header := c.w.Header()
-	after := time.Duration(0)
-	if c.executedAttempts == 0 && promisesNotExecuted(status) {
-		after = refusal.RetryAfter
-		if after <= 0 {
-			after = generalRetryAfter
-		}
+	after := c.refusalRetryAfter(refusal, status)
+	if after > 0 {
 		header.Set("Retry-After", formatRetryAfter(after))
 	}
 	if refusal.Reason == request.ReasonNotReady {
@@ -345,6 +346,17 @@
 	return status
 }
 
+// refusalRetryAfter returns the Retry-After of a refusal with a status; 0 if it has none.
+func (c *generalCall) refusalRetryAfter(refusal *request.Refusal, status int) time.Duration {
+	switch {
+	case c.executedAttempts > 0 || !promisesNotExecuted(status):
+		return 0
+	case refusal.RetryAfter <= 0:
+		return generalRetryAfter
+	}
+	return refusal.RetryAfter
+}
+
 func (c *generalCall) refusalExecution(refusal *request.Refusal) request.Execution {
 	if c.executedAttempts > 0 {
 		return request.ExecutionUnknown
--- a/fleet/process/placement/admit.go
+++ b/fleet/process/placement/admit.go
@@ -41,12 +41,15 @@
 	uncachedFactor = 0.6
 )
 
+// unlimitedTTFB is the limit on the TTFB of requests without an objective.
+const unlimitedTTFB time.Duration = math.MaxInt64
+
 // ttfbLimit returns the highest predicted TTFB with which a request is admitted at a
 // candidate. slack is the slack of a long prompt, as a fraction of the objective; 0 for other
 // prompts.
 func ttfbLimit(ticket request.Ticket, c candidate, usage relativeUsage, slack float64) time.Duration {
 	if ticket.TTFBObjective <= 0 || c.pool.Engine == nil {
-		return math.MaxInt64
+		return unlimitedTTFB
 	}
 	shareUsed := usage.shareUsed
 	fraction := unusedShareFraction - (unusedShareFraction-fullShareFraction)*shareUsed
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -22,6 +22,12 @@
 	minTTFB time.Duration
 	// uncachedTokens is the number of prompt tokens that the engine has to prefill.
 	uncachedTokens int
+	// overheadTime is the part of ttfb that an idle upstream takes for an empty prompt or a plain
+	// call, without networkTime.
+	overheadTime time.Duration
+	networkTime  time.Duration
+	// penalties are what score adds to ttfb.
+	penalties penalties
 	// score is ttfb plus penalties; the candidate with the lowest score is chosen.
 	score time.Duration
 	// atCapacity is set if the upstream has no capacity for the request.
@@ -36,36 +42,66 @@
 	ttfbLimit time.Duration
 }
 
-// choose returns the best upstream for a ticket, or the refusal. A ticket for the canary of a
-// software version goes to another version if no canary takes it.
-func (p *Placer) choose(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
+// penalties are the parts of a score that are not time to first byte.
+type penalties struct {
+	// uncached is for shared segments that other engines have cached, failures for recent failures,
+	// region for bytes that leave the region, and load for requests at a plain service.
+	uncached, failures, region, load time.Duration
+}
+
+func (s penalties) sum() time.Duration { return s.uncached + s.failures + s.region + s.load }
+
+// decision is the outcome of a choice, with what it was made from.
+type decision struct {
+	best    candidate
+	refusal *request.Refusal
+	// rule is the software rule that the decision keeps to.
+	rule request.SoftwareRule
+	// candidates are the upstreams that were compared. They are valid until the next decision.
+	candidates []candidate
+	usage      relativeUsage
+	// limitsReserved is set if upstreams that name limits were left to other accounts.
+	limitsReserved bool
+	// lastResort is set if upstreams that this VM considers unresponsive were compared, because no
+	// other was left.
+	lastResort bool
+}
+
+// choose decides where a ticket goes. A ticket for the canary of a software version goes to another
+// version if no canary takes it.
+func (p *Placer) choose(now time.Time, ticket request.Ticket) decision {
 	if fallback, present := ticket.Rule.Fallback(); present {
-		if best, refusal := p.chooseByRule(now, ticket); refusal == nil && !best.atCapacity {
-			return best, nil
+		if d := p.chooseByRule(now, ticket); d.refusal == nil && !d.best.atCapacity {
+			return d
 		}
 		ticket.Rule = fallback
 	}
 	return p.chooseByRule(now, ticket)
 }
 
-// chooseByRule returns the best upstream that the ticket's rule allows, or the refusal.
-func (p *Placer) chooseByRule(now time.Time, ticket request.Ticket) (candidate, *request.Refusal) {
+// chooseByRule decides at which of the upstreams that the ticket's rule allows the ticket goes.
+func (p *Placer) chooseByRule(now time.Time, ticket request.Ticket) decision {
+	d := decision{rule: ticket.Rule}
 	if p.config == nil {
-		return candidate{}, &request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotExecuted}
+		d.refusal = &request.Refusal{Reason: request.ReasonNotReady, Execution: request.NotExecuted}
+		return d
 	}
+	d.usage = p.usage.relativeUsage(now, ticket.Account)
 	candidates := p.candidates(now, ticket)
 	isCanary := ticket.Rule.Among != nil
 	if len(candidates) == 0 && !isCanary {
-		candidates = p.fallbackCandidates(now, ticket)
+		candidates, d.lastResort = p.fallbackCandidates(now, ticket), true
 	}
 	if len(candidates) == 0 {
-		return candidate{}, p.noCandidate(now, ticket)
+		d.refusal = p.noCandidate(now, ticket)
+		return d
 	}
-	usage := p.usage.relativeUsage(now, ticket.Account)
-	if ticket.Attempt <= 1 && p.limitsReservedFor(now, ticket.Pool, usage) {
+	if ticket.Attempt <= 1 && p.limitsReservedFor(now, ticket.Pool, d.usage) {
 		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.advice.named() })
+		d.limitsReserved = true
 		if len(candidates) == 0 {
-			return candidate{}, p.limitsReserved(now, ticket, usage.shareUsed)
+			d.refusal = p.limitsReserved(now, ticket, d.usage.shareUsed)
+			return d
 		}
 	}
 	longPrompts, long, slack := p.longPromptsOf(ticket.Pool), p.isLong(candidates[0].pool, ticket), 0.0
@@ -73,19 +109,20 @@
 		slack = longPrompts.slack
 	}
 	for i := range candidates {
-		candidates[i].ttfbLimit = ttfbLimit(ticket, candidates[i], usage, slack)
+		candidates[i].ttfbLimit = ttfbLimit(ticket, candidates[i], d.usage, slack)
 	}
-	best := slices.MinFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
-	})
-	refusal := p.admit(ticket, best, usage.shareUsed)
-	if ticket.Attempt <= 1 && usage.shareUsed <= 1 && (refusal == nil || !isCanary) {
-		longPrompts.record(long, refusal == nil)
+	d.candidates = candidates
+	d.best = slices.MinFunc(candidates, compareCandidates)
+	d.refusal = p.admit(ticket, d.best, d.usage.shareUsed)
+	if ticket.Attempt <= 1 && d.usage.shareUsed <= 1 && (d.refusal == nil || !isCanary) {
+		longPrompts.record(long, d.refusal == nil)
 	}
-	if refusal != nil {
-		return candidate{}, refusal
-	}
-	return best, nil
+	return d
+}
+
+// compareCandidates orders the better candidate first.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.score, b.score))
 }
 
 // rank orders candidates before their score does: 0 within the TTFB limit, 1 beyond it, 2 at
@@ -220,39 +257,6 @@
 	return list
 }
 
-// usable reports whether an upstream may execute the ticket.
-func (p *Placer) usable(now time.Time, u *upstream, ticket request.Ticket) bool {
-	return p.permitted(now, u, ticket) && u.health.available(now) && !u.unresponsive(now)
-}
-
-// permitted reports whether the configuration, the ticket, the upstream's advice and its limits
-// permit an upstream. It disregards what this VM itself has observed of the upstream.
-func (p *Placer) permitted(now time.Time, u *upstream, ticket request.Ticket) bool {
-	if !p.allowed(u, ticket) || u.advice.declines(now) {
-		return false
-	}
-	return p.withinBounds(now, u)
-}
-
-// allowed reports whether the configuration and the ticket allow an upstream.
-func (p *Placer) allowed(u *upstream, ticket request.Ticket) bool {
-	switch {
-	case u.Draining, p.config.UpstreamOut(u.Upstream):
-		return false
-	case ticket.Avoid == u.ID, slices.Contains(ticket.Avoided, u.ID):
-		return false
-	case ticket.Regions != nil && !slices.Contains(ticket.Regions, u.region):
-		return false
-	case !ticket.Rule.Permits(u.Software, u.ID):
-		return false
-	case ticket.Software != "":
-		return u.Software == ticket.Software
-	case ticket.Resumable && p.streamVersions != nil:
-		return slices.Contains(p.streamVersions[u.Pool], u.Software)
-	}
-	return true
-}
-
 func (p *Placer) region() version.RegionID { return p.options.Regions[p.options.DataCentre] }
 
 func sortByID(list []*upstream) {
--- a/fleet/process/placement/limits.go
+++ b/fleet/process/placement/limits.go
@@ -55,31 +55,33 @@
 type bound struct {
 	window   time.Duration
 	requests int
+	// exceeded is why the upstream is excluded once this number was sent.
+	exceeded Exclusion
 }
 
 // bounds returns what bounds the requests of this VM to an upstream now: the limit of a cold
 // upstream and the limit that it names, of which this VM has its part each.
 func (p *Placer) bounds(now time.Time, u *upstream) (list [2]bound, count int) {
 	if u.cold.isCold(now) {
-		list[count] = bound{coldWindow, p.coldLimit(now, u)}
+		list[count] = bound{coldWindow, p.coldLimit(now, u), ExcludedColdLimit}
 		count++
 	}
 	if u.advice.named() {
-		list[count] = bound{limitWindow, p.limitQuota(now, u)}
+		list[count] = bound{limitWindow, p.limitQuota(now, u), ExcludedNamedLimit}
 		count++
 	}
 	return list, count
 }
 
-// withinBounds reports whether another request may be sent to an upstream.
-func (p *Placer) withinBounds(now time.Time, u *upstream) bool {
+// exceeded returns which bound keeps another request from an upstream; empty if none does.
+func (p *Placer) exceeded(now time.Time, u *upstream) Exclusion {
 	list, count := p.bounds(now, u)
 	for _, b := range list[:count] {
 		if u.sends.Within(now, b.window) >= b.requests {
-			return false
+			return b.exceeded
 		}
 	}
-	return true
+	return ""
 }
 
 // limitQuota returns how many requests this VM may send in any limitWindow to an upstream that
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -175,14 +175,11 @@
 // Place grants the ticket an upstream or refuses the ticket. The grant is valid if the refusal
 // is nil.
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
-	if ticket.Attempt <= 1 {
-		p.usage.recordRequest(now, ticket.Account, cost(ticket))
-		p.demandOf(ticket.Pool).record(now, p.usage.entitledFraction(now, ticket.Account))
-	}
-	best, refusal := p.choose(now, ticket)
-	if refusal != nil {
-		return request.Grant{}, refusal
+	d := p.decide(now, ticket)
+	if d.refusal != nil {
+		return request.Grant{}, d.refusal
 	}
+	best := d.best
 	u := best.upstream
 	a := &attempt{
 		ticket:             ticket,
@@ -213,6 +210,15 @@
 	}, nil
 }
 
+// decide counts a request that is new here, and decides where it goes.
+func (p *Placer) decide(now time.Time, ticket request.Ticket) decision {
+	if ticket.Attempt <= 1 {
+		p.usage.recordRequest(now, ticket.Account, cost(ticket))
+		p.demandOf(ticket.Pool).record(now, p.usage.entitledFraction(now, ticket.Account))
+	}
+	return p.choose(now, ticket)
+}
+
 // maxTrustedLag is the scheduling lag of this VM up to which its measurements are attributed
 // to upstreams.
 const maxTrustedLag = 5 * time.Millisecond
--- a/fleet/process/placement/predict.go
+++ b/fleet/process/placement/predict.go
@@ -44,39 +44,40 @@
 // assess predicts the TTFB of a request at an upstream and scores the upstream. affinity is
 // set for the first affinity upstream of the prompt.
 func (p *Placer) assess(now time.Time, u *upstream, ticket request.Ticket, affinity bool) candidate {
-	c := candidate{upstream: u, affinity: affinity}
-	network := p.networkLatency(u)
+	c := candidate{upstream: u, affinity: affinity, networkTime: p.networkLatency(u)}
 	slowdown := u.slowness(now)
 	if u.pool.Engine != nil {
 		c.uncachedTokens = u.countUncached(ticket, affinity && u.cacheTrusted(now))
 		prefillNanoseconds := float64(c.uncachedTokens) / p.prefillRate(u.pool) * float64(time.Second)
 		c.prefillTime = time.Duration(prefillNanoseconds * slowdown)
 		c.queueTime = p.queueTime(now, u, slowdown)
-		overhead := time.Duration(float64(baseTTFB)*slowdown) + network
-		c.ttfb = c.queueTime + c.prefillTime + overhead
+		c.overheadTime = time.Duration(float64(baseTTFB) * slowdown)
+		c.ttfb = c.queueTime + c.prefillTime + c.overheadTime + c.networkTime
 		ownNanoseconds := float64(promptTokens(ticket)-sharedTokens(ticket.Prompt)) / p.prefillRate(u.pool) * float64(time.Second)
-		c.minTTFB = time.Duration(ownNanoseconds*slowdown) + overhead
+		c.minTTFB = time.Duration(ownNanoseconds*slowdown) + c.overheadTime + c.networkTime
 		c.atCapacity = u.engineAtCapacity(now, ticket)
 		c.cachedFraction = 1
 		if shared := sharedTokens(ticket.Prompt); shared > 0 && !affinity {
 			uncachedShared := max(c.uncachedTokens-(ticket.Prompt.Tokens-shared), 0)
 			c.cachedFraction = 1 - float64(uncachedShared)/float64(shared)
-			c.score += time.Duration(uncachedShared) * uncachedTokenCost
+			c.penalties.uncached = time.Duration(uncachedShared) * uncachedTokenCost
 		}
 	} else {
 		excess := u.running(now) + 1 - u.slots()
-		c.ttfb = time.Duration(float64(plainServiceTime)*slowdown) + network
+		c.overheadTime = time.Duration(float64(plainServiceTime) * slowdown)
 		if excess > 0 {
-			c.ttfb += time.Duration(float64(excess) / float64(u.slots()) * float64(plainServiceTime) * slowdown)
+			c.queueTime = time.Duration(float64(excess) / float64(u.slots()) * float64(plainServiceTime) * slowdown)
 		}
+		c.ttfb = c.overheadTime + c.networkTime + c.queueTime
 		c.atCapacity = excess > u.slots()
 		// Among idle upstreams the least loaded one is preferred.
-		c.score += time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainServiceTime) * u.pace.factor(now))
+		c.penalties.load = time.Duration(float64(u.running(now)) / float64(u.slots()) * float64(plainServiceTime) * u.pace.factor(now))
 	}
-	c.score += c.ttfb + time.Duration(u.health.failureRate*float64(failurePenalty))
+	c.penalties.failures = time.Duration(u.health.failureRate * float64(failurePenalty))
 	if u.region != p.region() {
-		c.score += time.Duration(ticket.BodyBytes) * crossRegionByteCost
+		c.penalties.region = time.Duration(ticket.BodyBytes) * crossRegionByteCost
 	}
+	c.score = c.ttfb + c.penalties.sum()
 	return c
 }
 
--- a/fleet/process/quarantine/hold.go
+++ b/fleet/process/quarantine/hold.go
@@ -91,14 +91,11 @@
 // Admit decides whether a request may be sent. One request with a held subject is sent from
 // time to time as a trial.
 func (t *Tracker) Admit(now time.Time, content request.Content) Decision {
-	if len(t.holds) == 0 {
+	held, trial := t.Judge(now, content)
+	switch {
+	case held == nil:
 		return Decision{}
-	}
-	held, several := t.heldIn(content)
-	if held == nil {
-		return Decision{}
-	}
-	if !several && held.mayBeTried(now) && t.ownsTrials(held.Subject) {
+	case trial:
 		held.Trials++
 		held.NextTrial = now.Add(trialInterval(held.Trials))
 		t.changes.holds[held.Subject] = struct{}{}
@@ -109,6 +106,16 @@
 	return Decision{Held: held}
 }
 
+// Judge returns the hold that concerns a request, or nil, and whether the request would be sent as a
+// trial nevertheless. Unlike Admit it records nothing.
+func (t *Tracker) Judge(now time.Time, content request.Content) (held *Hold, trial bool) {
+	if len(t.holds) == 0 {
+		return nil, false
+	}
+	held, several := t.heldIn(content)
+	return held, held != nil && !several && held.mayBeTried(now) && t.ownsTrials(held.Subject)
+}
+
 // mayBeTried reports whether a trial is due.
 func (h *Hold) mayBeTried(now time.Time) bool {
 	return !now.Before(h.NextTrial) && h.MayHaveTrials()
