Add trefoilctl explain: where a request would go now, and why

An operator names a route or a host and path, an account, the parts of a prompt and sizes; the daemon passes the checks of a real request in their order, without counting it, and asks its placer. The checks are those of requests: the ticket, the refusal's status and its Retry-After are made by the same functions. Daemons that queue requests at dispatchers answer 501 and say why.

--- a/daemon/cmd/trefoilctl/command/command.go
+++ b/daemon/cmd/trefoilctl/command/command.go
@@ -96,6 +96,7 @@
 	prompt := mustAdd(parser.AddCommand("prompt", "Show and release prompt segments that crash upstreams", "", &struct{}{}))
 	mustAdd(prompt.AddCommand("held", "List the held prompt segments", "", &promptHeld{session: s}))
 	mustAdd(prompt.AddCommand("release", "Let requests with a held prompt segment be sent again", "", &promptRelease{session: s}))
+	mustAdd(parser.AddCommand("explain", "Tell where a request would go now, and why", "", &explainCommand{session: s}))
 	mustAdd(parser.AddCommand("status", "Show the fleet at a glance", "", &statusCommand{session: s}))
 	mustAdd(parser.AddCommand("timeline", "Merge the time lines of the daemons", "", &timelineCommand{session: s}))
 	mustAdd(parser.AddCommand("version", "Print the version of trefoilctl", "", &versionCommand{session: s}))
--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -73,6 +73,13 @@
 	return false
 }
 
+// admittedFraction returns the fraction of connections and requests that is admitted, 0 to 1.
+func (a *admission) admittedFraction() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.shedder.AdmittedFraction()
+}
+
 // rejectedConnections returns the number of connections that were not admitted.
 func (a *admission) rejectedConnections() uint64 {
 	a.mu.Lock()
--- a/daemon/process/edge/operators.go
+++ b/daemon/process/edge/operators.go
@@ -16,6 +16,7 @@
 	operator.AddLimits(calls, d.placing.Limits)
 	operator.AddStore(calls, d.storeStatus)
 	operator.AddSoftware(calls, d.software.status)
+	operator.AddExplain(calls, d.explain)
 	mux := http.NewServeMux()
 	mux.Handle("/", d.metrics)
 	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
--- a/daemon/process/operator/operator.go
+++ b/daemon/process/operator/operator.go
@@ -86,6 +86,7 @@
 	h.mux.HandleFunc("GET "+PathStatus, h.status)
 	h.mux.HandleFunc("GET "+PathTimeline, h.timeline)
 	h.mux.HandleFunc("POST "+PathOrders, h.order)
+	h.mux.HandleFunc("POST "+PathExplain, notExplained)
 	h.mux.Handle("GET "+PathMetrics, options.Metrics)
 	AddPrompts(h.mux, options.Prompts, options.Log)
 	AddLimits(h.mux, options.Limits)
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -99,6 +99,13 @@
 	return p.placer.Place(time.Now(), ticket)
 }
 
+// Explain tells where Acquire would send the ticket now, and changes nothing.
+func (p *Placer) Explain(ticket request.Ticket) placement.Explanation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placer.Explain(time.Now(), ticket)
+}
+
 // RecordAdvice records what an upstream's answer says of its availability (drain, pause, rate
 // limit). requestID is the identifier that the caller gave to the request, for the log; sentAt is
 // when the request was sent.
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -342,13 +342,18 @@
 	return allowed
 }
 
+// bodyLimit returns the largest size of a body, in bytes.
+func (c *generalCall) bodyLimit() int64 {
+	if limit := c.config.Limits.MaxBodyBytes; limit > 0 && limit <= MaxBodyBytes {
+		return limit
+	}
+	return MaxBodyBytes
+}
+
 // readBody reads the request's body. Its bytes count against the account's limit until the
 // request's reservation is released.
 func (c *generalCall) readBody() ([]byte, *request.Refusal) {
-	limit := c.config.Limits.MaxBodyBytes
-	if limit <= 0 || limit > MaxBodyBytes {
-		limit = MaxBodyBytes
-	}
+	limit := c.bodyLimit()
 	if c.r.ContentLength > limit {
 		c.w.Header().Set("Connection", "close")
 		return nil, refuse(request.ReasonTooLarge, "the body is over the limit")
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -65,6 +65,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	account := l.account(id)
+	if refusal := l.check(account); refusal != nil {
+		return refusal
+	}
+	account.requests++
+	l.total.requests++
+	l.accounts[id] = account
+	return nil
+}
+
+// wouldRefuse returns the refusal that enter would return now, or nil.
+func (l *requestLimiter) wouldRefuse(id version.AccountID) *request.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(l.account(id))
+}
+
+// check returns the refusal of another request of an account, or nil. mu must be held.
+func (l *requestLimiter) check(account *usage) *request.Refusal {
 	switch {
 	case l.closed:
 		return refuse(request.ReasonNotReady, "this router is shutting down")
@@ -73,9 +91,6 @@
 	case l.total.requests >= l.maxRequests:
 		return refuse(request.ReasonQueueFull, "this router holds too many requests")
 	}
-	account.requests++
-	l.total.requests++
-	l.accounts[id] = account
 	return nil
 }
 
