--- a/daemon/cmd/trefoilctl/command/explain.go
+++ b/daemon/cmd/trefoilctl/command/explain.go
@@ -135,10 +135,9 @@
 	if r.Pools > 1 {
 		lines = append(lines, fmt.Sprintf("the route splits its requests among %d services by their IDs; see --request-id", r.Pools))
 	}
-	switch refusal := r.Refusal; {
-	case refusal == nil:
+	if refusal := r.Refusal; refusal == nil {
 		lines = append(lines, fmt.Sprintf("outcome: sent to %s at once, first byte predicted after %s", r.Upstream, millisText(r.PredictedMS)))
-	default:
+	} else {
 		after := "no Retry-After"
 		if refusal.RetryAfterMS > 0 {
 			after = "Retry-After " + millisText(refusal.RetryAfterMS)
@@ -147,7 +146,11 @@
 		if refusal.BeforePlacement {
 			stage = ", before an upstream is sought"
 		}
-		lines = append(lines, fmt.Sprintf("outcome: refused at once%s: status %d, %s (%s), %s", stage, refusal.Status, refusal.Reason, orDash(refusal.Detail), after))
+		reason := refusal.Reason
+		if refusal.Detail != "" {
+			reason += " (" + refusal.Detail + ")"
+		}
+		lines = append(lines, fmt.Sprintf("outcome: refused at once%s: status %d, %s, %s", stage, refusal.Status, reason, after))
 		if refusal.LimitMS > 0 {
 			lines = append(lines, fmt.Sprintf("first byte predicted after %s at the best upstream, admitted up to %s", millisText(refusal.PredictedMS), millisText(refusal.LimitMS)))
 		}
@@ -240,7 +243,7 @@
 
 // millisText returns a number of milliseconds for people.
 func millisText(millis float64) string {
-	const secondsFrom = 10_000
+	const secondsFrom = 2000
 	if millis >= secondsFrom {
 		return fmt.Sprintf("%.1fs", millis/1000)
 	}
--- a/daemon/process/operator/explain.go
+++ b/daemon/process/operator/explain.go
@@ -27,7 +27,7 @@
 	// maxExplainDeadlineMS is the longest deadline that may be asked about.
 	maxExplainDeadlineMS = int64(time.Hour / time.Millisecond)
 	// explainInterval is the least time between two explanations. Each holds up the decisions of
-	// requests for up to some milliseconds at the smallest VM.
+	// requests, for 0.5 ms of processor time in a pool of 400 upstreams.
 	explainInterval = 100 * time.Millisecond
 )
 
--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -90,7 +90,8 @@
 	candidates := p.candidates(now, ticket)
 	isCanary := ticket.Rule.Among != nil
 	if len(candidates) == 0 && !isCanary {
-		candidates, d.lastResort = p.fallbackCandidates(now, ticket), true
+		candidates = p.fallbackCandidates(now, ticket)
+		d.lastResort = len(candidates) > 0
 	}
 	if len(candidates) == 0 {
 		d.refusal = p.noCandidate(now, ticket)
