--- a/fleet/process/balance/balance.go
+++ b/fleet/process/balance/balance.go
@@ -43,7 +43,41 @@
 // choice is picked with the probability with which a request is among those that it takes in. Without
 // unseen requests this is one of the cheapest; with very many, choices are picked by capacity alone.
 func Pick(choices []Choice, unseen, random float64) int {
-	requests := changesPerRequest*max(unseen, 0) + 1
+	requests := requestsFor(unseen)
+	level := levelOf(choices, requests)
+	rest := random * requests
+	last := choices[0].Index
+	for _, c := range choices {
+		if c.Cost >= level {
+			continue
+		}
+		last = c.Index
+		if rest -= c.takesIn(level); rest < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// Chances returns the probability, 0 to 1, with which Pick picks each of the choices.
+func Chances(choices []Choice, unseen float64) []float64 {
+	requests := requestsFor(unseen)
+	level := levelOf(choices, requests)
+	chances := make([]float64, len(choices))
+	for i, c := range choices {
+		chances[i] = max(c.takesIn(level), 0) / requests
+	}
+	return chances
+}
+
+// requestsFor returns the number of requests that raise the choices, this one included.
+func requestsFor(unseen float64) float64 { return changesPerRequest*max(unseen, 0) + 1 }
+
+// takesIn returns the number of requests that raise the cost of the choice to a level.
+func (c Choice) takesIn(level float64) float64 { return (level - c.Cost) / c.Slope }
+
+// levelOf returns the cost to which requests raise the cheapest choices.
+func levelOf(choices []Choice, requests float64) float64 {
 	// Without the choices above the level, the level falls; those below it stay.
 	level, taking := math.Inf(1), 0
 	for {
@@ -56,22 +90,10 @@
 			}
 		}
 		if n == taking || n == 0 {
-			break
+			return level
 		}
 		level, taking = (requests+filled)/capacity, n
 	}
-	rest := random * requests
-	last := choices[0].Index
-	for _, c := range choices {
-		if c.Cost >= level {
-			continue
-		}
-		last = c.Index
-		if rest -= (level - c.Cost) / c.Slope; rest < 0 {
-			break
-		}
-	}
-	return last
 }
 
 // SampleSize returns among how many upstreams of a pool a decision chooses by their load, limit at
--- a/fleet/process/placement/software_test.go
+++ b/fleet/process/placement/software_test.go
@@ -12,7 +12,11 @@
 // skewed returns a fixture whose upstreams have two software versions, by turns.
 func skewed(t *testing.T, upstreams int) *fixture {
 	t.Helper()
-	f := newFixture(upstreams, nil)
+	return newFixture(upstreams, nil).skew()
+}
+
+// skew lets every second upstream run another software version.
+func (f *fixture) skew() *fixture {
 	config := *f.config
 	config.Number++
 	config.Upstreams = maps.Clone(config.Upstreams)
--- a/fleet/process/placement/spread.go
+++ b/fleet/process/placement/spread.go
@@ -32,7 +32,8 @@
 // rand returns the random source of this VM. Its seed is the VM's name, so that VMs choose differently.
 func (p *Placer) rand() *rand.Rand {
 	if p.random == nil {
-		p.random = rand.New(rand.NewPCG(xxhash.Sum64String(string(p.options.VM)), uint64(len(p.options.VM))))
+		p.randomState = rand.NewPCG(xxhash.Sum64String(string(p.options.VM)), uint64(len(p.options.VM)))
+		p.random = rand.New(p.randomState)
 	}
 	return p.random
 }
@@ -85,16 +86,16 @@
 	}
 }
 
-// spread returns the candidate that gets a request. For plain services this is one of those as good as
-// best, such that the requests of all VMs together even out their loads, those included that others
-// have sent and not reported yet. For engines it is best.
-func (p *Placer) spread(now time.Time, candidates []candidate, best candidate) candidate {
-	if best.pool.Engine != nil || best.rank() > 0 {
-		return best
+// spread sets the best candidate of a decision to the one that gets the request. For plain services this
+// is one of those as good as the best, such that the requests of all VMs together even out their loads,
+// those included that others have sent and not reported yet. For engines it stays the best.
+func (p *Placer) spread(now time.Time, d *decision) {
+	if d.best.pool.Engine != nil || d.best.rank() > 0 {
+		return
 	}
 	choices, unseen := p.choices[:0], 0.0
-	for i := range candidates {
-		c := &candidates[i]
+	for i := range d.candidates {
+		c := &d.candidates[i]
 		if c.rank() > 0 {
 			continue
 		}
@@ -107,9 +108,10 @@
 	p.choices = choices
 	if unseen == 0 {
 		// Nobody else is known to send requests there.
-		return best
+		return
 	}
-	return candidates[balance.Pick(choices, unseen, p.rand().Float64())]
+	d.choices, d.unseen = choices, unseen
+	d.best = d.candidates[balance.Pick(choices, unseen, p.rand().Float64())]
 }
 
 // PoolSpread tells how the prompts of a pool spread over its engines.
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -97,6 +97,15 @@
 	return withoutNew
 }
 
+// Foresee returns the rule that Rule would return now, and counts nothing.
+func (c *Controller) Foresee(now time.Time, ticket request.Ticket) request.SoftwareRule {
+	if o := c.orders[ticket.Pool]; o != nil {
+		requests, spent, neededOldAt := o.own.Requests, o.budget, o.neededOldAt
+		defer func() { o.own.Requests, o.budget, o.neededOldAt = requests, spent, neededOldAt }()
+	}
+	return c.Rule(now, ticket)
+}
+
 // takeUpSlack is the number of streams of the new version that a VM continues in a canary beyond
 // its share.
 const takeUpSlack = 2
