Name the earlier of a pause and a limit in Retry-After

Callers were told to come back in 29 s when one upstream had asked for a pause of 30 s, although the others only named limits and took requests again within 4 s. The refusal looked at pauses first and never at limits.

It now takes what ends first for reason, detail and Retry-After. The detail no longer says that every upstream has asked for a pause where some have not.

TestRetryAfterIsTheEarlierOfPauseAndLimit got 30.025 s and upstream-refused with the order of before and passes now.

--- a/fleet/process/placement/choose.go
+++ b/fleet/process/placement/choose.go
@@ -149,19 +149,30 @@
 	return 0
 }
 
-// noCandidate returns the refusal for a ticket that no upstream may execute.
+// noCandidate returns the refusal for a ticket that no upstream may execute. Of a pause and a limit it
+// names the one that ends first.
 func (p *Placer) noCandidate(now time.Time, ticket request.Ticket) *request.Refusal {
-	if after, paused := p.remainingPause(now, ticket); paused {
-		return &request.Refusal{
-			Reason: request.ReasonUpstreamRefused, Execution: request.NotExecuted, RetryAfter: after,
+	pause, paused := p.remainingPause(now, ticket)
+	limit, limited := p.remainingLimit(now, ticket)
+	switch {
+	case paused && (!limited || pause <= limit):
+		refusal := &request.Refusal{
+			Reason: request.ReasonUpstreamRefused, Execution: request.NotExecuted, RetryAfter: pause,
 			Detail: "every upstream has asked for a pause",
 		}
-	}
-	if after, limited := p.remainingLimit(now, ticket); limited {
-		return &request.Refusal{
-			Reason: request.ReasonQueueFull, Execution: request.NotExecuted, RetryAfter: after,
+		if limited {
+			refusal.Detail = "every upstream that is below the limit it has named has asked for a pause"
+		}
+		return refusal
+	case limited:
+		refusal := &request.Refusal{
+			Reason: request.ReasonQueueFull, Execution: request.NotExecuted, RetryAfter: limit,
 			Detail: "every upstream gets as many requests as it has named",
 		}
+		if paused {
+			refusal.Detail = "every upstream that has not asked for a pause gets as many requests as it has named"
+		}
+		return refusal
 	}
 	refusal := &request.Refusal{
 		Reason: request.ReasonNoUpstream, Execution: request.NotExecuted, RetryAfter: noUpstreamRetryAfter,
--- a/fleet/process/placement/declined_test.go
+++ b/fleet/process/placement/declined_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -129,6 +130,37 @@
 	}
 }
 
+// One upstream asks for a long pause and the others name limits. Guards against callers that are told to
+// stay away until the pause ends although the others take requests again before, or the reverse.
+func TestRetryAfterIsTheEarlierOfPauseAndLimit(t *testing.T) {
+	for _, c := range []struct {
+		pause, earliest, latest time.Duration
+		reason                  request.Reason
+		detail                  string
+	}{
+		{30 * time.Second, minRetryAfter, maxRetryAfter, request.ReasonQueueFull, "gets as many requests as it has named"},
+		{300 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond, request.ReasonUpstreamRefused, "has asked for a pause"},
+	} {
+		f := newFixture(3, nil)
+		pool := f.upstreamsByPool[f.pool]
+		f.RecordAdvice(f.now, pool[0].ID, f.now, request.Advice{Pause: c.pause})
+		for _, u := range pool[1:] {
+			f.RecordAdvice(f.now, u.ID, f.now, request.Advice{Limit: request.RateLimit{State: request.LimitNamed, PerSecond: 1}})
+		}
+		var refusal *request.Refusal
+		for n := 0; n < 100 && refusal == nil; n++ {
+			_, refusal = f.placedAt(1)
+		}
+		if refusal == nil {
+			t.Fatal("100 requests placed at two upstreams that take 1 a second")
+		}
+		if refusal.Reason != c.reason || !strings.Contains(refusal.Detail, c.detail) ||
+			refusal.RetryAfter < c.earliest || refusal.RetryAfter > c.latest+retrySpreadSteps*retrySpreadStep {
+			t.Errorf("pause of %v: refused for %s (%s), Retry-After %v", c.pause, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+		}
+	}
+}
+
 // Half of a pool asks for a pause under full load. Guards against sending the other half the
 // load that the whole pool could serve.
 func TestPausedUpstreamsDoNotOverloadTheRest(t *testing.T) {
