--- a/fleet/process/rollout/orders.go
+++ b/fleet/process/rollout/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout/tally"
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
 
 // freshFor is how long after the read of an order was sent its version may get requests. An
@@ -73,6 +74,10 @@
 	condemned   string
 	condemnedAt time.Time
 	held        bool
+	// mayBeDoneAt is when another VM may last have been writing that the order is done.
+	mayBeDoneAt time.Time
+	// toldDrainedAt is when this VM, or one of its earlier processes, last reported that it is drained.
+	toldDrainedAt time.Time
 	// finalAt is when this VM learned that the order is done or rolled back, and endedAt when it was
 	// no longer in the store.
 	finalAt, endedAt time.Time
@@ -141,14 +146,15 @@
 	return o.Created == read.Created
 }
 
-// SetOrders sets the orders in the store: a complete list, from a read that was sent at readAt. It is
-// called after each read, also if nothing has changed: that keeps the knowledge of the orders fresh.
-// A list whose read was sent before that of the last one is ignored.
-func (c *Controller) SetOrders(now time.Time, orders []Order, readAt time.Time) {
-	if !c.enabled() || readAt.Before(c.readAt) {
+// SetOrders sets the orders in the store: a complete list, which the store had at a position, from a
+// read that was sent at readAt. It is called after each read, also if nothing has changed: that keeps
+// the knowledge of the orders fresh. A list whose read was sent before that of the last one, or that is
+// older than one that was shown before, is ignored.
+func (c *Controller) SetOrders(now time.Time, orders []Order, at storeera.Position, readAt time.Time) {
+	if !c.enabled() || readAt.Before(c.readAt) || at.Compare(c.listedAt) < 0 {
 		return
 	}
-	c.readAt = readAt
+	c.readAt, c.listedAt = readAt, at
 	read := make(map[version.PoolID]Order, len(orders))
 	for _, next := range orders {
 		if known, present := read[next.Pool]; !present || known.At.Compare(next.At) < 0 {
@@ -203,6 +209,10 @@
 	if o == nil || !o.sameObject(next) {
 		o = &order{Order: next, startedAt: now, own: tally.New(), others: tally.New()}
 	}
+	if next.Status.progress(next.Software) == progressShifting {
+		// A process of this VM that ran before may just have reported that it is drained.
+		o.toldDrainedAt = now
+	}
 	delete(c.former, next.Pool)
 	c.orders[next.Pool] = o
 	state := c.versionOf(now, next.Pool, next.Software)
--- a/fleet/process/rollout/steps.go
+++ b/fleet/process/rollout/steps.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwell/trefoilwell/fleet/process/exchange"
 	"github.com/trefoilwell/trefoilwell/fleet/process/rollout/tally"
 	"github.com/trefoilwell/trefoilwell/fleet/version/storeera"
 )
@@ -38,9 +39,13 @@
 	// takeUpGrace is how long after the last sign of a stream that needs an old upstream its caller
 	// may take to come back.
 	takeUpGrace = time.Second
-	// drainedTime is for how long all VMs must have nothing at old upstreams: what one of them
-	// reports otherwise reaches the VM that writes in less.
+	// drainedTime is for how long all VMs must have nothing at old upstreams: usually, what one of
+	// them reports otherwise reaches the VM that writes in less. That no VM goes back there while its
+	// report counts does not depend on it, but on countsAsDrained.
 	drainedTime = 250 * time.Millisecond
+	// doneWriteTime is how long after the last look at the reports a write of done is applied at the
+	// latest, if the store does not stall.
+	doneWriteTime = 500 * time.Millisecond
 	// silenceTime is how long members have to be silent that no longer count, and isolationTime how
 	// long a VM that hears less than half of the members waits for others to act.
 	silenceTime   = 3 * time.Second
@@ -145,13 +150,14 @@
 	if o.condemned != "" || o.isFinal() {
 		return
 	}
-	o.held = c.mayBeDone(now, o)
+	o.held = c.keepsFromOld(now, o)
 	o.condemned, o.condemnedAt = reason, now
 	c.notice(now, o, "version is bad", reason)
 }
 
 // step returns the write of the status that this VM is to make now.
 func (c *Controller) step(now time.Time, o *order, total *tally.Order) (StatusWrite, bool) {
+	c.keepsFromOld(now, o)
 	status, delay, due := c.dueStatus(now, o, total)
 	w := &o.writes
 	if w.pending && now.Sub(w.sentAt) > writeTimeout {
@@ -235,7 +241,7 @@
 
 // isGood reports whether the canary has been observed for long enough and shows no fault.
 func (c *Controller) isGood(now time.Time, o *order, elapsed time.Duration, total *tally.Order) bool {
-	if o.sides.news == 0 || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
+	if o.sides.news == 0 || !c.streamsMayBegin(o) || now.Before(o.sides.readyAt) || elapsed < fractionOf(o.Duration, judgeFraction) || c.responses(total) < c.needed(total) {
 		return false
 	}
 	if elapsed >= fractionOf(o.Duration, latestJudgeFraction) {
@@ -270,7 +276,7 @@
 	if o.neededOldAt.After(lastNeed) {
 		lastNeed = o.neededOldAt
 	}
-	return c.mode(now, o) == modeNew && c.isFresh(now, drainedFresh) && now.Sub(lastNeed) >= takeUpGrace && c.oldRunning(o) == 0
+	return c.mode(now, o) == modeNew && c.streamsMayBegin(o) && c.isFresh(now, drainedFresh) && now.Sub(lastNeed) >= takeUpGrace && c.oldRunning(o) == 0
 }
 
 // mayBeDone reports whether another VM may be writing that the order is done.
@@ -282,6 +288,31 @@
 	return othersDrained && c.isDrained(now, o)
 }
 
+// mayHaveBeenDone reports whether a write of done that this VM has no news of may still be applied:
+// nothing was read since shortly before the order may have been done.
+func (c *Controller) mayHaveBeenDone(now time.Time, o *order) bool {
+	return o.progress == progressShifting && !o.mayBeDoneAt.IsZero() && now.Sub(o.mayBeDoneAt) < unreadTime &&
+		!c.isFresh(now, drainedFresh)
+}
+
+// countsAsDrained reports whether another VM may count this one as drained, by a report that is on its
+// way or held by a hub, and write done. This VM sends nothing to old upstreams then, also if it was
+// suspended since and has not heard that the others are drained.
+func (c *Controller) countsAsDrained(now time.Time, o *order) bool {
+	return o.progress == progressShifting && !o.toldDrainedAt.IsZero() &&
+		now.Sub(o.toldDrainedAt) <= exchange.RolloutReportLifetime(len(c.members))+doneWriteTime
+}
+
+// keepsFromOld reports whether nothing may be sent to old upstreams, since the order may be done now
+// or may have been. It records the former.
+func (c *Controller) keepsFromOld(now time.Time, o *order) bool {
+	if c.mayBeDone(now, o) {
+		o.mayBeDoneAt = now
+		return true
+	}
+	return c.mayHaveBeenDone(now, o)
+}
+
 // isDone reports whether the order can be done: every VM that is heard has nothing at old upstreams,
 // and members that are not heard have been silent for long enough.
 func (c *Controller) isDone(now time.Time, o *order) bool {
--- a/fleet/process/rollout/world_test.go
+++ b/fleet/process/rollout/world_test.go
@@ -99,11 +99,15 @@
 	badDay bool
 
 	// order is the object in the store; nil if there is none.
-	order   *Order
-	silent  bool
-	loseAll bool
-	late    []lateWrite
-	steps   []Status
+	order *Order
+	// revision is the store's position without an order.
+	revision storeera.Position
+	silent   bool
+	loseAll  bool
+	// stalledUntil is until when the store answers nothing; it then applies the writes that it got.
+	stalledUntil time.Time
+	late         []lateWrite
+	steps        []Status
 
 	// requests and sentNew count from the order to its limit, for the service and its new version.
 	requests, sentNew, bad, lost int
@@ -252,18 +256,20 @@
 
 // read lets a VM read the orders.
 func (w *world) read(v *vm) {
-	if w.silent || v.refused {
+	if w.silent || v.refused || w.now.Before(w.stalledUntil) {
 		return
 	}
 	v.silentSince = w.now
 	var orders []Order
+	at := w.revision
 	switch {
 	case v.stale != nil:
-		orders = []Order{*v.stale}
+		orders, at = []Order{*v.stale}, v.stale.At
 	case w.order != nil:
-		orders = []Order{*w.order}
+		orders, at = []Order{*w.order}, w.order.At
+		w.revision = at
 	}
-	v.SetOrders(w.now, orders, w.now)
+	v.SetOrders(w.now, orders, at, w.now)
 }
 
 // useHubs lets the VMs report to each other through the hubs of three data centres, and not through
@@ -373,6 +379,9 @@
 // write carries out a write of a status.
 func (w *world) write(v *vm, write StatusWrite) {
 	switch {
+	case w.now.Before(w.stalledUntil):
+		w.late = append(w.late, lateWrite{w.stalledUntil, write})
+		v.Written(w.now, write, WriteUnknown)
 	case w.silent || v.refused:
 		v.Written(w.now, write, WriteFailed)
 	case w.loseAll && w.random.IntN(2) == 0:
