--- a/daemon/process/edge/operators.go
+++ b/daemon/process/edge/operators.go
@@ -17,6 +17,7 @@
 	operator.AddStore(calls, d.storeStatus)
 	operator.AddSoftware(calls, d.software.status)
 	operator.AddRollouts(calls, d.rolloutStatus)
+	operator.AddExplain(calls, d.explain)
 	mux := http.NewServeMux()
 	mux.Handle("/", d.metrics)
 	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
--- a/daemon/request/serve/holdings.go
+++ b/daemon/request/serve/holdings.go
@@ -81,11 +81,8 @@
 func (l *requestLimiter) enter(id version.AccountID, r *reservation) *request.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed {
-		return refuse(request.ReasonNotReady, "this router is shutting down")
-	}
 	account := l.account(id)
-	if refusal := l.refuseMore(account.whole(), l.total.whole()); refusal != nil {
+	if refusal := l.check(account); refusal != nil {
 		return refusal
 	}
 	account.requests++
@@ -95,6 +92,21 @@
 	return nil
 }
 
+// wouldRefuse returns the refusal that enter would return now, or nil.
+func (l *requestLimiter) wouldRefuse(id version.AccountID) *request.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(l.account(id))
+}
+
+// check returns the refusal of another request of an account, or nil. l.mu must be held.
+func (l *requestLimiter) check(account *usage) *request.Refusal {
+	if l.closed {
+		return refuse(request.ReasonNotReady, "this router is shutting down")
+	}
+	return l.refuseMore(account.whole(), l.total.whole())
+}
+
 // refuseMore returns the refusal of a request beside others of its account and of all; nil if the
 // limits allow it.
 func (l *requestLimiter) refuseMore(ofAccount, ofAll int) *request.Refusal {
--- a/daemon/request/serve/reservation_test.go
+++ b/daemon/request/serve/reservation_test.go
@@ -226,3 +226,30 @@
 		}
 	}
 }
+
+// Guards against an explanation that counts as a request, or foresees another refusal than a request gets.
+func TestForeseenRefusalCountsNothing(t *testing.T) {
+	l := newRequestLimiter(6, 1<<20, 2)
+	refused := map[request.Reason]int{}
+	for n := range 12 {
+		id := version.AccountID(n % 3)
+		if n == 11 {
+			l.close()
+		}
+		before := l.stats()
+		foreseen := l.wouldRefuse(id)
+		if after := l.stats(); after != before || len(l.accounts) > 3 {
+			t.Fatalf("request %d: the question changes %+v to %+v", n, before, after)
+		}
+		got := l.enter(id, &reservation{})
+		if (got == nil) != (foreseen == nil) || got != nil && *got != *foreseen {
+			t.Errorf("request %d gets %+v, foreseen was %+v", n, got, foreseen)
+		}
+		if got != nil {
+			refused[got.Reason]++
+		}
+	}
+	if len(refused) < 2 || refused[request.ReasonNotReady] != 1 {
+		t.Errorf("refused for %v, want some for the limits and one for the end", refused)
+	}
+}
--- a/fleet/process/rollout/rule.go
+++ b/fleet/process/rollout/rule.go
@@ -110,6 +110,16 @@
 	return withoutNew
 }
 
+// Foresee returns the rule that Rule would return now, and counts nothing. It restores the whole order,
+// so that it also covers what Rule comes to record.
+func (c *Controller) Foresee(now time.Time, ticket request.Ticket) request.SoftwareRule {
+	if o := c.orders[ticket.Pool]; o != nil {
+		before, requests := *o, o.own.Requests
+		defer func() { *o, before.own.Requests = before, requests }()
+	}
+	return c.Rule(now, ticket)
+}
+
 // SetStreamVersions sets the software versions, by pool, at which streams may begin that callers may
 // take up: those in the record of versions. Without a call streams may begin at all.
 func (c *Controller) SetStreamVersions(versions map[version.PoolID][]string) {
