Show that streams begun as the store falls silent are joined

A machine without a channel to it takes it for one of the old version, begins streams there, and goes on with them at servers of the old version when it ends.

--- a/review/standins-2/kit/server.go
+++ b/review/standins-2/kit/server.go
@@ -32,9 +32,10 @@
 	http  *http.Server
 	born  int64
 	mu    sync.Mutex
-	seq   int
 	runs  int
-	stop  chan struct{}
+	// closed is set once it has ended.
+	closed bool
+	stop   chan struct{}
 }
 
 // Start starts the server at ip and registers it until Close.
@@ -46,35 +47,42 @@
 	s.store, s.Address, s.born, s.stop = store, listener.Addr().String(), time.Now().UnixMilli(), make(chan struct{})
 	s.http = &http.Server{Handler: s, IdleTimeout: 15 * time.Second}
 	go func() { _ = s.http.Serve(listener) }()
-	s.beat()
+	s.register()
 	go func() {
-		ticker := time.NewTicker(1200 * time.Millisecond)
+		ticker := time.NewTicker(heartbeat)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-s.stop:
 				return
 			case <-ticker.C:
-				s.beat()
+				s.register()
 			}
 		}
 	}()
 	return nil
 }
 
-func (s *Server) beat() {
-	s.mu.Lock()
-	s.seq++
-	seq := s.seq
-	s.mu.Unlock()
+// heartbeat is heartbeat_ms.
+const heartbeat = 1200 * time.Millisecond
+
+// register writes the server's entry. An entry changes only when more than its seq changes, so seq stays the same
+// here, and the store takes a write that changes nothing for none.
+func (s *Server) register() {
 	s.store.Put("servers", s.ID, Fields{
 		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": s.Version, "slots": s.Slots, "state": "ready",
-		"cold_remaining_ms": 0, "seq": seq, "born": s.born,
+		"cold_remaining_ms": 0, "seq": 1, "born": s.born,
 	})
 }
 
-// Close ends the server.
+// Close ends the server: its channels break off and its address refuses new ones.
 func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
 	close(s.stop)
 	_ = s.http.Close()
 }
--- a/review/standins-2/kit/store.go
+++ b/review/standins-2/kit/store.go
@@ -57,7 +57,51 @@
 	// dropped is the newest revision that is not in the history any more.
 	dropped uint64
 	changed chan struct{}
-	server  *http.Server
+	// spoken is closed once the store is not silent; nil while it is not.
+	spoken chan struct{}
+	// configRead is closed and replaced when the config is read.
+	configRead chan struct{}
+	server     *http.Server
+}
+
+// AwaitConfigRead waits until the config has been read once more.
+func (s *Store) AwaitConfigRead() {
+	s.mu.Lock()
+	read := s.configRead
+	s.mu.Unlock()
+	<-read
+}
+
+// SetSilent makes the store hold every call without an answer, or ends that. What servers write
+// meanwhile is lost; they write again.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case silent && s.spoken == nil:
+		s.spoken = make(chan struct{})
+		// Watches that wait look at it again.
+		close(s.changed)
+		s.changed = make(chan struct{})
+	case !silent && s.spoken != nil:
+		close(s.spoken)
+		s.spoken = nil
+	}
+}
+
+// awaitSpeech waits while the store is silent. A call that came meanwhile, or waited, gets no answer.
+func (s *Store) awaitSpeech(r *http.Request) {
+	s.mu.Lock()
+	spoken := s.spoken
+	s.mu.Unlock()
+	if spoken == nil {
+		return
+	}
+	select {
+	case <-spoken:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // NewStore starts a store at address.
@@ -68,7 +112,7 @@
 	}
 	s := &Store{
 		Address: listener.Addr().String(), History: history, kinds: make(map[string]map[string]object),
-		revision: 100, dropped: 100, changed: make(chan struct{}),
+		revision: 100, dropped: 100, changed: make(chan struct{}), configRead: make(chan struct{}),
 	}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
@@ -86,7 +130,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, name, text)
+	if s.spoken == nil {
+		s.put(kind, name, text)
+	}
 }
 
 // Remove removes an object.
@@ -159,6 +205,7 @@
 		http.NotFound(w, r)
 		return
 	}
+	s.awaitSpeech(r)
 	w.Header().Set("Store-Era", "1")
 	kind, name, single := strings.Cut(path, "/")
 	query := r.URL.Query()
@@ -177,6 +224,14 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	stored, present := s.kinds[kind][name]
+	if kind == "config" {
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			close(s.configRead)
+			s.configRead = make(chan struct{})
+		}()
+	}
 	s.mu.Unlock()
 	if !present {
 		answer(w, http.StatusNotFound, map[string]any{})
@@ -211,6 +266,7 @@
 	timeout := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer timeout.Stop()
 	for {
+		s.awaitSpeech(r)
 		s.mu.Lock()
 		events := []event{}
 		for _, e := range s.events {
@@ -231,6 +287,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
+			s.awaitSpeech(r)
 			answer(w, http.StatusOK, map[string]any{"events": events, "as_of": max(since, asOf)})
 			return
 		case <-r.Context().Done():
