--- a/review/standins-2/otherwriter/main.go
+++ b/review/standins-2/otherwriter/main.go
@@ -33,7 +33,7 @@
 	// sameNames is how many entries there are with TROUBLE=same: as many as there are at once otherwise.
 	sameNames = int(lapse / writeInterval)
 	// length is how long the other writer writes.
-	length    = 95 * time.Second
+	length    = 108 * time.Second
 	callPause = 100 * time.Millisecond
 )
 
--- a/review/standins-2/shortparts/main.go
+++ b/review/standins-2/shortparts/main.go
@@ -32,7 +32,7 @@
 	servers = 15
 	// ordinaryPause is the time between two requests of the other tenant at each machine.
 	ordinaryPause = 100 * time.Millisecond
-	length        = 100 * time.Second
+	length        = 108 * time.Second
 )
 
 // zones are the zones of the machines. All servers are in the first one.
