--- a/review/standins-2/kit/record.go
+++ b/review/standins-2/kit/record.go
@@ -75,5 +75,8 @@
 	fmt.Print(line)
 }
 
+// At returns the time at which a run is as old as age.
+func (r *Run) At(age time.Duration) time.Time { return r.started.Add(age) }
+
 // AtEnd calls end when the run ends, the last one first.
 func (r *Run) AtEnd(end func()) { r.ends = append(r.ends, end) }
--- a/review/standins-2/lostmachines/main.go
+++ b/review/standins-2/lostmachines/main.go
@@ -120,6 +120,9 @@
 			return 0, err
 		}
 	}
+	if fresh.good == 0 || r.Trouble != "0" && taken.all < minTakenUp {
+		return 0, errors.New("too few streams began, or were broken, to apply the rule")
+	}
 	return judge(r, fresh, taken), nil
 }
 
