Show accounts that are refused below their share

What callers saw: an account with a tenth of its share was refused beside others with over their share; no log line or metric showed it, since the list of accounts had only those that ask for most.

A process counts what it refuses of accounts below their fair share. account_shares and the line 'account shares' list up to 8 more accounts by it, and the line is written while one is refused as much as it is granted. TestAccountsRefusedBelowTheirShareAreListed covers the list.

--- a/daemon/process/edge/shares.go
+++ b/daemon/process/edge/shares.go
@@ -17,7 +17,7 @@
 )
 
 // logShares logs what this process takes the shares of accounts to be while one of them requests
-// far more than it is granted, until ctx ends.
+// far more than it is granted, or is refused much below its share, until ctx ends.
 func (d *Daemon) logShares(ctx context.Context) error {
 	for {
 		if err := wait.Sleep(ctx, sharesInterval); err != nil {
@@ -29,10 +29,12 @@
 	}
 }
 
-// hasUnmet reports whether an account at its fair share requests far more than it is granted.
+// hasUnmet reports whether an account at its fair share requests far more than it is granted, or one below
+// its share is refused as much as it is granted.
 func hasUnmet(shares placing.Shares) bool {
 	for _, account := range shares.Accounts {
-		if account.RequestedTokens > unmetFactor*max(account.GrantedTokens, shares.FairShareTokens) {
+		if account.RequestedTokens > unmetFactor*max(account.GrantedTokens, shares.FairShareTokens) ||
+			account.RefusedBelowShareTokens > max(account.GrantedTokens, 1) {
 			return true
 		}
 	}
--- a/daemon/process/placing/placing.go
+++ b/daemon/process/placing/placing.go
@@ -310,7 +310,8 @@
 	return paces
 }
 
-// maxListedAccounts is the number of accounts whose shares the metrics list.
+// maxListedAccounts is the number of accounts whose shares the metrics list, and of further ones that
+// are refused below their share.
 const maxListedAccounts = 8
 
 // Shares is what this process takes the usage of accounts over the whole fleet to be, in the
@@ -326,9 +327,11 @@
 	RequestedTokens float64 `json:"requested_tokens"`
 	GrantedTokens   float64 `json:"granted_tokens"`
 	ShareUsed       float64 `json:"share_used"`
+	// RefusedBelowShareTokens is what this process refused while the account was below its share.
+	RefusedBelowShareTokens float64 `json:"refused_below_share_tokens"`
 }
 
-// Shares returns the accounts that requested most, with their shares.
+// Shares returns the accounts that requested most, or are refused below their share, with their shares.
 func (p *Placer) Shares() Shares {
 	p.mu.Lock()
 	fairShare, list := p.placer.Shares(time.Now(), maxListedAccounts)
@@ -342,6 +345,7 @@
 		}
 		shares.Accounts = append(shares.Accounts, AccountShare{
 			Account: name, RequestedTokens: math.Round(share.Requested), GrantedTokens: math.Round(share.Granted), ShareUsed: share.ShareUsed,
+			RefusedBelowShareTokens: math.Round(share.RefusedBelowShare),
 		})
 	}
 	return shares
--- a/fleet/process/placement/accounts.go
+++ b/fleet/process/placement/accounts.go
@@ -35,6 +35,8 @@
 	// recent is what this VM granted in about the last report lag, as of recentAt.
 	recent   float64
 	recentAt time.Time
+	// refusedBelowShare is what this VM refused while the account was below its fair share.
+	refusedBelowShare [shareBuckets]float64
 	// requestedHere and grantedHere are this VM's totals since its start, in tokens.
 	requestedHere, grantedHere float64
 }
@@ -101,7 +103,7 @@
 		t.bucket++
 		for _, u := range t.byAccount {
 			u.requested[t.bucket%shareBuckets], u.granted[t.bucket%shareBuckets] = 0, 0
-			u.requestedOfVM[t.bucket%shareBuckets] = 0
+			u.requestedOfVM[t.bucket%shareBuckets], u.refusedBelowShare[t.bucket%shareBuckets] = 0, 0
 		}
 	}
 	return t.bucket % shareBuckets
@@ -123,6 +125,12 @@
 	u.grantedHere += tokens
 }
 
+// recordRefusal counts a request that this VM refused although its account was below its fair share.
+func (t *usageTracker) recordRefusal(now time.Time, account version.AccountID, tokens float64) {
+	bucket := t.advance(now)
+	t.usageOf(account).refusedBelowShare[bucket] += tokens
+}
+
 // add counts what an account requested and was granted at any VM, in tokens.
 func (t *usageTracker) add(now time.Time, account version.AccountID, requested, granted float64) {
 	bucket := t.advance(now)
@@ -243,20 +251,31 @@
 	Requested, Granted float64
 	// ShareUsed is Granted relative to the fair share; 0 if there is none.
 	ShareUsed float64
+	// RefusedBelowShare is the tokens that this VM refused while the account was below its fair share.
+	RefusedBelowShare float64
 }
 
-// Shares returns the fair share in tokens and the accounts that requested most in the share window,
-// at most limit, largest first.
+// Shares returns the fair share in tokens and, of the accounts in the share window, those that requested most
+// and those that this VM refused most below their share, at most limit of each; those that requested most
+// come first.
 func (p *Placer) Shares(now time.Time, limit int) (fairShare float64, accounts []AccountShare) {
 	t := p.usage
 	for id, usage := range t.byAccount {
 		relative := t.relativeUsage(now, id)
 		if requested := sum(usage.requested); requested > 0 {
-			accounts = append(accounts, AccountShare{id, requested, sum(usage.granted), relative.shareUsed})
+			accounts = append(accounts, AccountShare{id, requested, sum(usage.granted), relative.shareUsed, sum(usage.refusedBelowShare)})
 		}
 	}
-	slices.SortFunc(accounts, func(a, b AccountShare) int {
+	byRequested := func(a, b AccountShare) int {
 		return cmp.Or(cmp.Compare(b.Requested, a.Requested), cmp.Compare(a.Account, b.Account))
-	})
-	return t.fairShare, accounts[:min(len(accounts), limit)]
+	}
+	slices.SortFunc(accounts, byRequested)
+	if len(accounts) > limit {
+		rest := slices.DeleteFunc(accounts[limit:], func(a AccountShare) bool { return a.RefusedBelowShare == 0 })
+		slices.SortFunc(rest, func(a, b AccountShare) int {
+			return cmp.Or(cmp.Compare(b.RefusedBelowShare, a.RefusedBelowShare), byRequested(a, b))
+		})
+		accounts = accounts[:limit+min(len(rest), limit)]
+	}
+	return t.fairShare, accounts
 }
--- a/fleet/process/placement/demand_test.go
+++ b/fleet/process/placement/demand_test.go
@@ -38,3 +38,27 @@
 		t.Errorf("the demand of the VM is %.2f requests a second, want at most %.2f", requests, most)
 	}
 }
+
+// Guards against an account that is refused while it is below its share and that no log or metric shows, as it
+// asks for little beside others.
+func TestAccountsRefusedBelowTheirShareAreListed(t *testing.T) {
+	const small, large = version.AccountID(9), version.AccountID(1)
+	f := newFixture(1, nil)
+	for account := large; account < small; account++ {
+		f.usage.add(f.now, account, 100_000, 50_000)
+	}
+	refused := 0
+	for range 200 {
+		if _, refusal := f.Place(f.now, f.ticket(small, uint64(f.nextID), 3000, 1500)); refusal != nil && refusal.ShareUsed < 1 {
+			refused++
+		}
+	}
+	f.usage.add(f.now, large, 10_000_000, 0)
+	_, shares := f.Shares(f.now, 1)
+	if refused == 0 || len(shares) != 2 || shares[0].Account != large || shares[1].Account != small {
+		t.Fatalf("listed %+v after %d refusals below the share", shares, refused)
+	}
+	if want := float64(refused) * cost(f.ticket(small, 1, 3000, 1500)); shares[1].RefusedBelowShare != want {
+		t.Errorf("%.0f tokens refused below the share, want %.0f", shares[1].RefusedBelowShare, want)
+	}
+}
--- a/fleet/process/placement/placer.go
+++ b/fleet/process/placement/placer.go
@@ -186,6 +186,9 @@
 func (p *Placer) Place(now time.Time, ticket request.Ticket) (request.Grant, *request.Refusal) {
 	d := p.decide(now, ticket)
 	if d.refusal != nil {
+		if ticket.Attempt <= 1 && d.usage.shareUsed < 1 {
+			p.usage.recordRefusal(now, ticket.Account, cost(ticket))
+		}
 		return request.Grant{}, d.refusal
 	}
 	best := d.best
