Compare usage that fades, and estimate grants by grants

Cause: usage was summed up in a window of 4 s that moved in steps of 0.5 s, at the same moments at all VMs. What was granted in a burst left the window at once, so it was granted again at once, by all VMs. The estimate of what other VMs granted, since, had two faults of its own: it went by requests, with what VMs turn away, and so took an account with a VM that is behind to have had many times what it had; and it raised the account's usage and not the fair share.

Change: usage fades with its age, without steps. Grants of other VMs are estimated by what they granted before, by requests only as long as there was little; usage of all accounts is estimated alike, for the fair share too, in a fixed order, so that equal usage gives equal shares.

--- a/fleet/process/placement/accounts.go
+++ b/fleet/process/placement/accounts.go
@@ -10,8 +10,20 @@
 )
 
 const (
-	// shareBuckets is the number of buckets into which the share window is divided.
-	shareBuckets = 8
+	// shareBuckets is the number of buckets into which the share window is divided, and latelyBuckets how many
+	// of them are kept: those in which an account may have waited, and the current one.
+	shareBuckets  = 8
+	latelyBuckets = waitBuckets + 1
+	// meanLifeFraction is the mean life of usage as a fraction of the share window.
+	meanLifeFraction = 0.35
+	// overAskFactor is how many times the fair share an account must request for the grants of other
+	// VMs to be estimated by this VM's: one that requests little can't overshoot its share by much.
+	overAskFactor = 2
+	// priorFraction is the usage, relative to the fair share, up to which requests say more of what other VMs grant an
+	// account than its grants.
+	priorFraction = 0.025
+	// minUsage is the least amount, in tokens, that counts: amounts fade and never end.
+	minUsage = 1
 	// defaultShareWindow is used if the platform sets no window.
 	defaultShareWindow = 4 * time.Second
 	// fairShareInterval is how often the fair share is recomputed.
@@ -20,42 +32,37 @@
 	// weight of the newest report in it.
 	initialReportLag = 300 * time.Millisecond
 	reportLagWeight  = 0.1
-	// overAskFactor is how many times the fair share an account must request for the grants of other
-	// VMs to be estimated: one that requests little can't overshoot its share by much.
-	overAskFactor = 2
 )
 
-// accountUsage is what one account requested and was granted in the share window, in tokens,
-// over all VMs.
+// accountUsage is what one account requested and was granted, in tokens, over all VMs. The amounts fade with
+// their age, as decayed says.
 type accountUsage struct {
-	requested [shareBuckets]float64
-	granted   [shareBuckets]float64
-	// requestedOfVM is the part of requested that this VM received.
-	requestedOfVM [shareBuckets]float64
+	requested, granted float64
+	// requestedOfVM and grantedOfVM are the parts of this VM.
+	requestedOfVM, grantedOfVM float64
+	// refusedBelowShare is what this VM refused while the account was below its fair share.
+	refusedBelowShare float64
+	updatedAt         time.Time
+	// lately are the amounts of the last buckets, by their number.
+	lately [latelyBuckets]bucketUsage
 	// recent is what this VM granted in about the last report lag, as of recentAt.
 	recent   float64
 	recentAt time.Time
-	// refusedBelowShare is what this VM refused while the account was below its fair share.
-	refusedBelowShare [shareBuckets]float64
 	// requestedHere and grantedHere are this VM's totals since its start, in tokens.
 	requestedHere, grantedHere float64
 }
 
-// sum adds up the buckets of the share window.
-func sum(buckets [shareBuckets]float64) float64 {
-	total := 0.0
-	for _, n := range buckets {
-		total += n
-	}
-	return total
+// bucketUsage is what an account requested and was granted in a bucket.
+type bucketUsage struct {
+	number             int64
+	requested, granted float64
 }
 
 // usageTracker counts the tokens that client accounts request and are granted.
 type usageTracker struct {
+	// window is the period over which usage is compared.
 	window    time.Duration
 	byAccount map[version.AccountID]*accountUsage
-	// bucket is the number of the current bucket, counted from the Unix epoch.
-	bucket int64
 	// reportLag is how old the usage is that other VMs have reported, just before their next report.
 	reportLag time.Duration
 	// startedAt is when the first usage was counted.
@@ -65,6 +72,8 @@
 	// shareLevels are as of computedAt.
 	shareLevels
 	computedAt time.Time
+	// sorted is the usage of all accounts as of computedAt, those that requested least first.
+	sorted []accountUsage
 }
 
 // shareLevels are what the usage of accounts is compared with, in tokens.
@@ -72,6 +81,8 @@
 	// fairShare is the max-min fair share and highestGranted the usage of the account that was
 	// granted most.
 	fairShare, highestGranted float64
+	// assumedFairShare is the fair share that estimates are based on, also that of fairShare itself.
+	assumedFairShare float64
 	holdLevels
 }
 
@@ -79,7 +90,7 @@
 	if window <= 0 {
 		window = defaultShareWindow
 	}
-	return &usageTracker{window: window, byAccount: make(map[version.AccountID]*accountUsage), reportLag: initialReportLag}
+	return &usageTracker{window: window, byAccount: make(map[version.AccountID]*accountUsage), reportLag: min(initialReportLag, window/4)}
 }
 
 // usageOf returns the usage of an account, which it creates if there is none.
@@ -92,54 +103,79 @@
 	return u
 }
 
-// advance clears the buckets that have left the window and returns the index of the current
-// bucket.
-func (t *usageTracker) advance(now time.Time) int64 {
-	bucket := now.UnixNano() / int64(t.window/shareBuckets)
-	if bucket-t.bucket > shareBuckets {
-		t.bucket = bucket - shareBuckets
+// meanLife is the time after which an amount counts 1/e.
+func (t *usageTracker) meanLife() time.Duration {
+	return time.Duration(meanLifeFraction * float64(t.window))
+}
+
+// decayed returns the fraction of an account's amounts that counts now. Amounts fade continuously: if they left
+// a window at its end, what was granted in a burst would be granted in a burst again, by all VMs at the
+// same moment.
+func (t *usageTracker) decayed(now time.Time, u *accountUsage) float64 {
+	return math.Exp(-float64(max(now.Sub(u.updatedAt), 0)) / float64(t.meanLife()))
+}
+
+// at returns an account's usage as of now.
+func (t *usageTracker) at(now time.Time, u *accountUsage) accountUsage {
+	current := *u
+	if fraction := t.decayed(now, u); fraction < 1 {
+		current.requested *= fraction
+		current.granted *= fraction
+		current.requestedOfVM *= fraction
+		current.grantedOfVM *= fraction
+		current.refusedBelowShare *= fraction
+		current.updatedAt = now
 	}
-	for t.bucket < bucket {
-		t.bucket++
-		for _, u := range t.byAccount {
-			u.requested[t.bucket%shareBuckets], u.granted[t.bucket%shareBuckets] = 0, 0
-			u.requestedOfVM[t.bucket%shareBuckets], u.refusedBelowShare[t.bucket%shareBuckets] = 0, 0
-		}
+	return current
+}
+
+// bucketOf returns the number of the bucket of a time, counted from the Unix epoch.
+func (t *usageTracker) bucketOf(now time.Time) int64 {
+	return now.UnixNano() / int64(t.window/shareBuckets)
+}
+
+// bucket returns an account's bucket of a number, empty if nothing was counted in it.
+func (u *accountUsage) bucket(number int64) *bucketUsage {
+	b := &u.lately[number%latelyBuckets]
+	if b.number != number {
+		*b = bucketUsage{number: number}
 	}
-	return t.bucket % shareBuckets
+	return b
 }
 
 // recordRequest counts a request that this VM received.
 func (t *usageTracker) recordRequest(now time.Time, account version.AccountID, tokens float64) {
-	t.add(now, account, tokens, 0)
-	u := t.byAccount[account]
-	u.requestedOfVM[t.bucket%shareBuckets] += tokens
+	u := t.add(now, account, tokens, 0)
+	u.requestedOfVM += tokens
 	u.requestedHere += tokens
 }
 
 // recordGrant counts a request that this VM granted.
 func (t *usageTracker) recordGrant(now time.Time, account version.AccountID, tokens float64) {
-	t.add(now, account, 0, tokens)
-	u := t.byAccount[account]
+	u := t.add(now, account, 0, tokens)
 	u.recent, u.recentAt = t.recentGrants(now, u)+tokens, now
+	u.grantedOfVM += tokens
 	u.grantedHere += tokens
 }
 
 // recordRefusal counts a request that this VM refused although its account was below its fair share.
 func (t *usageTracker) recordRefusal(now time.Time, account version.AccountID, tokens float64) {
-	bucket := t.advance(now)
-	t.usageOf(account).refusedBelowShare[bucket] += tokens
+	t.add(now, account, 0, 0).refusedBelowShare += tokens
 }
 
 // add counts what an account requested and was granted at any VM, in tokens.
-func (t *usageTracker) add(now time.Time, account version.AccountID, requested, granted float64) {
-	bucket := t.advance(now)
+func (t *usageTracker) add(now time.Time, account version.AccountID, requested, granted float64) *accountUsage {
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
 	u := t.usageOf(account)
-	u.requested[bucket] += requested
-	u.granted[bucket] += granted
+	*u = t.at(now, u)
+	u.requested += requested
+	u.granted += granted
+	b := u.bucket(t.bucketOf(now))
+	b.requested += requested
+	b.granted += granted
+	return u
 }
 
 // relativeUsage compares an account's usage in the share window with that of other accounts.
@@ -156,21 +192,20 @@
 // relativeUsage returns the account's usage relative to the fair share and to the highest usage;
 // it is zero while there is no usage to compare with.
 func (t *usageTracker) relativeUsage(now time.Time, account version.AccountID) relativeUsage {
-	t.advance(now)
 	if now.Sub(t.computedAt) >= fairShareInterval || now.Before(t.computedAt) {
+		if t.assumedFairShare = t.fairShare; t.fairShare <= 0 {
+			t.assumedFairShare = t.computeLevels(now).fairShare
+		}
 		t.shareLevels, t.computedAt = t.computeLevels(now), now
 	}
 	if t.fairShare <= 0 || t.highestGranted <= 0 {
 		return relativeUsage{}
 	}
-	u := t.usageOf(account)
-	granted := sum(u.granted)
-	if sum(u.requested) > overAskFactor*t.fairShare {
-		granted += t.unreported(now, u)
-	}
+	u := t.estimate(now, t.usageOf(account))
+	granted := u.granted
 	return relativeUsage{
 		shareUsed: granted / t.fairShare, ofHighest: min(granted/t.highestGranted, 1),
-		held: granted > t.holdLimit(u),
+		held: granted > t.holdLimit(t.bucketOf(now), &u),
 	}
 }
 
@@ -178,24 +213,43 @@
 // request stands for a number of those that the account sent in the share window.
 func (t *usageTracker) entitledFraction(now time.Time, account version.AccountID, number int) float64 {
 	t.relativeUsage(now, account)
-	requested := sum(t.usageOf(account).requested)
+	requested := t.at(now, t.usageOf(account)).requested
 	if t.fairShare <= 0 || requested <= t.fairShare {
 		return 1
 	}
 	return min(float64(number)*t.fairShare/requested, 1)
 }
 
-// unreported estimates what other VMs granted an account since their last reports. Each of them is taken
-// to grant of its part of the requests as much as this VM does. Without it, VMs that all know the
-// same old usage give an account with many VMs far more than its share at once.
-func (t *usageTracker) unreported(now time.Time, u *accountUsage) float64 {
-	own := sum(u.requestedOfVM)
-	if own <= 0 {
-		return 0
+// estimate returns an account's usage as of now, with what other VMs have received and granted since their last
+// reports.
+func (t *usageTracker) estimate(now time.Time, u *accountUsage) accountUsage {
+	current := t.at(now, u)
+	lag := t.lagFraction()
+	unreported := t.unreportedGrants(now, &current)
+	current.requested += max(current.requested-current.requestedOfVM, 0) * lag / (1 - lag)
+	current.granted = min(current.granted+unreported, max(current.requested, current.granted))
+	return current
+}
+
+// unreportedGrants estimates what other VMs granted an account since their last reports: for what this VM grants
+// now they grant as much, relative to what they reported, as they did before. An account that was granted
+// little is taken to be granted by requests. These include what VMs turn away, and so say little of an
+// account that was granted more.
+func (t *usageTracker) unreportedGrants(now time.Time, u *accountUsage) float64 {
+	lag := t.lagFraction()
+	elsewhere, recent := max(u.granted-u.grantedOfVM, 0), t.recentGrants(now, u)
+	steady, prior := elsewhere*lag/(1-lag), priorFraction*t.assumedFairShare
+	if u.requestedOfVM <= 0 || prior <= 0 || u.requested <= overAskFactor*t.assumedFairShare {
+		return steady
 	}
-	return t.recentGrants(now, u) * max(sum(u.requested)/own-1, 0)
+	byRequests := max(u.requested/u.requestedOfVM-1, 0)
+	before := max(u.grantedOfVM-recent, 0)
+	return (recent*(elsewhere+prior*byRequests) + prior*steady) / (before + prior)
 }
 
+// lagFraction returns the part of the usage of other VMs that their reports miss.
+func (t *usageTracker) lagFraction() float64 { return float64(t.reportLag) / float64(t.meanLife()) }
+
 // recentGrants returns what this VM granted an account in about the last report lag: each grant counts
 // less the older it is, for the report lag in all.
 func (t *usageTracker) recentGrants(now time.Time, u *accountUsage) float64 {
@@ -205,22 +259,27 @@
 
 // recordReportLag records how old the usage was that another VM reported, at the time of its next report.
 func (t *usageTracker) recordReportLag(lag time.Duration) {
-	t.reportLag += time.Duration(reportLagWeight * float64(min(lag, peerLoadTTL)-t.reportLag))
+	t.reportLag += time.Duration(reportLagWeight * float64(min(lag, peerLoadTTL, t.meanLife()/2)-t.reportLag))
 }
 
 // computeLevels returns the levels of the present usage.
 func (t *usageTracker) computeLevels(now time.Time) shareLevels {
-	var requests []float64
-	total, levels := 0.0, shareLevels{}
+	t.sorted = t.sorted[:0]
 	for _, u := range t.byAccount {
-		granted := sum(u.granted)
-		if requested := sum(u.requested); requested > 0 {
-			requests = append(requests, requested)
-			total += granted
+		if current := t.estimate(now, u); current.requested >= minUsage {
+			t.sorted = append(t.sorted, current)
 		}
-		levels.highestGranted = max(levels.highestGranted, granted)
 	}
-	slices.Sort(requests)
+	// A fixed order gives equal sums for equal usage.
+	slices.SortFunc(t.sorted, func(a, b accountUsage) int {
+		return cmp.Or(cmp.Compare(a.requested, b.requested), cmp.Compare(a.granted, b.granted))
+	})
+	requests, total, levels := make([]float64, 0, len(t.sorted)), 0.0, shareLevels{assumedFairShare: t.assumedFairShare}
+	for _, u := range t.sorted {
+		requests = append(requests, u.requested)
+		total += u.granted
+		levels.highestGranted = max(levels.highestGranted, u.granted)
+	}
 	levels.fairShare = maxMinShare(requests, total)
 	levels.holdLevels = t.computeHoldLevels(now, requests, levels.fairShare, levels.highestGranted)
 	return levels
@@ -261,9 +320,8 @@
 func (p *Placer) Shares(now time.Time, limit int) (fairShare float64, accounts []AccountShare) {
 	t := p.usage
 	for id, usage := range t.byAccount {
-		relative := t.relativeUsage(now, id)
-		if requested := sum(usage.requested); requested > 0 {
-			accounts = append(accounts, AccountShare{id, requested, sum(usage.granted), relative.shareUsed, sum(usage.refusedBelowShare)})
+		if u := t.at(now, usage); u.requested >= minUsage {
+			accounts = append(accounts, AccountShare{id, u.requested, u.granted, t.relativeUsage(now, id).shareUsed, u.refusedBelowShare})
 		}
 	}
 	byRequested := func(a, b AccountShare) int {
--- a/fleet/process/placement/explain.go
+++ b/fleet/process/placement/explain.go
@@ -212,7 +212,6 @@
 // displaced ones, the random source, the sum of limit reports and the engines that a rule leaves.
 // Other changes only drop what has expired.
 func (p *Placer) preserve(now time.Time, ticket request.Ticket) func() {
-	p.usage.advance(now)
 	// A random source that does not exist yet is created in its first state.
 	p.rand()
 	usage, demand, longPrompts := p.usage.byAccount[ticket.Account], p.demand[ticket.Pool], p.longPrompts[ticket.Pool]
--- a/fleet/process/placement/hold.go
+++ b/fleet/process/placement/hold.go
@@ -32,20 +32,18 @@
 	// waitingUsage is the sum of the usage of the accounts that wait, in tokens.
 	waitingUsage float64
 	waiting      int
-	// bucket is the bucket of the share window in which they waited.
-	bucket int64
 	// guaranteed is the usage in tokens below which no account is held.
 	guaranteed float64
 }
 
 // computeHoldLevels returns the levels of the present usage. requests is what accounts requested, in
-// ascending order.
+// ascending order, as t.sorted is.
 func (t *usageTracker) computeHoldLevels(now time.Time, requests []float64, fairShare, highest float64) holdLevels {
 	capacity := guaranteedFraction * t.tokensPerSecond * t.covered(now).Seconds()
-	levels := holdLevels{guaranteed: max(fairShare, maxMinShare(requests, capacity)), bucket: t.bucket}
-	for _, u := range t.byAccount {
-		if u.waits(t.bucket, highest) {
-			levels.waitingUsage += sum(u.granted)
+	levels := holdLevels{guaranteed: max(fairShare, maxMinShare(requests, capacity))}
+	for i := range t.sorted {
+		if u := &t.sorted[i]; u.waits(t.bucketOf(now), highest) {
+			levels.waitingUsage += u.granted
 			levels.waiting++
 		}
 	}
@@ -56,19 +54,19 @@
 // the highest usage of any account.
 func (u *accountUsage) waits(bucket int64, highest float64) bool {
 	for i := range int64(waitBuckets) {
-		before := (bucket - 1 - i) % shareBuckets
-		if u.requested[before] <= unmetFactor*u.granted[before] {
+		b := u.lately[(bucket-1-i)%latelyBuckets]
+		if b.number != bucket-1-i || b.requested <= unmetFactor*b.granted {
 			return false
 		}
 	}
-	return sum(u.granted) > blockedFraction*highest
+	return u.granted > blockedFraction*highest
 }
 
 // holdLimit returns the usage at which an account is held; infinity if no other one waits.
-func (l *shareLevels) holdLimit(u *accountUsage) float64 {
+func (l *shareLevels) holdLimit(bucket int64, u *accountUsage) float64 {
 	usage, others := l.waitingUsage, l.waiting
-	if others > 0 && u.waits(l.bucket, l.highestGranted) {
-		usage -= sum(u.granted)
+	if others > 0 && u.waits(bucket, l.highestGranted) {
+		usage = max(usage-u.granted, 0)
 		others--
 	}
 	if others == 0 {
@@ -77,8 +75,10 @@
 	return max(maxLead*usage/float64(others), l.guaranteed)
 }
 
-// covered returns how much of the share window the counted usage covers: all of it but in the first
-// seconds of a process.
+// covered returns the time that the counted usage stands for: the mean life of usage but in the first seconds of
+// a process.
 func (t *usageTracker) covered(now time.Time) time.Duration {
-	return min(max(now.Sub(t.startedAt), t.window/shareBuckets), t.window)
+	life := t.meanLife()
+	counted := max(now.Sub(t.startedAt), t.window/shareBuckets)
+	return time.Duration(float64(life) * -math.Expm1(-float64(counted)/float64(life)))
 }
