Divide into parts only what the load shedder admits

Cause: an account was within its part as long as its requests were no more than the even part of what had been admitted. Accounts that send alike are all within their parts while all of it is admitted, so nothing was shed. On open connections it was so since but for a request more or less.

Change: the part is of what the shedder admits of all that arrives, and of a tenth of it at least.

--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -70,13 +70,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
+	case known && admitted:
+		admitted = !ahead || a.parts.Admits(time.Now(), account, false, a.shedder)
 	case known:
-		shed := func() bool {
-			lot := admitted || a.shedder.Admit()
-			admitted = false
-			return lot
-		}
-		admitted = a.parts.Admits(time.Now(), account, ahead, shed)
+		admitted = a.parts.Admits(time.Now(), account, ahead, a.shedder)
 	case !admitted:
 		admitted = a.shedder.Admit()
 	}
@@ -94,7 +91,7 @@
 	account, known := a.identify(peek)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if known && a.parts.Within(time.Now(), account) {
+	if known && a.parts.Within(time.Now(), account, a.shedder.AdmittedFraction()) {
 		a.admitted++
 		return true
 	}
@@ -163,13 +160,12 @@
 	a.parts.Arrive(now, account)
 	switch {
 	case first:
-	case a.parts.Admits(now, account, ahead, a.shedder.Admit):
+	case a.parts.Admits(now, account, ahead, a.shedder):
 		a.admitted++
 	default:
 		a.refused++
 		return false
 	}
-	a.parts.Admit(now)
 	return true
 }
 
--- a/fleet/process/valve/parts.go
+++ b/fleet/process/valve/parts.go
@@ -12,6 +12,9 @@
 	partsHalfLife = time.Second
 	// activeRequests is the number of requests, so counted, from which an account has a part.
 	activeRequests = 0.5
+	// leastParts is the least fraction of what arrives that is divided into parts: the accounts within them send few,
+	// and a process that is far behind is so by the others.
+	leastParts = 0.1
 	// activeInterval is how often the accounts that have a part are counted.
 	activeInterval = 20 * time.Millisecond
 )
@@ -22,8 +25,8 @@
 //
 // Parts does no I/O and reads no clock. It is not safe for concurrent use.
 type Parts struct {
-	arrived  map[version.AccountID]*decayingCount
-	admitted decayingCount
+	arrived map[version.AccountID]*decayingCount
+	total   decayingCount
 	// active is the number of accounts that have a part, as of countedAt.
 	active    int
 	countedAt time.Time
@@ -52,19 +55,17 @@
 		p.arrived[account] = count
 	}
 	count.add(now)
+	p.total.add(now)
 }
 
-// Admit records that a request is admitted.
-func (p *Parts) Admit(now time.Time) { p.admitted.add(now) }
-
-// Within reports whether an account has sent no more requests lately than its even part of those that
-// were admitted.
-func (p *Parts) Within(now time.Time, account version.AccountID) bool {
+// Within reports whether an account has sent no more requests lately than its even part of those that a
+// shedder admits with a fraction.
+func (p *Parts) Within(now time.Time, account version.AccountID, fraction float64) bool {
 	if age := now.Sub(p.countedAt); age < 0 || age >= activeInterval {
 		p.countActive(now)
 	}
 	count := p.arrived[account]
-	return count == nil || count.now(now)*float64(max(p.active, 1)) <= p.admitted.now(now)
+	return count == nil || count.now(now)*float64(max(p.active, 1)) <= max(fraction, leastParts)*p.total.now(now)
 }
 
 // countActive counts the accounts that have a part and drops the others.
@@ -83,6 +84,6 @@
 // part, or if the shedder admits it. An account that is ahead of its share over the fleet, so that most of its
 // requests are refused after they were read, has to be admitted by the shedder twice: what the
 // processor has no time for is first what would come to nothing.
-func (p *Parts) Admits(now time.Time, account version.AccountID, ahead bool, shed func() bool) bool {
-	return p.Within(now, account) || shed() && (!ahead || shed())
+func (p *Parts) Admits(now time.Time, account version.AccountID, ahead bool, shedder *Shedder) bool {
+	return p.Within(now, account, shedder.AdmittedFraction()) || shedder.Admit() && (!ahead || shedder.Admit())
 }
