Hold accounts that are ahead of the one furthest behind

Cause: an account was held at 1.5 times the mean usage of the others that wait. Where one account is behind many, the mean is that of the many, and nobody is held.

TestAccountsAheadOfTheOneFurthestBehindAreHeld draws 200 loads.

--- a/fleet/process/placement/accounts.go
+++ b/fleet/process/placement/accounts.go
@@ -205,7 +205,7 @@
 	granted := u.granted
 	return relativeUsage{
 		shareUsed: granted / t.fairShare, ofHighest: min(granted/t.highestGranted, 1),
-		held: granted > t.holdLimit(t.bucketOf(now), &u),
+		held: granted > t.holdLimit(),
 	}
 }
 
--- a/fleet/process/placement/hold.go
+++ b/fleet/process/placement/hold.go
@@ -7,13 +7,12 @@
 
 // Capacity that is left beyond the fair shares goes to accounts in the order in which they find it. An
 // account whose callers reach few VMs, or VMs that are short of processor time, finds little, while one
-// with many VMs takes nearly all. So an account is held at a usage not far above that of the others
-// that wait.
+// with many VMs takes nearly all. So an account is held at a usage not far above that of each other one
+// that waits.
 
 const (
-	// maxLead is the usage of an account, relative to the mean of the others that wait, at which it
-	// is held.
-	maxLead = 1.5
+	// maxLead is the usage of an account, relative to the least of those that wait, at which it is held.
+	maxLead = 1.4
 	// An account waits if it requested more than unmetFactor times what it was granted in each of the
 	// last waitBuckets buckets of the share window: accounts that send in turns do not wait for each
 	// other. One that was granted less than blockedFraction of the highest usage is kept from its share by
@@ -29,9 +28,8 @@
 
 // holdLevels say at which usage accounts are held.
 type holdLevels struct {
-	// waitingUsage is the sum of the usage of the accounts that wait, in tokens.
-	waitingUsage float64
-	waiting      int
+	// leastWaiting is the least usage of the accounts that wait, in tokens; infinity if none waits.
+	leastWaiting float64
 	// guaranteed is the usage in tokens below which no account is held.
 	guaranteed float64
 }
@@ -40,11 +38,10 @@
 // ascending order, as t.sorted is.
 func (t *usageTracker) computeHoldLevels(now time.Time, requests []float64, fairShare, highest float64) holdLevels {
 	capacity := guaranteedFraction * t.tokensPerSecond * t.covered(now).Seconds()
-	levels := holdLevels{guaranteed: max(fairShare, maxMinShare(requests, capacity))}
+	levels := holdLevels{leastWaiting: math.Inf(1), guaranteed: max(fairShare, maxMinShare(requests, capacity))}
 	for i := range t.sorted {
 		if u := &t.sorted[i]; u.waits(t.bucketOf(now), highest) {
-			levels.waitingUsage += u.granted
-			levels.waiting++
+			levels.leastWaiting = min(levels.leastWaiting, u.granted)
 		}
 	}
 	return levels
@@ -62,18 +59,8 @@
 	return u.granted > blockedFraction*highest
 }
 
-// holdLimit returns the usage at which an account is held; infinity if no other one waits.
-func (l *shareLevels) holdLimit(bucket int64, u *accountUsage) float64 {
-	usage, others := l.waitingUsage, l.waiting
-	if others > 0 && u.waits(bucket, l.highestGranted) {
-		usage = max(usage-u.granted, 0)
-		others--
-	}
-	if others == 0 {
-		return math.Inf(1)
-	}
-	return max(maxLead*usage/float64(others), l.guaranteed)
-}
+// holdLimit returns the usage at which accounts are held; infinity if none waits.
+func (l *holdLevels) holdLimit() float64 { return max(maxLead*l.leastWaiting, l.guaranteed) }
 
 // covered returns the time that the counted usage stands for: the mean life of usage but in the first seconds of
 // a process.
--- a/fleet/process/placement/hold_test.go
+++ b/fleet/process/placement/hold_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -50,3 +51,36 @@
 		})
 	}
 }
+
+// Guards against an account that is behind most others and holds none of them: they were compared with the mean
+// of those that wait, which is high where only one is behind.
+func TestAccountsAheadOfTheOneFurthestBehindAreHeld(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 60))
+		now, tracker := time.Unix(1000, 0), newUsageTracker(4*time.Second)
+		const behind = version.AccountID(0)
+		accounts := version.AccountID(3 + random.IntN(8))
+		granted := []float64{500 + 500*random.Float64()}
+		for range accounts - 1 {
+			granted = append(granted, 2000+500*random.Float64())
+		}
+		for range 2 * shareBuckets {
+			for account := range accounts {
+				tracker.recordRequest(now, account, 5000+20_000*random.Float64())
+				tracker.recordGrant(now, account, granted[account])
+			}
+			now = now.Add(tracker.window / shareBuckets)
+		}
+		now = now.Add(-time.Millisecond)
+		if tracker.relativeUsage(now, behind).held {
+			t.Errorf("seed %d: the account behind is held", seed)
+		}
+		for account := behind + 1; account < accounts; account++ {
+			// An account is never held below the fair share.
+			if usage := tracker.relativeUsage(now, account); usage.held != (usage.shareUsed > 1) {
+				t.Errorf("seed %d: an account with %.2f of the one furthest behind and %.2f of its share is held: %v",
+					seed, granted[account]/granted[behind], usage.shareUsed, usage.held)
+			}
+		}
+	}
+}
