Take back telling accounts apart at the listener

Change: the listener turns away whoever comes again, and counts it for the next request that is taken in. Further requests on open connections are still shed by account, those ahead of their share first (TestFurtherRequestsOfAccountsAheadAreShedFirst).

--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"syscall"
 
@@ -23,8 +22,6 @@
 	// response is written, and a process that runs out of memory is killed with all of its
 	// requests.
 	hardLimitFactor = 1.5
-	// peekBytes is how much of a request is looked at to find its account before it is read.
-	peekBytes = 2 << 10
 )
 
 // connLimiter counts the open connections of callers against a limit.
@@ -73,8 +70,6 @@
 	rejecter    *turnaway.Rejecter
 	// port bounds the accepted connections; nil leaves that to connLimiter.
 	port *bounded.Port
-	// head is the buffer of peeks.
-	head [peekBytes]byte
 	// stopped is set once every new connection is to be rejected, and ended once there are no
 	// more.
 	stopped, ended atomic.Bool
@@ -99,45 +94,16 @@
 			l.ended.Store(true)
 			return nil, err
 		}
-		switch {
-		case l.rejectsAll():
-			l.admission.countRejected()
-		case l.admission.admitConnection(func() []byte { return l.peekConn(conn) }):
+		if !l.rejectsAll() && l.admission.admitConnection() {
 			return conn, nil
 		}
 		l.reject(conn)
-		if conn := l.rejectBacklog(); conn != nil {
-			return conn, nil
-		}
-	}
-}
-
-// peekConn returns what has arrived on a connection, without reading it.
-func (l *admissionListener) peekConn(conn net.Conn) (head []byte) {
-	inner, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	// A connection that fails has nothing to peek at.
-	_ = raw.Control(func(fd uintptr) { head = l.peek(int(fd)) })
-	return head
-}
-
-// peek returns what has arrived on a socket, without reading it; the result is valid until the next call.
-func (l *admissionListener) peek(fd int) []byte {
-	n, _, err := unix.Recvfrom(fd, l.head[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if err != nil || n <= 0 {
-		return nil
+		l.rejectBacklog()
 	}
-	return l.head[:n]
 }
 
-// reject rejects a connection that was counted.
 func (l *admissionListener) reject(conn net.Conn) {
+	l.admission.countRejected()
 	fd, err := turnaway.Detach(conn)
 	if err != nil {
 		// Nothing was read from the connection, so its caller may retry elsewhere at once.
@@ -163,17 +129,17 @@
 	d.rejecter.RejectBegun(fd, read)
 }
 
-// rejectBacklog rejects connections of the listener's backlog until it is empty or the next connection is
-// admitted. It calls accept(2) directly, because accepting through the runtime takes three more system calls, and
-// memory. It returns a connection that it has accepted because its account is within its part, or nil.
-func (l *admissionListener) rejectBacklog() (within net.Conn) {
+// rejectBacklog rejects connections of the listener's backlog until it is empty or the next
+// connection is admitted. It calls accept(2) directly, because accepting through the runtime
+// takes three more system calls, and memory.
+func (l *admissionListener) rejectBacklog() {
 	listener, ok := l.Listener.(syscall.Conn)
 	if !ok {
-		return nil
+		return
 	}
 	raw, err := listener.SyscallConn()
 	if err != nil {
-		return nil
+		return
 	}
 	// On an error the rest of the backlog is left to Accept, which reports the error.
 	_ = raw.Control(func(fd uintptr) {
@@ -182,30 +148,8 @@
 			if err != nil {
 				return
 			}
-			switch {
-			case l.rejectsAll():
-				l.admission.countRejected()
-			case l.admission.admitKnown(func() []byte { return l.peek(conn) }):
-				if within = fileConn(conn); within != nil {
-					return
-				}
-				continue
-			}
+			l.admission.countRejected()
 			l.rejecter.Reject(conn)
 		}
 	})
-	return within
-}
-
-// fileConn returns a connection of the runtime for a socket, which it takes over; nil if that fails.
-func fileConn(fd int) net.Conn {
-	file := os.NewFile(uintptr(fd), "caller")
-	// FileConn duplicates the descriptor. Nothing was read from a connection that it fails for, so its caller may
-	// retry elsewhere at once.
-	defer file.Close()
-	conn, err := net.FileConn(file)
-	if err != nil {
-		return nil
-	}
-	return conn
 }
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -190,7 +190,7 @@
 		d.metrics.vars.Set("rollouts", expvar.Func(func() any { return d.rollouts.status() }))
 	}
 	d.mirror = mirror.New(mirrorOptions)
-	d.admission.accountOf, d.admission.ahead = d.accountOfHead, d.placing.Ahead
+	d.admission.ahead = d.placing.Ahead
 	d.handler = d.newHandler(d.plan)
 	d.ports = bounded.New(d.plan.MaxHeadBytes, d.log)
 	d.unread = unread.New(unread.Options{MaxBytes: d.plan.MaxUnreadBytes, Log: d.log})
@@ -264,19 +264,6 @@
 	})
 }
 
-// accountOfHead returns the account whose API key stands in the beginning of a request, if it is known.
-func (d *Daemon) accountOfHead(head []byte) (version.AccountID, bool) {
-	config, key := d.placing.Config(), platform.KeyOfHead(head)
-	if config == nil || key == "" {
-		return 0, false
-	}
-	account, found := config.AccountByKey(key)
-	if !found {
-		return 0, false
-	}
-	return account.ID, true
-}
-
 // Run serves until ctx ends, then drains the daemon. It returns nil after a drain or when it
 // was cancelled, otherwise the error that stopped the daemon.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -13,10 +13,8 @@
 // concurrent use.
 type admission struct {
 	log *slog.Logger
-	// accountOf returns the account whose API key stands in the beginning of a request, if it is known, and
-	// ahead reports whether an account is ahead of its share. Both are nil where accounts are not told apart.
-	accountOf func(head []byte) (version.AccountID, bool)
-	ahead     func(version.AccountID) bool
+	// ahead reports whether an account is ahead of its share; nil where accounts are not told apart.
+	ahead func(version.AccountID) bool
 
 	mu      sync.Mutex
 	shedder *valve.Shedder
@@ -25,10 +23,8 @@
 	// admitted counts connections and further requests that were admitted, refused such requests
 	// that were not, rejected such connections.
 	admitted, refused, rejected uint64
-	// unattributed counts the rejected connections of unknown accounts, and turnedAway those of known ones, since
-	// they were last taken.
-	unattributed int
-	turnedAway   map[version.AccountID]int
+	// attributed is rejected as of the last call of takeTurnedAway.
+	attributed uint64
 	// nextAdmitted is set if admitNext has admitted the next connection.
 	nextAdmitted bool
 	// overloadedSince is when load shedding began; zero while everything is admitted.
@@ -56,84 +52,22 @@
 // newAdmission returns an admission that sheds load while the scheduling lag exceeds limit; 0
 // is valve.DefaultLagLimit.
 func newAdmission(limit time.Duration, log *slog.Logger) *admission {
-	return &admission{shedder: valve.New(limit), parts: valve.NewParts(), turnedAway: make(map[version.AccountID]int), log: log}
+	return &admission{shedder: valve.New(limit), parts: valve.NewParts(), log: log}
 }
 
-// admitConnection reports whether to admit a new connection, with its first request. peek returns the
-// beginning of that request; it is called only while the process sheds load.
-func (a *admission) admitConnection(peek func() []byte) bool {
-	admitted, account, known := a.takeNext(), version.AccountID(0), false
-	if a.shedsLoad() {
-		account, known = a.identify(peek)
-	}
-	ahead := known && a.ahead(account)
+// admitConnection reports whether to admit a new connection, with its first request.
+func (a *admission) admitConnection() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case known && admitted:
-		admitted = !ahead || a.parts.Admits(time.Now(), account, false, a.shedder)
-	case known:
-		admitted = a.parts.Admits(time.Now(), account, ahead, a.shedder)
-	case !admitted:
-		admitted = a.shedder.Admit()
-	}
-	if admitted {
-		a.admitted++
-		return true
-	}
-	a.reject(account, known)
-	return false
-}
-
-// admitKnown reports whether to admit a new connection that the load shedder does not admit, because its account
-// is known and within its part.
-func (a *admission) admitKnown(peek func() []byte) bool {
-	account, known := a.identify(peek)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if known && a.parts.Within(time.Now(), account, a.shedder.AdmittedFraction()) {
+	nextAdmitted := a.nextAdmitted
+	a.nextAdmitted = false
+	if nextAdmitted || a.shedder.Admit() {
 		a.admitted++
 		return true
 	}
-	a.reject(account, known)
 	return false
 }
 
-// identify returns the account of a connection, if it is known.
-func (a *admission) identify(peek func() []byte) (version.AccountID, bool) {
-	if a.accountOf == nil {
-		return 0, false
-	}
-	head := peek()
-	if len(head) == 0 {
-		return 0, false
-	}
-	return a.accountOf(head)
-}
-
-// reject counts a connection that is not admitted. a.mu must be held.
-func (a *admission) reject(account version.AccountID, known bool) {
-	a.rejected++
-	if !known {
-		a.unattributed++
-		return
-	}
-	a.turnedAway[account]++
-	a.parts.Arrive(time.Now(), account)
-}
-
-// takeNext returns whether admitNext has admitted the next connection, and forgets it.
-func (a *admission) takeNext() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	nextAdmitted := a.nextAdmitted
-	a.nextAdmitted = false
-	return nextAdmitted
-}
-
-// shedsLoad reports whether the process admits less than all.
-func (a *admission) shedsLoad() bool { return a.admittedFraction() < 1 }
-
 // admitNext decides about the next connection before it is accepted. If it returns true, the
 // next call of admitConnection returns true as well.
 func (a *admission) admitNext() bool {
@@ -143,17 +77,17 @@
 	return a.nextAdmitted
 }
 
-// countRejected counts a connection that was rejected whatever the load shedder admits.
+// countRejected counts a connection that was not admitted.
 func (a *admission) countRejected() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.reject(0, false)
+	a.rejected++
 }
 
 // admitRequest reports whether to admit a request of an account on an admitted connection: the first one
 // always, a further one as valve.Parts says. It counts requests that are not admitted.
 func (a *admission) admitRequest(account version.AccountID, first bool) bool {
-	ahead := !first && a.ahead != nil && a.shedsLoad() && a.ahead(account)
+	ahead := !first && a.ahead != nil && a.admittedFraction() < 1 && a.ahead(account)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -183,15 +117,13 @@
 	return a.rejected
 }
 
-// takeTurnedAway returns how many connections of an account, and of unknown ones, were turned away since its last
-// calls.
-func (a *admission) takeTurnedAway(account version.AccountID) int {
+// takeTurnedAway returns how many connections were turned away since its last call.
+func (a *admission) takeTurnedAway() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	turnedAway := a.unattributed + a.turnedAway[account]
-	a.unattributed = 0
-	delete(a.turnedAway, account)
-	return turnedAway
+	turnedAway := a.rejected - a.attributed
+	a.attributed = a.rejected
+	return int(turnedAway)
 }
 
 // observeLag updates the load shedder with the scheduling lag of the last interval, and logs
