--- a/fleet/process/placement/fade_test.go
+++ b/fleet/process/placement/fade_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Guards against an account that all VMs but one refuse, as that one turns away nearly all that it asks for: what
-// others granted it was estimated from their requests, turned away ones included, to be many times what it had.
+// Guards against an account that counts as above its share at its other VMs because one VM turns away most of its
+// requests: what that VM granted was estimated from all that reached it.
 func TestGrantsAreNotEstimatedFromRequestsThatVMsTurnAway(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 57))
@@ -46,7 +46,7 @@
 		const perStep = 1000.0
 		for range 400 {
 			now = now.Add(10 * time.Millisecond)
-			// Another VM is granted as much for the account, and turns a multiple of it away.
+			// Another VM grants the account as much, and turns a multiple of it away.
 			tracker.recordRequest(now, here, 5*perStep)
 			tracker.recordGrant(now, here, perStep)
 			tracker.add(now, here, 5*perStep*there, perStep)
