Find the account of connections that are turned away

Cause: a VM that is behind turned new connections away unread, an even fraction of whoever came, and the demand of whoever was turned away counted for the account that came in next.

Change: while it sheds load, the listener reads what has arrived of the first request, which the rejecter read before. The API key in it tells whose connection it is. Accounts within their part are admitted, those ahead of their share only if the shedder admits them twice, and what is turned away counts for its own account. Admitted connections go to the server with what was read. Parts have no least fraction of what arrives any more: at 4,000 connections a second a tenth is twice what a VM of 0.192 cores serves.

TestTurnedAwayConnectionsAreTakenOnce is as strict as before: admitConnection counts what it rejects.

--- a/daemon/connection/bounded/conn.go
+++ b/daemon/connection/bounded/conn.go
@@ -30,9 +30,11 @@
 
 // conn is a client's connection.
 type conn struct {
-	// Conn is the TLS or the TCP connection, and tcp the TCP connection.
+	// Conn is the TLS or the TCP connection, tcp the TCP connection, and begun the one of which a part was
+	// read before; nil if none was.
 	net.Conn
 	tcp     *net.TCPConn
+	begun   *BegunConn
 	port    *Port
 	address netip.Addr
 	phase   atomic.Int32
@@ -47,10 +49,13 @@
 	needed, reserved atomic.Int64
 }
 
-func newConn(p *Port, tcp *net.TCPConn) *conn {
-	c := &conn{Conn: tcp, tcp: tcp, port: p}
+func newConn(p *Port, tcp *net.TCPConn, begun *BegunConn) *conn {
+	c := &conn{Conn: tcp, tcp: tcp, begun: begun, port: p}
+	if begun != nil {
+		c.Conn = begun
+	}
 	if p.options.TLS != nil {
-		c.Conn = tls.Server(tcp, p.options.TLS)
+		c.Conn = tls.Server(c.Conn, p.options.TLS)
 	}
 	if address, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
 		c.address = address.AddrPort().Addr()
@@ -167,6 +172,9 @@
 	if c.writing.Load() > 0 || c.phase.Load() == phaseEnding {
 		return false
 	}
+	if c.begun != nil && c.begun.unread.Load() {
+		return true
+	}
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
--- a/daemon/connection/bounded/port.go
+++ b/daemon/connection/bounded/port.go
@@ -65,7 +65,7 @@
 }
 
 // Listener returns a listener of the port's connections. Their server must call Track. inner accepts
-// TCP connections without TLS.
+// TCP connections without TLS, as they are or as BegunConns.
 func (p *Port) Listener(inner net.Listener) net.Listener { return &listener{Listener: inner, port: p} }
 
 type listener struct {
@@ -80,14 +80,21 @@
 		if err != nil {
 			return nil, err
 		}
-		tcp, ok := accepted.(*net.TCPConn)
-		if !ok {
+		var tcp *net.TCPConn
+		begun, ok := accepted.(*BegunConn)
+		if ok {
+			tcp = begun.TCPConn
+		} else if tcp, ok = accepted.(*net.TCPConn); !ok {
 			return accepted, nil
 		}
-		if l.port.HasRoom() || l.port.options.Reject == nil && l.port.awaitRoom() {
-			return l.port.add(tcp), nil
+		switch {
+		case l.port.HasRoom() || l.port.options.Reject == nil && l.port.awaitRoom():
+			return l.port.add(tcp, begun), nil
+		case begun != nil:
+			l.port.reject(tcp, begun.read)
+		default:
+			l.port.reject(tcp, nil)
 		}
-		l.port.reject(tcp, nil)
 	}
 }
 
@@ -118,8 +125,8 @@
 }
 
 // add adds a new connection.
-func (p *Port) add(tcp *net.TCPConn) *conn {
-	c := newConn(p, tcp)
+func (p *Port) add(tcp *net.TCPConn, begun *BegunConn) *conn {
+	c := newConn(p, tcp, begun)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns[c] = struct{}{}
--- a/daemon/connection/turnaway/turnaway.go
+++ b/daemon/connection/turnaway/turnaway.go
@@ -111,7 +111,18 @@
 // Reject rejects a connection: it writes the response, at once or when the request's head has
 // arrived, and closes the connection. fd must be the file descriptor of a stream socket in
 // non-blocking mode. The Rejecter owns fd from then on.
-func (r *Rejecter) Reject(fd int) { r.reject(waitingConn{fd: fd}) }
+func (r *Rejecter) Reject(fd int) { r.reject(waitingConn{fd: fd}, false) }
+
+// RejectRead is Reject for a connection of whose first request read has been read, from its beginning.
+func (r *Rejecter) RejectRead(fd int, read []byte) {
+	if len(read) == 0 {
+		r.Reject(fd)
+		return
+	}
+	c := waitingConn{fd: fd}
+	c.addRequestBytes(read)
+	r.reject(c, c.headTail == nil)
+}
 
 // RejectBegun is Reject for a connection of whose first request a part has been read, which ends in
 // read.
@@ -119,14 +130,21 @@
 	// The length of the request may be in the part before.
 	c := waitingConn{fd: fd, headTail: []byte{}}
 	c.addRequestBytes(read)
-	r.reject(c)
+	r.reject(c, c.headTail == nil)
 }
 
-func (r *Rejecter) reject(c waitingConn) {
+// reject rejects a connection; headRead is set if the head of its request has been read.
+func (r *Rejecter) reject(c waitingConn, headRead bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.deadline = time.Now().Add(requestTimeout)
-	if c.unreadBytes < 0 && !r.respond(&c) || r.readRequest(&c) {
+	switch {
+	case headRead && !r.respond(&c):
+		return
+	case headRead && c.unreadBytes == 0:
+		r.close(c)
+		return
+	case r.readRequest(&c):
 		return
 	}
 	if len(r.waiting) >= r.maxWaiting {
--- a/daemon/connection/turnaway/turnaway_test.go
+++ b/daemon/connection/turnaway/turnaway_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -164,3 +165,48 @@
 		}
 	})
 }
+
+// Guards against connections of which a part was read, a head or less, a body or a part of it, and that get no
+// response or are reset.
+func TestRejectsConnectionsOfWhichAPartWasRead(t *testing.T) {
+	const callers = 200
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	rejecter := New(Options{Body: []byte(body)})
+	go func() { _ = rejecter.Run(t.Context()) }()
+	random := rand.New(rand.NewPCG(56, 1))
+	for i := range callers {
+		length := random.IntN(3000)
+		request := head(length) + strings.Repeat("x", length)
+		sent := dial(t, listener.Addr().String())
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(sent, request); err != nil {
+			t.Fatal(err)
+		}
+		read := make([]byte, random.IntN(len(request)+1))
+		if _, err := io.ReadFull(conn, read); err != nil {
+			t.Fatal(err)
+		}
+		fd, err := Detach(conn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		rejecter.RejectRead(fd, read)
+		if err := readRejection(sent); err != nil {
+			t.Errorf("caller %d, request of %d bytes, of which %d were read: %v", i, len(request), len(read), err)
+		}
+		if took := time.Since(began); took > requestTimeout {
+			t.Errorf("caller %d, request of %d bytes, of which %d were read: closed after %v", i, len(request), len(read), took)
+		}
+	}
+	if counts := rejecter.Counts(); counts != (Counts{Answered: callers}) {
+		t.Errorf("got counts %+v, want every connection answered", counts)
+	}
+}
--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"bytes"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 
@@ -22,6 +24,8 @@
 	// response is written, and a process that runs out of memory is killed with all of its
 	// requests.
 	hardLimitFactor = 1.5
+	// firstReadBytes bounds what is read of a request before its connection is admitted.
+	firstReadBytes = 32 << 10
 )
 
 // connLimiter counts the open connections of callers against a limit.
@@ -63,6 +67,9 @@
 // its hard limit or the process is overloaded, it passes connections to the rejecter before
 // the server starts a goroutine for them: that goroutine would hold buffers until the
 // processor has time to run it.
+//
+// While the process is overloaded, the listener reads what has arrived of the first request, which tells whose
+// connections to reject.
 type admissionListener struct {
 	net.Listener
 	connLimiter *connLimiter
@@ -70,6 +77,8 @@
 	rejecter    *turnaway.Rejecter
 	// port bounds the accepted connections; nil leaves that to connLimiter.
 	port *bounded.Port
+	// buffer holds what was read of the present connection; nil before the first one.
+	buffer []byte
 	// stopped is set once every new connection is to be rejected, and ended once there are no
 	// more.
 	stopped, ended atomic.Bool
@@ -89,28 +98,68 @@
 // Accept implements net.Listener.
 func (l *admissionListener) Accept() (net.Conn, error) {
 	for {
+		if conn := l.acceptBacklog(); conn != nil {
+			return conn, nil
+		}
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			l.ended.Store(true)
 			return nil, err
 		}
-		if !l.rejectsAll() && l.admission.admitConnection() {
-			return conn, nil
+		if admitted := l.decide(conn); admitted != nil {
+			return admitted, nil
 		}
-		l.reject(conn)
-		l.rejectBacklog()
 	}
 }
 
-func (l *admissionListener) reject(conn net.Conn) {
-	l.admission.countRejected()
+// decide returns a connection that was accepted through the runtime, or nil if it is rejected.
+func (l *admissionListener) decide(conn net.Conn) net.Conn {
+	var head []byte
+	switch tcp, ok := conn.(*net.TCPConn); {
+	case l.rejectsAll():
+		l.admission.countRejected()
+	case !l.admission.shedsLoad() || !ok:
+		if l.admission.admitConnection(nil) {
+			return conn
+		}
+	default:
+		head = l.readConn(tcp)
+		if l.admission.admitConnection(head) {
+			return bounded.NewBegunConn(tcp, bytes.Clone(head))
+		}
+	}
 	fd, err := turnaway.Detach(conn)
 	if err != nil {
-		// Nothing was read from the connection, so its caller may retry elsewhere at once.
+		// No request was served, so its caller may retry elsewhere at once.
 		_ = conn.Close()
-		return
+		return nil
 	}
-	l.rejecter.Reject(fd)
+	l.rejecter.RejectRead(fd, head)
+	return nil
+}
+
+// readConn returns what has arrived on a connection; the result is valid until the next read.
+func (l *admissionListener) readConn(conn *net.TCPConn) (head []byte) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	// A connection that fails has nothing to read.
+	_ = raw.Control(func(fd uintptr) { head = l.read(int(fd)) })
+	return head
+}
+
+// read returns what has arrived on a socket; the result is valid until the next read.
+func (l *admissionListener) read(fd int) []byte {
+	if l.buffer == nil {
+		l.buffer = make([]byte, firstReadBytes)
+	}
+	// The next read reports an error again.
+	n, err := unix.Read(fd, l.buffer)
+	if err != nil {
+		return nil
+	}
+	return l.buffer[:n]
 }
 
 // rejectConn rejects a connection for which there is no room, or whose request has a head, of which a
@@ -129,27 +178,62 @@
 	d.rejecter.RejectBegun(fd, read)
 }
 
-// rejectBacklog rejects connections of the listener's backlog until it is empty or the next
-// connection is admitted. It calls accept(2) directly, because accepting through the runtime
-// takes three more system calls, and memory.
-func (l *admissionListener) rejectBacklog() {
+// acceptBacklog rejects connections of the listener's backlog until it is empty, a connection is admitted or
+// nothing has to be rejected any more. It returns the admitted connection, or nil. It calls accept(2)
+// directly, because accepting through the runtime takes three more system calls, and memory.
+func (l *admissionListener) acceptBacklog() (admitted net.Conn) {
+	if !l.rejectsAll() && !l.admission.shedsLoad() {
+		return nil
+	}
 	listener, ok := l.Listener.(syscall.Conn)
 	if !ok {
-		return
+		return nil
 	}
 	raw, err := listener.SyscallConn()
 	if err != nil {
-		return
+		return nil
 	}
 	// On an error the rest of the backlog is left to Accept, which reports the error.
 	_ = raw.Control(func(fd uintptr) {
-		for l.rejectsAll() || !l.admission.admitNext() {
-			conn, _, err := unix.Accept4(int(fd), unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
+		for admitted == nil {
+			all := l.rejectsAll()
+			if !all && !l.admission.shedsLoad() {
+				return
+			}
+			socket, _, err := unix.Accept4(int(fd), unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
 			if err != nil {
 				return
 			}
-			l.admission.countRejected()
-			l.rejecter.Reject(conn)
+			if all {
+				l.admission.countRejected()
+				l.rejecter.Reject(socket)
+				continue
+			}
+			if head := l.read(socket); l.admission.admitConnection(head) {
+				admitted = serverConn(socket, head)
+			} else {
+				l.rejecter.RejectRead(socket, head)
+			}
 		}
 	})
+	return admitted
+}
+
+// serverConn returns a connection of the runtime for a socket, which it takes over and of which read was read;
+// nil if that fails.
+func serverConn(socket int, read []byte) net.Conn {
+	file := os.NewFile(uintptr(socket), "caller")
+	// FileConn duplicates the descriptor. Nothing was served of a connection that it fails for, so its caller may
+	// retry elsewhere at once.
+	defer file.Close()
+	conn, err := net.FileConn(file)
+	if err != nil {
+		return nil
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return nil
+	}
+	return bounded.NewBegunConn(tcp, bytes.Clone(read))
 }
--- a/daemon/process/edge/crowd_test.go
+++ b/daemon/process/edge/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/trefoilwell/trefoilwell/fleet/version"
+	"github.com/trefoilwell/trefoilwell/platform"
+	"github.com/trefoilwell/trefoilwell/platform/platformtest"
 )
 
 // backlogListener is a fake listener with a backlog of connections. It counts those that are
@@ -173,22 +176,102 @@
 	}
 	want := 0
 	for range 50 {
-		if !overloaded.admitConnection() {
-			overloaded.countRejected()
+		if !overloaded.admitConnection(nil) {
 			want++
 		}
 	}
 	if want == 0 {
 		t.Fatal("an overloaded process admits everything")
 	}
-	if got := overloaded.takeTurnedAway(); got != want {
+	if got := overloaded.takeTurnedAway(1); got != want {
 		t.Errorf("%d were turned away, want %d", got, want)
 	}
-	if again := overloaded.takeTurnedAway(); again != 0 {
+	if again := overloaded.takeTurnedAway(1); again != 0 {
 		t.Errorf("%d were turned away since, want 0", again)
 	}
 }
 
+// Guards against connections of one account that are turned away and count in the demand of another.
+func TestTurnedAwayConnectionsCountForTheirAccounts(t *testing.T) {
+	overloaded := newAdmission(0, slog.New(slog.DiscardHandler))
+	overloaded.accountOf = func(head []byte) (version.AccountID, bool) { return version.AccountID(head[0]), head[0] > 0 }
+	for range 100 {
+		overloaded.observeLag(time.Second)
+	}
+	want := make(map[byte]int)
+	for i := range 1000 {
+		// The account 0 is unknown.
+		account := byte(i % 3)
+		if !overloaded.admitConnection([]byte{account}) {
+			want[account]++
+		}
+	}
+	first := overloaded.takeTurnedAway(1)
+	second := overloaded.takeTurnedAway(2)
+	if first != want[1]+want[0] || second != want[2] {
+		t.Errorf("%d and %d were turned away, want %d with those of unknown accounts and %d", first, second, want[1]+want[0], want[2])
+	}
+}
+
+// Guards against an account that sends few requests over new connections to a process which another account
+// floods: whoever came was turned away unread.
+func TestNewConnectionsOfAccountsThatSendFewAreAdmitted(t *testing.T) {
+	const waiting, perRound, flood, few = 1200, 120, version.AccountID(1), version.AccountID(2)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	overloaded := newAdmission(0, slog.New(slog.DiscardHandler))
+	overloaded.accountOf = func(head []byte) (version.AccountID, bool) {
+		return map[string]version.AccountID{"flood": flood, "few": few}[string(platform.KeyOfHead(head))], true
+	}
+	overloaded.ahead = func(account version.AccountID) bool { return account == flood }
+	rejecter := newRejecter(waiting)
+	go func() { _ = rejecter.Run(t.Context()) }()
+	admitting := &admissionListener{Listener: listener, connLimiter: newConnLimiter(8192, waiting), admission: overloaded, rejecter: rejecter}
+	sent, admitted, done := make(map[string]int), make(map[string]int), 0
+	for done < waiting {
+		for range 100 {
+			overloaded.observeLag(time.Second)
+		}
+		// The backlog of the listener holds what came since.
+		for i := range perRound {
+			key := "flood"
+			if i == 47 {
+				key = "few"
+			}
+			sent[key]++
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			fmt.Fprintf(caller, "GET /%s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", key, platformtest.HeaderKey, key)
+		}
+		done += perRound
+		for accepted := 0; ; accepted++ {
+			if tcp := listener.(*net.TCPListener); tcp.SetDeadline(time.Now().Add(100*time.Millisecond)) != nil {
+				t.Fatal("no deadline of the listener")
+			}
+			conn, err := admitting.Accept()
+			if err != nil {
+				break
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				t.Fatalf("an admitted connection lacks its request: %v", err)
+			}
+			admitted[request.URL.Path[1:]]++
+			overloaded.admitRequest(map[string]version.AccountID{"flood": flood, "few": few}[request.URL.Path[1:]], true)
+			defer conn.Close()
+		}
+	}
+	if admitted["few"]*10 < sent["few"]*9 || admitted["flood"] > sent["flood"]/5 {
+		t.Errorf("%v of %v connections are admitted, want nine of ten of the few and a fifth of the flood at most", admitted, sent)
+	}
+}
+
 // Guards against an overloaded process that sheds the requests of all accounts alike.
 func TestFurtherRequestsOfAccountsThatSendFewAreAdmitted(t *testing.T) {
 	const flood, few = version.AccountID(1), version.AccountID(2)
--- a/daemon/process/edge/edge.go
+++ b/daemon/process/edge/edge.go
@@ -190,7 +190,7 @@
 		d.metrics.vars.Set("rollouts", expvar.Func(func() any { return d.rollouts.status() }))
 	}
 	d.mirror = mirror.New(mirrorOptions)
-	d.admission.ahead = d.placing.Ahead
+	d.admission.accountOf, d.admission.ahead = newHeadAccounts(d.placing.Config).find, d.placing.Ahead
 	d.handler = d.newHandler(d.plan)
 	d.ports = bounded.New(d.plan.MaxHeadBytes, d.log)
 	d.unread = unread.New(unread.Options{MaxBytes: d.plan.MaxUnreadBytes, Log: d.log})
--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -13,20 +13,24 @@
 // concurrent use.
 type admission struct {
 	log *slog.Logger
-	// ahead reports whether an account is ahead of its share; nil where accounts are not told apart.
-	ahead func(version.AccountID) bool
+	// accountOf returns the account of a request by the beginning of its head, if it is known, and ahead reports
+	// whether an account is ahead of its share. accountOf is nil where accounts are not told apart.
+	accountOf func(head []byte) (version.AccountID, bool)
+	ahead     func(version.AccountID) bool
 
 	mu      sync.Mutex
 	shedder *valve.Shedder
-	// parts are what accounts may send of further requests whatever the shedder admits.
+	// parts are what accounts may send whatever the shedder admits.
 	parts *valve.Parts
+	// arrived counts the admitted connections whose first requests are in parts already.
+	arrived map[version.AccountID]int
 	// admitted counts connections and further requests that were admitted, refused such requests
 	// that were not, rejected such connections.
 	admitted, refused, rejected uint64
-	// attributed is rejected as of the last call of takeTurnedAway.
-	attributed uint64
-	// nextAdmitted is set if admitNext has admitted the next connection.
-	nextAdmitted bool
+	// turnedAway counts the rejected connections of known accounts, and unattributed the others, since they were last
+	// taken.
+	turnedAway   map[version.AccountID]int
+	unattributed int
 	// overloadedSince is when load shedding began; zero while everything is admitted.
 	overloadedSince time.Time
 	// longestLag and minFraction are the longest lag and the lowest admitted fraction
@@ -52,49 +56,68 @@
 // newAdmission returns an admission that sheds load while the scheduling lag exceeds limit; 0
 // is valve.DefaultLagLimit.
 func newAdmission(limit time.Duration, log *slog.Logger) *admission {
-	return &admission{shedder: valve.New(limit), parts: valve.NewParts(), log: log}
+	return &admission{
+		shedder: valve.New(limit), parts: valve.NewParts(), arrived: make(map[version.AccountID]int),
+		turnedAway: make(map[version.AccountID]int), log: log,
+		ahead: func(version.AccountID) bool { return false },
+	}
 }
 
-// admitConnection reports whether to admit a new connection, with its first request.
-func (a *admission) admitConnection() bool {
+// admitConnection reports whether to admit a new connection, with its first request, of which head was read.
+// It counts connections that are not admitted.
+func (a *admission) admitConnection(head []byte) bool {
+	account, known := version.AccountID(0), false
+	if a.accountOf != nil && len(head) > 0 {
+		account, known = a.accountOf(head)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	nextAdmitted := a.nextAdmitted
-	a.nextAdmitted = false
-	if nextAdmitted || a.shedder.Admit() {
+	if !known {
+		if a.shedder.Admit() {
+			a.admitted++
+			return true
+		}
+		a.rejected++
+		a.unattributed++
+		return false
+	}
+	now := time.Now()
+	a.parts.Arrive(now, account)
+	if a.parts.Admits(now, account, a.ahead, a.shedder) {
 		a.admitted++
+		a.arrived[account]++
 		return true
 	}
+	a.rejected++
+	a.turnedAway[account]++
 	return false
 }
 
-// admitNext decides about the next connection before it is accepted. If it returns true, the
-// next call of admitConnection returns true as well.
-func (a *admission) admitNext() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.nextAdmitted = a.shedder.Admit()
-	return a.nextAdmitted
-}
+// shedsLoad reports whether the process admits less than all.
+func (a *admission) shedsLoad() bool { return a.admittedFraction() < 1 }
 
-// countRejected counts a connection that was not admitted.
+// countRejected counts a connection that was rejected whatever the load shedder admits.
 func (a *admission) countRejected() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.rejected++
+	a.unattributed++
 }
 
 // admitRequest reports whether to admit a request of an account on an admitted connection: the first one
 // always, a further one as valve.Parts says. It counts requests that are not admitted.
 func (a *admission) admitRequest(account version.AccountID, first bool) bool {
-	ahead := !first && a.ahead != nil && a.admittedFraction() < 1 && a.ahead(account)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.parts.Arrive(now, account)
+	if first && a.arrived[account] > 0 {
+		a.arrived[account]--
+	} else {
+		a.parts.Arrive(now, account)
+	}
 	switch {
 	case first:
-	case a.parts.Admits(now, account, ahead, a.shedder):
+	case a.parts.Admits(now, account, a.ahead, a.shedder):
 		a.admitted++
 	default:
 		a.refused++
@@ -117,13 +140,15 @@
 	return a.rejected
 }
 
-// takeTurnedAway returns how many connections were turned away since its last call.
-func (a *admission) takeTurnedAway() int {
+// takeTurnedAway returns how many connections of an account, and of unknown ones, were turned away since its last
+// calls.
+func (a *admission) takeTurnedAway(account version.AccountID) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	turnedAway := a.rejected - a.attributed
-	a.attributed = a.rejected
-	return int(turnedAway)
+	turnedAway := a.unattributed + a.turnedAway[account]
+	a.unattributed = 0
+	delete(a.turnedAway, account)
+	return turnedAway
 }
 
 // observeLag updates the load shedder with the scheduling lag of the last interval, and logs
@@ -148,6 +173,8 @@
 			"longest_lag_ms", a.longestLag.Milliseconds(), "least_part", a.minFraction,
 			"refused", a.refused-a.refusedAtStart, "turned_away", a.rejected-a.rejectedAtStart)
 		a.overloadedSince = time.Time{}
+		// Those that remain have sent nothing that was served.
+		clear(a.arrived)
 	}
 }
 
--- a/daemon/request/serve/general.go
+++ b/daemon/request/serve/general.go
@@ -42,9 +42,9 @@
 	// all. first is set for the first request of a connection, which the listener has already
 	// admitted.
 	Admit func(account version.AccountID, first bool) bool
-	// TurnedAway returns how many connections the load shedder has turned away unread since its last
-	// call; by default none.
-	TurnedAway func() int
+	// TurnedAway returns how many connections of an account, and of unknown ones, the load shedder has
+	// turned away since its last calls; by default none.
+	TurnedAway func(account version.AccountID) int
 	// OnUnplaced is called with the ticket of a request that is refused because of this router's state
 	// before it is placed. The default does nothing.
 	OnUnplaced func(ticket request.Ticket)
@@ -105,7 +105,7 @@
 		options.Admit = func(version.AccountID, bool) bool { return true }
 	}
 	if options.TurnedAway == nil {
-		options.TurnedAway = func() int { return 0 }
+		options.TurnedAway = func(version.AccountID) int { return 0 }
 	}
 	if options.OnUnplaced == nil {
 		options.OnUnplaced = func(request.Ticket) {}
@@ -303,7 +303,7 @@
 		return refusal
 	}
 	c.ticket.ID = c.handler.options.Fleet.NewID()
-	c.ticket.TurnedAway = c.handler.options.TurnedAway()
+	c.ticket.TurnedAway = c.handler.options.TurnedAway(c.ticket.Account)
 	c.handler.withRetryBudget(c.pool.ID, func(w *retry.Window) bool {
 		w.Request(c.started)
 		return true
--- a/daemon/request/serve/general_test.go
+++ b/daemon/request/serve/general_test.go
@@ -49,7 +49,7 @@
 		ConfigFresh:  func() (bool, time.Duration) { return true, 0 },
 		Retry:        func() retry.WindowOptions { return retry.WindowOptions{Length: time.Second} },
 		MaxRequests:  generalAccountLimitDivisor,
-		TurnedAway:   func() int { return 3 },
+		TurnedAway:   func(version.AccountID) int { return 3 },
 		OnUnplaced:   func(ticket request.Ticket) { unplaced <- ticket },
 		Log:          slog.New(slog.DiscardHandler),
 	})
--- a/fleet/process/placement/doors_test.go
+++ b/fleet/process/placement/doors_test.go
@@ -217,7 +217,8 @@
 
 // offer is send for a test that asks whether the request was granted.
 func (sim *fleetSimulation) offer(vm int, ticket request.Ticket) bool {
-	ticket.TurnedAway, sim.turnedAway[vm] = sim.turnedAway[vm], 0
+	ticket.TurnedAway += sim.turnedAway[vm]
+	sim.turnedAway[vm] = 0
 	before := len(sim.pending[vm])
 	sim.send(vm, ticket)
 	return len(sim.pending[vm]) > before
--- a/fleet/process/placement/drawn_test.go
+++ b/fleet/process/placement/drawn_test.go
@@ -20,6 +20,8 @@
 	serveTime, refuseTime, turnAwayTime = 700 * time.Microsecond, 250 * time.Microsecond, 20 * time.Microsecond
 	// shedTick is how often a VM adjusts its load shedder.
 	shedTick = 15 * time.Millisecond
+	// unreadEvery is how many connections come to one of which nothing has arrived when a VM decides about it.
+	unreadEvery = 20
 	// drawnShared and drawnOwn are the tokens of a prompt.
 	drawnShared, drawnOwn = 3000, 1500
 )
@@ -90,7 +92,7 @@
 	}
 	var vms []*drawnVM
 	for i, cores := range load.cores {
-		vms = append(vms, &drawnVM{index: i, cores: cores, shedder: valve.New(0)})
+		vms = append(vms, &drawnVM{index: i, cores: cores, shedder: valve.New(0), parts: valve.NewParts(), turnedAway: make(map[version.AccountID]int)})
 	}
 	const step = 5 * time.Millisecond
 	due, sent := make([]float64, len(load.accounts)), 0
@@ -111,22 +113,47 @@
 	return judge
 }
 
-// drawnVM is a VM whose processor bounds what it takes in.
+// drawnVM is a VM whose processor bounds what it takes in. While it sheds load, it knows the accounts of
+// nearly all connections from what has arrived of their requests.
 type drawnVM struct {
 	index   int
 	cores   float64
 	shedder *valve.Shedder
+	parts   *valve.Parts
+	// arrived counts requests, and turnedAway those of known accounts that were turned away since the last ticket.
+	arrived    int
+	turnedAway map[version.AccountID]int
 	// backlog is the processor time of the work that it has not done.
 	backlog time.Duration
 }
 
+// admits reports whether the VM takes in a request, and counts those that it turns away.
+func (vm *drawnVM) admits(sim *fleetSimulation, account version.AccountID) bool {
+	vm.arrived++
+	vm.parts.Arrive(sim.now, account)
+	if vm.arrived%unreadEvery == 0 {
+		admitted := vm.shedder.Admit()
+		if !admitted {
+			sim.turnAway(vm.index)
+		}
+		return admitted
+	}
+	ahead := func(account version.AccountID) bool { return sim.vms[vm.index].Ahead(sim.now, account) }
+	admitted := vm.parts.Admits(sim.now, account, ahead, vm.shedder)
+	if !admitted {
+		vm.turnedAway[account]++
+	}
+	return admitted
+}
+
 // serve reports whether the VM serves a request.
 func (vm *drawnVM) serve(sim *fleetSimulation, ticket request.Ticket) bool {
-	if !vm.shedder.Admit() {
-		sim.turnAway(vm.index)
+	if !vm.admits(sim, ticket.Account) {
 		vm.backlog += turnAwayTime
 		return false
 	}
+	ticket.TurnedAway = vm.turnedAway[ticket.Account]
+	delete(vm.turnedAway, ticket.Account)
 	if !sim.offer(vm.index, ticket) {
 		vm.backlog += refuseTime
 		return false
--- a/fleet/process/valve/parts.go
+++ b/fleet/process/valve/parts.go
@@ -12,9 +12,6 @@
 	partsHalfLife = time.Second
 	// activeRequests is the number of requests, so counted, from which an account has a part.
 	activeRequests = 0.5
-	// leastParts is the least fraction of what arrives that is divided into parts: the accounts within them send few,
-	// and a process that is far behind is so by the others.
-	leastParts = 0.1
 	// activeInterval is how often the accounts that have a part are counted.
 	activeInterval = 20 * time.Millisecond
 )
@@ -65,7 +62,7 @@
 		p.countActive(now)
 	}
 	count := p.arrived[account]
-	return count == nil || count.now(now)*float64(max(p.active, 1)) <= max(fraction, leastParts)*p.total.now(now)
+	return count == nil || count.now(now)*float64(max(p.active, 1)) <= fraction*p.total.now(now)
 }
 
 // countActive counts the accounts that have a part and drops the others.
@@ -83,7 +80,13 @@
 // Admits reports whether a process that sheds load admits a request of an account: if the account is within its
 // part, or if the shedder admits it. An account that is ahead of its share over the fleet, so that most of its
 // requests are refused after they were read, has to be admitted by the shedder twice: what the
-// processor has no time for is first what would come to nothing.
-func (p *Parts) Admits(now time.Time, account version.AccountID, ahead bool, shedder *Shedder) bool {
-	return p.Within(now, account, shedder.AdmittedFraction()) || shedder.Admit() && (!ahead || shedder.Admit())
+// processor has no time for is first what would come to nothing. ahead is called only if that matters.
+func (p *Parts) Admits(now time.Time, account version.AccountID, ahead func(version.AccountID) bool, shedder *Shedder) bool {
+	switch {
+	case p.Within(now, account, shedder.AdmittedFraction()):
+		return true
+	case !shedder.Admit():
+		return false
+	}
+	return shedder.AdmittedFraction() >= 1 || !ahead(account) || shedder.Admit()
 }
--- a/fleet/process/valve/parts_test.go
+++ b/fleet/process/valve/parts_test.go
@@ -59,7 +59,7 @@
 			}
 			sent[account]++
 			parts.Arrive(now, account)
-			if parts.Admits(now, account, account == ahead, shedder) {
+			if parts.Admits(now, account, func(id version.AccountID) bool { return id == ahead }, shedder) {
 				admitted[account]++
 			}
 			now = now.Add(200 * time.Microsecond)
@@ -83,7 +83,7 @@
 		const requests = 20_000
 		for range requests {
 			account := version.AccountID(random.IntN(accounts))
-			if parts.Admits(now, account, false, shedder) {
+			if parts.Admits(now, account, func(version.AccountID) bool { return false }, shedder) {
 				admitted++
 			}
 			parts.Arrive(now, account)
--- a/fleet/request/request.go
+++ b/fleet/request/request.go
@@ -59,9 +59,9 @@
 	Avoid version.UpstreamID
 	// Attempt is the number of the attempt that the grant will be for.
 	Attempt Attempt
-	// TurnedAway is the number of callers' requests that the process rejected unread since the last
-	// ticket. They are taken to be of the ticket's account: over many tickets each account gets its
-	// part.
+	// TurnedAway is the number of callers' requests that the process turned away since the last ticket of
+	// the account, with those of unknown accounts since the last ticket. The latter are taken to be of
+	// the ticket's account: over many tickets each account gets its part.
 	TurnedAway int
 	// BodyBytes is the size of the body. Like the body, it stays with the entry.
 	BodyBytes int
