Admit what has been read before new connections

Cause: in the log of its VM, in one second, 220 requests were admitted, 250 refused after they were read on open connections, and 2,706 connections turned away, nearly all of that one account, which was below its share. What is read and refused takes several times the processor time of turning a connection away.

Change: a further request of an account that is not ahead is admitted in place of one of the account's next new connections that the shedder would admit, up to 16 in advance. What an account gets admitted in all, and what others get, stays the same.

--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -117,7 +117,7 @@
 	}
 	switch {
 	case first:
-	case a.parts.Admits(now, account, a.ahead, a.shedder):
+	case a.parts.AdmitsFurther(now, account, a.ahead, a.shedder):
 		a.admitted++
 	default:
 		a.refused++
--- a/fleet/process/valve/parts.go
+++ b/fleet/process/valve/parts.go
@@ -12,6 +12,8 @@
 	partsHalfLife = time.Second
 	// activeRequests is the number of requests, so counted, from which an account has a part.
 	activeRequests = 0.5
+	// maxAdvanced bounds how many further requests of an account are admitted in advance of its new connections.
+	maxAdvanced = 16
 	// activeInterval is how often the accounts that have a part are counted.
 	activeInterval = 20 * time.Millisecond
 )
@@ -24,6 +26,8 @@
 type Parts struct {
 	arrived map[version.AccountID]*decayingCount
 	total   decayingCount
+	// advanced counts further requests that were admitted in place of new connections that are still to come.
+	advanced map[version.AccountID]int
 	// active is the number of accounts that have a part, as of countedAt.
 	active    int
 	countedAt time.Time
@@ -42,7 +46,9 @@
 func (c *decayingCount) add(now time.Time) { c.n, c.at = c.now(now)+1, now }
 
 // NewParts returns parts that no account has used.
-func NewParts() *Parts { return &Parts{arrived: make(map[version.AccountID]*decayingCount)} }
+func NewParts() *Parts {
+	return &Parts{arrived: make(map[version.AccountID]*decayingCount), advanced: make(map[version.AccountID]int)}
+}
 
 // Arrive records a request of an account.
 func (p *Parts) Arrive(now time.Time, account version.AccountID) {
@@ -73,11 +79,12 @@
 			p.active++
 		} else {
 			delete(p.arrived, id)
+			delete(p.advanced, id)
 		}
 	}
 }
 
-// Admits reports whether a process that sheds load admits a request of an account: if the account is within its
+// Admits reports whether a process that sheds load admits a new connection of an account: if the account is within its
 // part, or if the shedder admits it. An account that is ahead of its share over the fleet, so that most of its
 // requests are refused after they were read, has to be admitted by the shedder twice: what the
 // processor has no time for is first what would come to nothing. ahead is called only if that matters.
@@ -87,6 +94,32 @@
 		return true
 	case !shedder.Admit():
 		return false
+	case shedder.AdmittedFraction() >= 1:
+		return true
+	case p.advanced[account] > 0:
+		p.advanced[account]--
+		return false
+	}
+	return !ahead(account) || shedder.Admit()
+}
+
+// AdmitsFurther is Admits for a further request on an open connection. It has been read, so to refuse it takes several
+// times the processor time of turning a new connection away. What the shedder does not admit of an account that is
+// not ahead is admitted in place of one of its next new connections.
+func (p *Parts) AdmitsFurther(now time.Time, account version.AccountID, ahead func(version.AccountID) bool, shedder *Shedder) bool {
+	if p.Within(now, account, shedder.AdmittedFraction()) {
+		return true
+	}
+	admitted := shedder.Admit()
+	switch {
+	case shedder.AdmittedFraction() >= 1:
+		return true
+	case ahead(account):
+		return admitted && shedder.Admit()
+	case !admitted && p.advanced[account] >= maxAdvanced:
+		return false
+	case !admitted:
+		p.advanced[account]++
 	}
-	return shedder.AdmittedFraction() >= 1 || !ahead(account) || shedder.Admit()
+	return true
 }
--- a/fleet/process/valve/parts_test.go
+++ b/fleet/process/valve/parts_test.go
@@ -95,3 +95,51 @@
 		}
 	}
 }
+
+// Guards against a process whose processor goes into requests that are refused after they were read: a VM refused 250 a
+// second on open connections beside 220 that it admitted, of an account that was below its share, and admitted new
+// connections of the same account meanwhile.
+func TestFurtherRequestsAreAdmittedBeforeNewConnections(t *testing.T) {
+	const keeps, opens = version.AccountID(1), version.AccountID(2)
+	none := func(version.AccountID) bool { return false }
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 67))
+		shedder := New(0)
+		shedder.fraction = 0.03 + 0.4*random.Float64()
+		// ofKeeps are the requests of the account that keeps connections open, of which further are on those.
+		ofKeeps := 0.3 + 0.4*random.Float64()
+		further := shedder.fraction * (0.2 + 0.6*random.Float64())
+		parts, now := NewParts(), time.Unix(1000, 0)
+		sent, admitted, sentFurther, refused := make(map[version.AccountID]int), make(map[version.AccountID]int), 0, 0
+		for range 50_000 {
+			account, isFurther := opens, false
+			if random.Float64() < ofKeeps {
+				account, isFurther = keeps, random.Float64() < further
+			}
+			sent[account]++
+			parts.Arrive(now, account)
+			var ok bool
+			if isFurther {
+				sentFurther++
+				if ok = parts.AdmitsFurther(now, account, none, shedder); !ok {
+					refused++
+				}
+			} else {
+				ok = parts.Admits(now, account, none, shedder)
+			}
+			if ok {
+				admitted[account]++
+			}
+			now = now.Add(200 * time.Microsecond)
+		}
+		if refused*20 > sentFurther {
+			t.Errorf("seed %d: %d of %d further requests are refused at a fraction of %.2f, want at most 1 in 20",
+				seed, refused, sentFurther, shedder.fraction)
+		}
+		for _, account := range []version.AccountID{keeps, opens} {
+			if part := float64(admitted[account]) / float64(sent[account]); part < 0.85*shedder.fraction || part > 1.15*shedder.fraction {
+				t.Errorf("seed %d: %.3f of the requests of account %d are admitted at a fraction of %.3f", seed, part, account, shedder.fraction)
+			}
+		}
+	}
+}
