Count connections beyond the limit for their accounts

What callers saw: at a VM with as many open connections as it may have, an account that gets one admitted was taken to have asked for all that was turned away meanwhile, so others were owed less of what the fleet grants and it was owed more.

Change: what is turned away at the limit counts for its own account, by the head that is read in any case.

--- a/daemon/process/edge/crowd.go
+++ b/daemon/process/edge/crowd.go
@@ -114,19 +114,24 @@
 
 // decide returns a connection that was accepted through the runtime, or nil if it is rejected.
 func (l *admissionListener) decide(conn net.Conn) net.Conn {
+	all := l.rejectsAll()
+	if !all && !l.admission.shedsLoad() {
+		l.admission.countAdmitted()
+		return conn
+	}
 	var head []byte
-	switch tcp, ok := conn.(*net.TCPConn); {
-	case l.rejectsAll():
-		l.admission.countRejected()
-	case !l.admission.shedsLoad() || !ok:
-		if l.admission.admitConnection(nil) {
-			return conn
-		}
-	default:
+	tcp, ok := conn.(*net.TCPConn)
+	if ok {
 		head = l.readConn(tcp)
-		if l.admission.admitConnection(head) {
-			return bounded.NewBegunConn(tcp, bytes.Clone(head))
-		}
+	}
+	switch {
+	case all:
+		l.admission.countRejected(head)
+	case !l.admission.admitConnection(head):
+	case ok:
+		return bounded.NewBegunConn(tcp, bytes.Clone(head))
+	default:
+		return conn
 	}
 	fd, err := turnaway.Detach(conn)
 	if err != nil {
@@ -204,14 +209,14 @@
 			if err != nil {
 				return
 			}
-			if all {
-				l.admission.countRejected()
-				l.rejecter.Reject(socket)
-				continue
-			}
-			if head := l.read(socket); l.admission.admitConnection(head) {
+			head := l.read(socket)
+			switch {
+			case all:
+				l.admission.countRejected(head)
+				l.rejecter.RejectRead(socket, head)
+			case l.admission.admitConnection(head):
 				admitted = serverConn(socket, head)
-			} else {
+			default:
 				l.rejecter.RejectRead(socket, head)
 			}
 		}
--- a/daemon/process/edge/crowd_test.go
+++ b/daemon/process/edge/crowd_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -213,6 +214,49 @@
 	}
 }
 
+// Guards against connections that are turned away at the limit of open ones and count in the demand of whoever comes
+// next.
+func TestConnectionsBeyondTheLimitCountForTheirAccounts(t *testing.T) {
+	const waiting = 60
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := newAdmission(0, slog.New(slog.DiscardHandler))
+	full.accountOf = func(head []byte) (version.AccountID, bool) {
+		return version.AccountID(len(platform.KeyOfHead(head))), true
+	}
+	limiter := newConnLimiter(8192, 1)
+	for range 2 {
+		limiter.track(nil, http.StateNew)
+	}
+	rejecter := newRejecter(waiting)
+	go func() { _ = rejecter.Run(t.Context()) }()
+	want := make(map[int]int)
+	for i := range waiting {
+		key := strings.Repeat("k", 1+i%3)
+		want[len(key)]++
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer caller.Close()
+		fmt.Fprintf(caller, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", platformtest.HeaderKey, key)
+	}
+	if tcp := listener.(*net.TCPListener); tcp.SetDeadline(time.Now().Add(300*time.Millisecond)) != nil {
+		t.Fatal("no deadline of the listener")
+	}
+	rejecting := &admissionListener{Listener: listener, connLimiter: limiter, admission: full, rejecter: rejecter}
+	if conn, err := rejecting.Accept(); err == nil {
+		t.Errorf("a connection from %v is accepted", conn.RemoteAddr())
+	}
+	for length, count := range want {
+		if got := full.takeTurnedAway(version.AccountID(length)); got != count {
+			t.Errorf("%d were turned away of account %d, want %d", got, length, count)
+		}
+	}
+}
+
 // Guards against an account that sends few requests over new connections to a process which another account
 // floods: whoever came was turned away unread.
 func TestNewConnectionsOfAccountsThatSendFewAreAdmitted(t *testing.T) {
--- a/daemon/process/edge/intake.go
+++ b/daemon/process/edge/intake.go
@@ -66,10 +66,7 @@
 // admitConnection reports whether to admit a new connection, with its first request, of which head was read.
 // It counts connections that are not admitted.
 func (a *admission) admitConnection(head []byte) bool {
-	account, known := version.AccountID(0), false
-	if a.accountOf != nil && len(head) > 0 {
-		account, known = a.accountOf(head)
-	}
+	account, known := a.identify(head)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !known {
@@ -77,8 +74,7 @@
 			a.admitted++
 			return true
 		}
-		a.rejected++
-		a.unattributed++
+		a.reject(account, known)
 		return false
 	}
 	now := time.Now()
@@ -88,22 +84,49 @@
 		a.arrived[account]++
 		return true
 	}
-	a.rejected++
-	a.turnedAway[account]++
+	a.reject(account, known)
 	return false
 }
 
-// shedsLoad reports whether the process admits less than all.
-func (a *admission) shedsLoad() bool { return a.admittedFraction() < 1 }
+// countAdmitted counts a connection that is admitted unread.
+func (a *admission) countAdmitted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admitted++
+}
 
-// countRejected counts a connection that was rejected whatever the load shedder admits.
-func (a *admission) countRejected() {
+// countRejected counts a connection, of which head was read, that is rejected whatever the load shedder admits.
+func (a *admission) countRejected(head []byte) {
+	account, known := a.identify(head)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if known {
+		a.parts.Arrive(time.Now(), account)
+	}
+	a.reject(account, known)
+}
+
+// identify returns the account of a request by the beginning of its head, if it is known.
+func (a *admission) identify(head []byte) (version.AccountID, bool) {
+	if a.accountOf == nil || len(head) == 0 {
+		return 0, false
+	}
+	return a.accountOf(head)
+}
+
+// reject counts a connection that is not admitted. a.mu must be held.
+func (a *admission) reject(account version.AccountID, known bool) {
 	a.rejected++
-	a.unattributed++
+	if known {
+		a.turnedAway[account]++
+	} else {
+		a.unattributed++
+	}
 }
 
+// shedsLoad reports whether the process admits less than all.
+func (a *admission) shedsLoad() bool { return a.admittedFraction() < 1 }
+
 // admitRequest reports whether to admit a request of an account on an admitted connection: the first one
 // always, a further one as valve.Parts says. It counts requests that are not admitted.
 func (a *admission) admitRequest(account version.AccountID, first bool) bool {
