Turn connections away without a copy of what was read

Cause: the rejecter copied what it had read of each request, 4 KiB and more, to look for the end of the head.

Change: it copies only if the head came in several reads.

Evidence: TestTurningConnectionsAwayTakesNoCopies.

--- a/daemon/connection/turnaway/turnaway.go
+++ b/daemon/connection/turnaway/turnaway.go
@@ -287,8 +287,10 @@
 // is nil and unreadBytes is the number of bytes still to come. That number is known only if
 // the head has a single Content-Length and arrived in one read.
 func (c *waitingConn) addRequestBytes(data []byte) {
-	firstRead := c.headTail == nil
-	received := append(c.headTail, data...)
+	firstRead, received := c.headTail == nil, data
+	if !firstRead {
+		received = append(c.headTail, data...)
+	}
 	end := bytes.Index(received, headEnd)
 	if end < 0 {
 		c.headTail = bytes.Clone(received[max(len(received)-len(headEnd)+1, 0):])
--- a/daemon/connection/turnaway/turnaway_test.go
+++ b/daemon/connection/turnaway/turnaway_test.go
@@ -210,3 +210,18 @@
 		t.Errorf("got counts %+v, want every connection answered", counts)
 	}
 }
+
+// Guards against a process that is flooded with connections and takes memory for each that it turns away: a copy of what
+// was read, 4 KiB and more.
+func TestTurningConnectionsAwayTakesNoCopies(t *testing.T) {
+	request := []byte(head(4000) + strings.Repeat("x", 4000))
+	if allocated := testing.AllocsPerRun(100, func() {
+		var c waitingConn
+		c.addRequestBytes(request)
+		if c.headTail != nil || c.unreadBytes != 0 {
+			t.Fatalf("%d bytes remain to be read", c.unreadBytes)
+		}
+	}); allocated > 1 {
+		t.Errorf("%.0f allocations for a request that came at once, want at most one", allocated)
+	}
+}
