Say in explanations that usage fades

What operators saw: `trefoilctl explain` told how much of its fair share an account had used "in the last 4.0s", though what was granted counts less the older it is.

Change: the line says that usage fades within the share window. The fields of the response stay.

Evidence: TestExplanationIsPrinted reads the line.

--- a/daemon/cmd/trefoilctl/command/explain.go
+++ b/daemon/cmd/trefoilctl/command/explain.go
@@ -156,8 +156,8 @@
 		}
 	}
 	if r.ShareWindowMS > 0 {
-		lines = append(lines, fmt.Sprintf("share: the account has used %.0f %% of its fair share in the last %s, and %.0f %% of what the account with most has had",
-			100*r.ShareUsed, millisText(r.ShareWindowMS), 100*r.OfHighest))
+		lines = append(lines, fmt.Sprintf("share: the account has used %.0f %% of its fair share and %.0f %% of what the account with most has had (usage fades within %s)",
+			100*r.ShareUsed, 100*r.OfHighest, millisText(r.ShareWindowMS)))
 	}
 	if r.AdmittedFraction < 1 {
 		lines = append(lines, fmt.Sprintf("this VM is behind with its work and admits %.0f %% of requests before any other check", 100*r.AdmittedFraction))
--- a/daemon/process/operator/explain.go
+++ b/daemon/process/operator/explain.go
@@ -118,8 +118,8 @@
 	Upstream    string          `json:"upstream,omitempty"`
 	PredictedMS float64         `json:"predicted_ms,omitempty"`
 	Refusal     *ExplainRefusal `json:"refusal,omitempty"`
-	// ShareUsed is what the account was granted in the last ShareWindowMS relative to its fair
-	// share, and OfHighest the same relative to the account that was granted most.
+	// ShareUsed is what the account was granted lately relative to its fair share, and OfHighest the
+	// same relative to the account that was granted most. What was granted fades within ShareWindowMS.
 	ShareUsed     float64 `json:"share_used"`
 	OfHighest     float64 `json:"of_highest"`
 	ShareWindowMS float64 `json:"share_window_ms,omitempty"`
--- a/fleet/process/placement/explain.go
+++ b/fleet/process/placement/explain.go
@@ -24,9 +24,9 @@
 	Refusal *request.Refusal
 	// Rule is the software rule that the decision keeps to.
 	Rule request.SoftwareRule
-	// ShareUsed is what the account was granted in the share window, relative to its fair share, and
-	// OfHighest the same relative to the account that was granted most, 0 to 1. ShareWindow is the
-	// length of the window.
+	// ShareUsed is what the account was granted lately, relative to its fair share, and OfHighest the
+	// same relative to the account that was granted most, 0 to 1. What was granted fades within
+	// ShareWindow.
 	ShareUsed, OfHighest float64
 	ShareWindow          time.Duration
 	// LastResort is set if only upstreams that this VM considers unresponsive were left.
