Reject a head that was begun with all that was read of it

What callers would see: no 503 but a closed connection, after half a second, if a head of more than 8 KiB comes while a VM sheds load and there is no memory for it.

Cause: what rejects such a head got the bytes of the server's last read and waited in the kernel for more, which the listener had read already. Connections without room that were begun were not counted as rejected either.

--- a/daemon/connection/bounded/begun_test.go
+++ b/daemon/connection/bounded/begun_test.go
@@ -65,3 +65,39 @@
 		}
 	}
 }
+
+// Guards against a head that may not grow, of which a part was read before its server got the connection: what rejects it
+// waited for bytes that had been read.
+func TestBegunHeadsAreRejectedWithAllThatWasRead(t *testing.T) {
+	// Every line is another one, so that the part that was read tells where it ends.
+	request := "GET / HTTP/1.1\r\nHost: h\r\n"
+	for i := range 1500 {
+		request += fmt.Sprintf("X-%d: y\r\n", i)
+	}
+	for seed := range uint64(20) {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		begun := &begunListener{inner, rand.New(rand.NewPCG(seed, 3)), make(chan int, 1)}
+		rejected := make(chan string, 1)
+		port := New(4<<10, slog.New(slog.DiscardHandler)).NewPort(PortOptions{
+			Name: "callers", MaxConns: 4, Grace: CallerGrace, IdleGrace: CallerIdleGrace,
+			Reject: func(conn *net.TCPConn, read []byte) {
+				rejected <- string(read)
+				conn.Close()
+			},
+		})
+		server := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server.ConnState = port.Track
+		go func() { _ = server.Serve(port.Listener(begun)) }()
+		t.Cleanup(func() { server.Close() })
+		begun.requestBytes <- len(request)
+		dial(t, inner.Addr().String(), request)
+		read := <-rejected
+		want := rand.New(rand.NewPCG(seed, 3)).IntN(len(request) + 1)
+		if end := strings.Index(request, read) + len(read); end < want {
+			t.Errorf("seed %d: rejected with what ends at byte %d, but %d were read before", seed, end, want)
+		}
+	}
+}
--- a/daemon/connection/bounded/conn.go
+++ b/daemon/connection/bounded/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -96,7 +97,11 @@
 	c.awaitsHead.Store(false)
 	if n > 0 && phase < phaseServing && !c.grow(b[:n]) {
 		c.port.budget.refused.Add(1)
-		c.port.reject(c.tcp, b[:n])
+		read := b[:n]
+		if c.begun != nil {
+			read = slices.Concat(read, c.begun.read)
+		}
+		c.port.reject(c.tcp, read)
 		// The server writes no response after an error of this kind.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errExceeded}
 	}
--- a/daemon/connection/bounded/port.go
+++ b/daemon/connection/bounded/port.go
@@ -91,8 +91,10 @@
 		case l.port.HasRoom() || l.port.options.Reject == nil && l.port.awaitRoom():
 			return l.port.add(tcp, begun), nil
 		case begun != nil:
+			l.port.countRejected()
 			l.port.reject(tcp, begun.read)
 		default:
+			l.port.countRejected()
 			l.port.reject(tcp, nil)
 		}
 	}
@@ -143,13 +145,15 @@
 	c.release()
 }
 
+// countRejected counts a new connection for which there is no room.
+func (p *Port) countRejected() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rejected++
+}
+
 // reject rejects a new connection, or one whose head may not grow.
 func (p *Port) reject(tcp *net.TCPConn, read []byte) {
-	if read == nil {
-		p.mu.Lock()
-		p.rejected++
-		p.mu.Unlock()
-	}
 	if p.options.Reject == nil || p.options.TLS != nil {
 		// Nothing of the request was served; an error of closing means nothing.
 		_ = tcp.Close()
