Fill the memory for heads in its test

Cause: ten heads that grow at the same time may each find too little memory left and be refused, so that more than half of the memory is free when the last one comes, and nothing has to be closed for it.

Change: the test sends heads one after another until another one does not fit. It asks for the same: the last head is answered, and others are closed for it. With closeHeads empty it fails.

--- a/daemon/connection/bounded/port_test.go
+++ b/daemon/connection/bounded/port_test.go
@@ -132,13 +132,17 @@
 func TestAnUnfinishedHeadGivesWayToAnother(t *testing.T) {
 	b, address := startPort(t, 1000, quiet, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	large := "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 3000)
-	for range 10 {
-		dial(t, address, large)
-	}
-	for deadline := time.Now().Add(5 * time.Second); b.held.Load() < b.limit/2; time.Sleep(time.Millisecond) {
+	// Heads that grow at the same time may all be refused, and leave memory for the next one.
+	need := int64(2*len(large) + lineBytes*strings.Count(large, "\n") - freeBytes)
+	for deadline := time.Now().Add(10 * time.Second); b.held.Load()+need <= b.limit; {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d of %d bytes are held", b.held.Load(), b.limit)
 		}
+		full := b.held.Load() + need
+		dial(t, address, large)
+		for until := time.Now().Add(headGrace / 2); b.held.Load() < full && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
 	}
 	time.Sleep(2 * headGrace)
 	conn := dial(t, address, large+"\r\n")
