--- a/daemon/process/edge/crowd_test.go
+++ b/daemon/process/edge/crowd_test.go
@@ -340,7 +340,7 @@
 }
 
 // Guards against an overloaded process whose processor goes into requests that are refused because their account
-// is ahead of its share: at one VM nine of ten that it read.
+// is ahead of its share.
 func TestFurtherRequestsOfAccountsAheadAreShedFirst(t *testing.T) {
 	const ahead, behind = version.AccountID(1), version.AccountID(2)
 	overloaded := newAdmission(0, slog.New(slog.DiscardHandler))
--- a/fleet/process/valve/parts_test.go
+++ b/fleet/process/valve/parts_test.go
@@ -96,9 +96,8 @@
 	}
 }
 
-// Guards against a process whose processor goes into requests that are refused after they were read: a VM refused 250 a
-// second on open connections beside 220 that it admitted, of an account that was below its share, and admitted new
-// connections of the same account meanwhile.
+// Guards against a process whose processor goes into requests that are refused after they were read, of an account that
+// is below its share, while new connections of the same account are admitted.
 func TestFurtherRequestsAreAdmittedBeforeNewConnections(t *testing.T) {
 	const keeps, opens = version.AccountID(1), version.AccountID(2)
 	none := func(version.AccountID) bool { return false }
